--- /dev/null
+++ b/build/lib/kestrelplank/__init__.py
@@ -0,0 +1,1 @@
+"""kestrelplank: an assigner that tells forwarding proxies where work goes."""
--- /dev/null
+++ b/build/lib/kestrelplank/drill/__main__.py
@@ -0,0 +1,19 @@
+"""`python -m kestrelplank.drill`: batches on standard input, replies on standard output, until input ends."""
+
+import sys
+
+from kestrelplank.drill.host import Host
+
+
+def main() -> None:
+    host, output = Host(), sys.stdout.buffer
+    for line_number, raw in enumerate(sys.stdin.buffer, 1):
+        if raw.strip():
+            reply = host.read(raw, line_number)
+            if reply is not None:
+                output.write(b"\n".join(reply) + b"\n")
+                output.flush()
+
+
+if __name__ == "__main__":
+    main()
