Greedy pass with mean band and capped batches; withdrawals; a paced channel

Cause: slices stayed where the store had them, so hot nodes filled while others idled, and restarted nodes got their full load cold.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -3,89 +3,318 @@
 Make one `Conductor(now, seed, settings)` an instance and call `conductor.round(now, events, out)` once a
 round with all that came in; it writes its orders into `out`. The events, their fields and the writer are
 described in `kestrelplank/interface.py`. Times are whole nanoseconds.
+
+Read it in this order: the records; Channel; Roster; Health; the greedy pass; Conductor, which joins them.
 """
 
+from collections import deque
 from random import Random
 
-MS = 1_000_000
-BEAT = 100 * MS  # how often a conductor looks at what is due, also when nothing comes in
+from kestrelplank.interface import ALL_TABLES
+
+S = 1_000_000_000
+BEAT = S // 10  # how often a conductor looks at what is due, also when nothing comes in
+TURN = 2 * S  # the greedy pass runs this often
+REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
+BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
+BATCH = 20  # a turn moves at most one in this many of the conductor's slices
+STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
+GONE = ("draining", "removed")
 
 
 class Node:
     """All that is known of one node."""
 
-    __slots__ = ("zone", "cell", "weight", "state", "boot", "out", "load")
+    def __init__(self, index):
+        self.index, self.zone, self.cell, self.weight, self.boot = index, None, None, 1.0, None
+        self.state = "unlisted"  # or up, draining, removed
+        self.out = False  # withdrawn from the proxies, as last ordered
+        self.stale = False  # some joined proxy may hold another withdrawal than that
+        self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
+        self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
+        self.past = deque(maxlen=REPORTS)  # the same of the periods before
+        self.barred_until, self.bar_for = 0, 0
+        self.settles_at = 0  # takes part in no further move until then
+        self.reserved = []  # (until, heat) of slices on their way here
+        self.stripped = True  # since its last start it has been rid of what it held before
 
-    def __init__(self):
-        self.zone = self.cell = self.boot = None
-        self.weight, self.state = 1.0, "unlisted"
-        self.out = False  # withdrawn from the joined proxies, as last ordered
-        self.load = 0.0
+    def sums(self, last=REPORTS):
+        recent = list(self.past)[-last:]
+        return [sum(part) for part in zip(*recent)] if recent else [0.0, 0.0, 0.0]
 
 
 class Slice:
-    """A slice in this conductor's charge: the lines as last ordered."""
+    """A slice in this conductor's charge: lines wanted and lines ordered, node to weight."""
+
+    def __init__(self, number):
+        self.number, self.want, self.sent = number, {}, {}
+        self.now, self.past, self.urgent = 0.0, deque(maxlen=REPORTS), False
+
+    def owner(self):
+        return max(self.want, key=self.want.get) if self.want else None
+
+
+class Channel:
+    """Keeps the queue short (rule 5). What no proxy has confirmed is taken to be waiting still, so that a
+    channel slower than stated, or proxies that stand still, hold orders back instead of piling them up."""
+
+    def __init__(self, envelope, most_waiting, most_messages, messages_span):
+        self.envelope, self.most_waiting = envelope, most_waiting
+        self.most_messages, self.span = most_messages, messages_span
+        self.waiting, self.messages, self.mark = {}, deque(), 0
+
+    def joined(self, proxy):
+        self.waiting[proxy] = deque()
 
-    __slots__ = ("lines",)
+    def left(self, proxy):
+        self.waiting.pop(proxy, None)
 
-    def __init__(self):
-        self.lines = {}
+    def applied(self, proxy, mark):
+        queue = self.waiting.get(proxy, ())
+        if any(number == mark for number, _ in queue):
+            while queue.popleft()[0] != mark:
+                pass
+
+    def room(self, now, share, spare):
+        """How many lines one reply may hold, filling that share of the queue, `spare` messages kept back."""
+        while self.messages and now - self.messages[0] > self.span:
+            self.messages.popleft()
+        if not self.waiting:
+            return 1e9
+        if self.most_messages and len(self.messages) + spare >= self.most_messages:
+            return 0
+        unproved = sum(cost for queue in self.waiting.values() for _, cost in queue)
+        return (self.most_waiting * share - unproved) / len(self.waiting) - self.envelope - 1
+
+    def send(self, now, lines, out):
+        self.mark = (self.mark + 1) % 65536
+        self.messages.append(now)
+        out.mark(self.mark, False)
+        for queue in self.waiting.values():
+            queue.append((self.mark, lines + self.envelope + 1))
 
 
 class Conductor:
     def __init__(self, now, seed, settings):
         self.random = Random(seed)
         self.nodes, self.slices = {}, {}
-        self.subscribe, self.asked, self.due = settings["subscribe"], None, None
+        self.channel = Channel(*(settings[key] for key in
+                                 ("envelope", "most_waiting", "most_messages", "messages_span")))
+        self.subscribe, self.ask_at = settings["subscribe"], now
+        self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
+        self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
+        self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
+        self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
+        self.greeted = False
 
     def round(self, now, events, out):
         for word, *fields in events:
             handler = getattr(self, "on_" + word, None)
             if handler:
                 handler(now, *fields)
-        if self.subscribe and self.asked is None:
+        if self.subscribe and self.ask_at is not None and now >= self.ask_at:
             out.watch(True)
-            self.asked = now
-        self.evacuate(out)
-        if self.due is None or now >= self.due:
-            self.due = now + BEAT
-            out.timer(self.due, "beat")
+            self.ask_at = None
+        while now >= self.closes_at:
+            self.close_period()
+        if not self.greeted:
+            self.greeted = True
+            if self.usual_again == 0:
+                out.level(ALL_TABLES, 0, 1.0, 1)
+        self.evacuate(now)
+        if now >= self.next_turn:
+            self.next_turn = now + TURN
+            self.turn(now)
+        self.guard(now)
+        self.flush(now, out)
+        if now >= self.next_beat:
+            self.next_beat = now + BEAT
+            out.timer(self.next_beat, "beat")
+
+    # What comes in.
 
     def on_roster(self, now, how, entries):
         if how == "failed":
-            self.asked = None
+            self.ask_at = now + S // 2 + int(self.random.random() * S)
             return
         if how != "delta":
             for node in self.nodes.values():
                 node.state = "removed" if node.state != "unlisted" else "unlisted"
         for index, condition, zone, cell, weight, boot in entries:
-            node = self.nodes.setdefault(index, Node())
+            node = self.node(index)
+            if boot is not None and boot != node.boot and now - boot < self.warm_up:
+                node.stripped = False
+                node.past.clear()
             node.state, node.zone, node.cell, node.weight, node.boot = condition, zone, cell, weight, boot
 
     def on_tenure(self, now, number, held):
         if held:
-            self.slices[number] = Slice()
+            self.slices[number] = Slice(number)
+            self.moves_from = now + REPORTS * self.period
         else:
             self.slices.pop(number, None)
 
     def on_line(self, now, number, index, weight):
+        kept = self.slices.get(number)
+        if kept and weight > 0:
+            self.node(index)
+            kept.want[index] = kept.sent[index] = weight
+
+    def on_joined(self, now, proxy, zone, rate, fresh):
+        # A proxy keeps withdrawals over a broken stream and over our own death: one that we do not take
+        # back could leave it without a line (rule 1), and one it missed would let it send (rule 3).
+        self.channel.joined(proxy)
+        for node in self.nodes.values():
+            node.stale = node.stale or node.tainted or not fresh
+
+    def on_left(self, now, proxy):
+        self.channel.left(proxy)
+
+    def on_applied(self, now, proxy, mark, wait):
+        self.channel.applied(proxy, mark)
+
+    def on_tries(self, now, index, zone, tries, failed, mean_time, window, load):
+        node = self.nodes.get(index)
+        if node:
+            for place, value in enumerate((tries, failed, tries * (mean_time or 0) / S)):
+                node.now[place] += value
+
+    def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
-            self.nodes.setdefault(index, Node())
-            self.slices[number].lines[index] = weight
-
-    def evacuate(self, out):
-        live = [index for index, node in self.nodes.items() if node.state == "up"]
-        for number, kept in self.slices.items():
-            gone = [index for index in kept.lines if self.nodes[index].state in ("draining", "removed")]
-            if live and (gone or not kept.lines):
-                counts = {index: 0 for index in live}
-                for other in self.slices.values():
-                    for index in other.lines:
-                        if index in counts:
-                            counts[index] += 1
-                new = min(live, key=counts.get)
-                out.line(number, new, 1.0)
-                kept.lines[new] = 1.0
-                for index in gone:
-                    out.line(number, index, 0)
-                    del kept.lines[index]
+            self.slices[number].now += ops
+
+    # What is known.
+
+    def node(self, index):
+        if index not in self.nodes:
+            self.nodes[index] = Node(index)
+        return self.nodes[index]
+
+    def close_period(self):
+        self.closes_at += self.period
+        for node in self.nodes.values():
+            node.past.append(tuple(node.now))
+            node.now = [0.0, 0.0, 0.0]
+        for kept in self.slices.values():
+            kept.past.append(kept.now)
+            kept.now = 0.0
+
+    def warmth(self, node, now):
+        """The share of its capacity that a node surely has by now."""
+        if node.boot is None or not self.warm_up or now - node.boot >= self.warm_up:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
+
+    def sound(self, now):
+        """Nodes that may hold work, the warm ones unless there are only cold ones."""
+        up = [node for node in self.nodes.values()
+              if node.state == "up" and node.stripped and now >= node.barred_until]
+        return [node for node in up if self.warmth(node, now) >= 1.0] or up
+
+    def survey(self, now):
+        """Each node's busy time a second with what is on its way to it, and the fleet's time an op."""
+        sums = [node.sums() for node in self.nodes.values()]
+        tries, busy = sum(part[0] for part in sums), sum(part[2] for part in sums)
+        per_op = busy / tries if tries else 0.0
+        loads = {}
+        for node in self.nodes.values():
+            node.reserved = [item for item in node.reserved if item[0] > now]
+            seconds = max(1, len(node.past)) * self.period / S
+            loads[node.index] = (node.sums()[2] / seconds + sum(heat for _, heat in node.reserved))
+        return loads, per_op
+
+    def heat(self, kept, per_op):
+        return sum(kept.past) / max(1, len(kept.past)) / (self.period / S) * per_op
+
+    # What is decided.
+
+    def evacuate(self, now):
+        """Slices on nodes that drain, are gone or have just restarted cost infinity: all move at once."""
+        flee = {node.index for node in self.nodes.values() if node.state in GONE or not node.stripped
+                or now < node.barred_until}
+        for node in self.nodes.values():
+            if node.state == "up" and not node.stripped:
+                node.stripped = not any(node.index in kept.want for kept in self.slices.values())
+                if node.stripped:
+                    flee.discard(node.index)
+        movers = [kept for kept in self.slices.values()
+                  if not kept.want or any(index in flee for index in kept.want)]
+        live = self.sound(now)
+        if not movers or not live:
+            return
+        loads, per_op = self.survey(now)
+        for kept in movers:
+            owner = kept.owner()
+            for index in [index for index in kept.want if index in flee]:
+                del kept.want[index]
+            if owner is None or owner not in kept.want:
+                new = min(live, key=lambda node: loads[node.index] / node.weight if node.weight else 0)
+                heat = self.heat(kept, per_op)
+                loads[new.index] += heat
+                new.reserved.append((now + REPORTS * self.period, heat))
+                kept.want[new.index] = 1.0
+            kept.urgent = True
+
+    def turn(self, now):
+        """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch."""
+        live = self.sound(now)
+        if now < self.moves_from or not live:
+            return
+        loads, per_op = self.survey(now)
+        place = {node.index: loads[node.index] / node.weight for node in live if node.weight}
+        if not place:
+            return
+        mean = sum(place.values()) / len(place)
+        top = mean * (1 + BAND)
+        held = [(place[kept.owner()], self.heat(kept, per_op), kept) for kept in self.slices.values()
+                if kept.owner() in place and place[kept.owner()] > top]
+        held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
+        left = max(1, len(self.slices) // BATCH)
+        for _, heat, kept in held:
+            source = self.nodes[kept.owner()]
+            if not left or now < source.settles_at or place[source.index] - heat / source.weight < mean:
+                continue
+            fits = [node for node in live if now >= node.settles_at and node is not source and node.weight]
+            if not fits:
+                break
+            target = min(fits, key=lambda node: place[node.index] + heat / node.weight)
+            if place[target.index] + heat / target.weight > top:
+                continue
+            del kept.want[source.index]
+            kept.want[target.index] = 1.0
+            for node in (source, target):
+                node.settles_at = now + REPORTS * self.period + S
+            target.reserved.append((target.settles_at, heat))
+            place[target.index] += heat / target.weight
+            left -= 1
+
+    def guard(self, now):
+        for node in self.nodes.values():
+            out = node.state in GONE or not node.stripped or now < node.barred_until
+            if out != node.out:
+                node.out, node.stale = out, True
+
+    def flush(self, now, out):
+        """Publishes what changed: withdrawals, then slices that had to move, then the others."""
+        room, lines = self.channel.room(now, 0.6, 0), 0
+        for node in self.nodes.values():
+            if node.stale and lines < room:
+                out.take_out(node.index, node.out)
+                node.stale, node.tainted = False, True
+                lines += 1
+        for urgent in (True, False):
+            if not urgent:
+                room = self.channel.room(now, 0.3, 2)
+            for kept in self.slices.values():
+                if kept.urgent == urgent and kept.want != kept.sent and lines < room:
+                    for index, weight in kept.want.items():
+                        if kept.sent.get(index) != weight:
+                            out.line(kept.number, index, weight)
+                            lines += 1
+                    for index in kept.sent:
+                        if index not in kept.want:
+                            out.line(kept.number, index, 0)
+                            lines += 1
+                    kept.sent, kept.urgent = dict(kept.want), False
+        if lines:
+            self.channel.send(now, lines, out)
