--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -125,6 +125,7 @@
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
+            self.standbys(now)
         self.guard(now)
         self.flush(now, out)
         if now >= self.next_beat:
@@ -288,6 +289,44 @@
             place[target.index] += heat / target.weight
             left -= 1
 
+    def standbys(self, now):
+        """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or cut
+        off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go without an
+        order. Also catches a lost zone and a broken stream. Harm: a node that takes over cold caches at once,
+        so only warm nodes stand by, and those of one owner stand by on different nodes."""
+        live = self.sound(now)
+        if self.exclusive or any(self.warmth(node, now) < 1.0 for node in live):
+            return
+        held = {node.index: 0 for node in live}
+        pairs = {}
+        for kept in self.slices.values():
+            for index in kept.want:
+                if index in held and index != kept.owner():
+                    held[index] += 1 / (self.nodes[index].weight or 1.0)
+                    pairs[kept.owner(), index] = pairs.get((kept.owner(), index), 0) + 1
+        zones = sorted({node.zone for node in live if node.zone is not None})
+        for kept in self.slices.values():
+            owner = kept.owner()
+            if owner is None:
+                continue
+            home = self.nodes[owner].zone
+            wanted = [zone for zone in zones if zone != home] or zones
+            have = {}
+            for index in list(kept.want):
+                if kept.want[index] <= STANDBY:
+                    zone = self.nodes[index].zone
+                    if zone in wanted and zone not in have:
+                        have[zone] = index
+                    else:
+                        del kept.want[index]
+            for zone in wanted:
+                choice = [node for node in live if node.zone == zone and node.index != owner]
+                if zone not in have and choice:
+                    new = min(choice, key=lambda node: (pairs.get((owner, node.index), 0), held[node.index]))
+                    kept.want[new.index] = STANDBY
+                    held[new.index] += 1 / (new.weight or 1.0)
+                    pairs[owner, new.index] = pairs.get((owner, new.index), 0) + 1
+
     def guard(self, now):
         for node in self.nodes.values():
             out = node.state in GONE or not node.stripped or now < node.barred_until
