--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -119,7 +119,7 @@
             self.close_period()
         if not self.greeted:
             self.greeted = True
-            if self.usual_again == 0:
+            if False and self.usual_again == 0:
                 out.level(ALL_TABLES, 0, 1.0, 1)
         self.evacuate(now)
         if now >= self.next_turn:
