Cold nodes take the weight they surely have, in evacuations too

Cause: during a release every evacuation shunned the cold successors and piled onto ever fewer nodes.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -119,7 +119,7 @@
             self.close_period()
         if not self.greeted:
             self.greeted = True
-            if False and self.usual_again == 0:
+            if self.usual_again == 0:
                 out.level(ALL_TABLES, 0, 1.0, 1)
         self.evacuate(now)
         if now >= self.next_turn:
@@ -207,10 +207,9 @@
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
 
     def sound(self, now):
-        """Nodes that may hold work, the warm ones unless there are only cold ones."""
-        up = [node for node in self.nodes.values()
-              if node.state == "up" and node.stripped and now >= node.barred_until]
-        return [node for node in up if self.warmth(node, now) >= 1.0] or up
+        """Nodes that may hold work, each with the part of its listed weight that it surely has by now."""
+        return {node.index: (node.weight or 1.0) * self.warmth(node, now) for node in self.nodes.values()
+                if node.state == "up" and node.stripped and now >= node.barred_until}
 
     def survey(self, now):
         """Each node's busy time a second with what is on its way to it, and the fleet's time an op."""
@@ -249,11 +248,11 @@
             for index in [index for index in kept.want if index in flee]:
                 del kept.want[index]
             if owner is None or owner not in kept.want:
-                new = min(live, key=lambda node: loads[node.index] / node.weight if node.weight else 0)
                 heat = self.heat(kept, per_op)
-                loads[new.index] += heat
-                new.reserved.append((now + REPORTS * self.period, heat))
-                kept.want[new.index] = 1.0
+                new = min(live, key=lambda index: (loads[index] + heat) / live[index])
+                loads[new] += heat
+                self.nodes[new].reserved.append((now + REPORTS * self.period, heat))
+                kept.want[new] = 1.0
             kept.urgent = True
 
     def turn(self, now):
@@ -262,9 +261,7 @@
         if now < self.moves_from or not live:
             return
         loads, per_op = self.survey(now)
-        place = {node.index: loads[node.index] / node.weight for node in live if node.weight}
-        if not place:
-            return
+        place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
         held = [(place[kept.owner()], self.heat(kept, per_op), kept) for kept in self.slices.values()
@@ -272,21 +269,21 @@
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
-            source = self.nodes[kept.owner()]
-            if not left or now < source.settles_at or place[source.index] - heat / source.weight < mean:
+            source = kept.owner()
+            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
                 continue
-            fits = [node for node in live if now >= node.settles_at and node is not source and node.weight]
+            fits = [index for index in live if index != source and now >= self.nodes[index].settles_at]
             if not fits:
                 break
-            target = min(fits, key=lambda node: place[node.index] + heat / node.weight)
-            if place[target.index] + heat / target.weight > top:
+            target = min(fits, key=lambda index: place[index] + heat / live[index])
+            if place[target] + heat / live[target] > top:
                 continue
-            del kept.want[source.index]
-            kept.want[target.index] = 1.0
-            for node in (source, target):
-                node.settles_at = now + REPORTS * self.period + S
-            target.reserved.append((target.settles_at, heat))
-            place[target.index] += heat / target.weight
+            del kept.want[source]
+            kept.want[target] = 1.0
+            for index in (source, target):
+                self.nodes[index].settles_at = now + REPORTS * self.period + S
+            self.nodes[target].reserved.append((self.nodes[target].settles_at, heat))
+            place[target] += heat / live[target]
             left -= 1
 
     def standbys(self, now):
@@ -294,8 +291,9 @@
         off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go without an
         order. Also catches a lost zone and a broken stream. Harm: a node that takes over cold caches at once,
         so only warm nodes stand by, and those of one owner stand by on different nodes."""
-        live = self.sound(now)
-        if self.exclusive or any(self.warmth(node, now) < 1.0 for node in live):
+        live = [node for node in self.nodes.values()
+                if node.index in self.sound(now) and self.warmth(node, now) >= 1.0]
+        if self.exclusive:
             return
         held = {node.index: 0 for node in live}
         pairs = {}
