--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -17,6 +17,7 @@
 TURN = 2 * S  # the greedy pass runs this often
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
+STRAINED, RELAXED = 0.5, 0.35  # median answer over target latency: shed above the one, relent below the other
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
 GONE = ("draining", "removed")
@@ -94,6 +95,42 @@
             queue.append((self.mark, lines + self.envelope + 1))
 
 
+class Levels:
+    """Sheds the op types of least value first while the median node answers too slowly. Guards against
+    overload, where work that ends in a time-out crowds out work that could be answered; it also catches a
+    fleet that is slow as a whole. Harm: what it gives up is rejected at once though it might have been
+    served, so it lets in more again as soon as answers come well within the target latency."""
+
+    def __init__(self, levels, op_types):
+        self.active = levels == "share"
+        self.targets = [kind["target_latency"] for kind in op_types]
+        self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
+        self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
+
+    def close(self, nodes):
+        """Once a report period: how slow is the median node, and how much to give up for it."""
+        times = sorted(busy / tries for tries, failed, busy in (node.sums(2) for node in nodes)
+                       if tries > failed)
+        total = sum(self.came)
+        if times and total and self.active:
+            target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
+            strain = times[len(times) // 2] / target
+            if strain > STRAINED:
+                self.shed = min(0.9, self.shed + 0.1 * min(3.0, strain / STRAINED))
+            elif strain < RELAXED:
+                self.shed = max(0.0, self.shed - 0.03)
+        self.came = [came * (1 - 1 / REPORTS) for came in self.came]
+
+    def wanted(self):
+        """The share to let in of each op type, so that `shed` of all ops are given up."""
+        left, total, shares = self.shed * sum(self.came), sum(self.came), {}
+        for kind in self.order:
+            cut = min(left, self.came[kind]) if total else 0.0
+            left -= cut
+            shares[kind] = round(1 - cut / self.came[kind], 1) if self.came[kind] else 1.0
+        return shares
+
+
 class Conductor:
     def __init__(self, now, seed, settings):
         self.random = Random(seed)
@@ -104,8 +141,9 @@
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
+        self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
-        self.greeted = False
+        self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -119,8 +157,8 @@
             self.close_period()
         if not self.greeted:
             self.greeted = True
-            if self.usual_again == 0:
-                out.level(ALL_TABLES, 0, 1.0, 1)
+            if self.usual_again != self.again:
+                out.level(ALL_TABLES, 0, 1.0, self.again)
         self.evacuate(now)
         if now >= self.next_turn:
             self.next_turn = now + TURN
@@ -183,6 +221,7 @@
     def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
             self.slices[number].now += ops
+            self.levels.came[op_type] += ops
 
     # What is known.
 
@@ -199,6 +238,7 @@
         for kept in self.slices.values():
             kept.past.append(kept.now)
             kept.now = 0.0
+        self.levels.close(self.nodes.values())
 
     def warmth(self, node, now):
         """The share of its capacity that a node surely has by now."""
@@ -339,6 +379,12 @@
                 out.take_out(node.index, node.out)
                 node.stale, node.tainted = False, True
                 lines += 1
+        if self.levels.active and lines < room:
+            for kind, share in self.levels.wanted().items():
+                if self.levels.sent.get(kind, 1.0) != share:
+                    out.level(ALL_TABLES, 1 << kind, share, self.again)
+                    self.levels.sent[kind] = share
+                    lines += 1
         for urgent in (True, False):
             if not urgent:
                 room = self.channel.room(now, 0.3, 2)
