--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -106,15 +106,17 @@
         self.targets = [kind["target_latency"] for kind in op_types]
         self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
         self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
+        self.strained = False
 
     def close(self, nodes):
         """Once a report period: how slow is the median node, and how much to give up for it."""
         times = sorted(busy / tries for tries, failed, busy in (node.sums(2) for node in nodes)
                        if tries > failed)
         total = sum(self.came)
-        if times and total and self.active:
+        if times and total:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
+            self.strained = strain > (RELAXED if self.strained else STRAINED)
             if strain > STRAINED:
                 self.shed = min(0.9, self.shed + 0.1 * min(3.0, strain / STRAINED))
             elif strain < RELAXED:
@@ -348,7 +350,7 @@
             if owner is None:
                 continue
             home = self.nodes[owner].zone
-            wanted = [zone for zone in zones if zone != home] or zones
+            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
             have = {}
             for index in list(kept.want):
                 if kept.want[index] <= STANDBY:
