--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -350,7 +350,7 @@
             if owner is None:
                 continue
             home = self.nodes[owner].zone
-            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
+            wanted = [] if self.levels.strained and not self.levels.active else [zone for zone in zones if zone != home] or zones
             have = {}
             for index in list(kept.want):
                 if kept.want[index] <= STANDBY:
