--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -19,6 +19,8 @@
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.5, 0.35  # median answer over target latency: shed above the one, relent below the other
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
+SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
+BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
 GONE = ("draining", "removed")
 
@@ -34,7 +36,7 @@
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
         self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
-        self.barred_until, self.bar_for = 0, 0
+        self.barred_until, self.bar_for = 0, BAR
         self.settles_at = 0  # takes part in no further move until then
         self.reserved = []  # (until, heat) of slices on their way here
         self.stripped = True  # since its last start it has been rid of what it held before
@@ -95,6 +97,30 @@
             queue.append((self.mark, lines + self.envelope + 1))
 
 
+class Health:
+    """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
+    nodes that hang, are silent or fail fast before the list tells; the median keeps a cut, a stall or an
+    overload of the whole fleet from looking like failing nodes, and no more than a third is ever barred.
+    Harm: a node that is only full is barred as well, and its work falls on others; the bar is short at first
+    and doubles only when the node comes back no better."""
+
+    def judge(self, now, nodes):
+        up = [node for node in nodes if node.state == "up"]
+        shares = {node.index: node.sums(2)[1] / node.sums(2)[0] for node in up if node.sums(2)[0] > 0}
+        if not shares:
+            return
+        median = sorted(shares.values())[len(shares) // 2]
+        barred = sum(now < node.barred_until for node in up)
+        for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
+            if now < node.barred_until or shares.get(node.index, 0) < median + SICK:
+                continue
+            if node.sums(2)[1] >= EVIDENCE and barred < len(up) // 3:
+                barred += 1
+                node.bar_for = min(BAR_MOST, 2 * node.bar_for) if node.barred_until and now < node.barred_until + BAR_MOST else BAR
+                node.barred_until = now + node.bar_for
+                node.past.clear()
+
+
 class Levels:
     """Sheds the op types of least value first while the median node answers too slowly. Guards against
     overload, where work that ends in a time-out crowds out work that could be answered; it also catches a
@@ -143,6 +169,7 @@
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
+        self.health = Health()
         self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
         self.greeted, self.again = False, 1
@@ -156,7 +183,7 @@
             out.watch(True)
             self.ask_at = None
         while now >= self.closes_at:
-            self.close_period()
+            self.close_period(now)
         if not self.greeted:
             self.greeted = True
             if self.usual_again != self.again:
@@ -232,7 +259,7 @@
             self.nodes[index] = Node(index)
         return self.nodes[index]
 
-    def close_period(self):
+    def close_period(self, now):
         self.closes_at += self.period
         for node in self.nodes.values():
             node.past.append(tuple(node.now))
@@ -241,6 +268,7 @@
             kept.past.append(kept.now)
             kept.now = 0.0
         self.levels.close(self.nodes.values())
+        self.health.judge(now, self.nodes.values())
 
     def warmth(self, node, now):
         """The share of its capacity that a node surely has by now."""
@@ -350,7 +378,7 @@
             if owner is None:
                 continue
             home = self.nodes[owner].zone
-            wanted = [] if self.levels.strained and not self.levels.active else [zone for zone in zones if zone != home] or zones
+            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
             have = {}
             for index in list(kept.want):
                 if kept.want[index] <= STANDBY:
