--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -36,7 +36,7 @@
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
         self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
-        self.barred_until, self.bar_for = 0, BAR
+        self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
         self.reserved = []  # (until, heat) of slices on their way here
         self.stripped = True  # since its last start it has been rid of what it held before
@@ -101,24 +101,32 @@
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells; the median keeps a cut, a stall or an
     overload of the whole fleet from looking like failing nodes, and no more than a third is ever barred.
-    Harm: a node that is only full is barred as well, and its work falls on others; the bar is short at first
-    and doubles only when the node comes back no better."""
+    A node that is only full fails as well, but its good answers are slow: barring it would throw its work on
+    the next one, so it is left to the pass. Harm: a node that is full and answers nothing in time is barred
+    for a while, unless the whole fleet is strained."""
 
-    def judge(self, now, nodes):
+    def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state == "up"]
-        shares = {node.index: node.sums(2)[1] / node.sums(2)[0] for node in up if node.sums(2)[0] > 0}
+        shares, times = {}, {}
+        for node in up:
+            tries, failed, busy = node.sums(2)
+            if tries:
+                shares[node.index] = failed / tries
+                times[node.index] = busy / tries
         if not shares:
             return
         median = sorted(shares.values())[len(shares) // 2]
+        usual = sorted(times.values())[len(times) // 2]
         barred = sum(now < node.barred_until for node in up)
         for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
-            if now < node.barred_until or shares.get(node.index, 0) < median + SICK:
+            if now < node.barred_until or shares.get(node.index, 0) < median + SICK or node.sums(2)[1] < EVIDENCE:
                 continue
-            if node.sums(2)[1] >= EVIDENCE and barred < len(up) // 3:
-                barred += 1
-                node.bar_for = min(BAR_MOST, 2 * node.bar_for) if node.barred_until and now < node.barred_until + BAR_MOST else BAR
-                node.barred_until = now + node.bar_for
-                node.past.clear()
+            if times[node.index] > 1.5 * usual or (not times[node.index] and strained) or barred >= len(up) // 3:
+                continue
+            barred += 1
+            node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
+            node.barred_until = now + node.bar_for
+            node.past.clear()
 
 
 class Levels:
@@ -268,7 +276,7 @@
             kept.past.append(kept.now)
             kept.now = 0.0
         self.levels.close(self.nodes.values())
-        self.health.judge(now, self.nodes.values())
+        self.health.judge(now, self.nodes.values(), self.levels.strained)
 
     def warmth(self, node, now):
         """The share of its capacity that a node surely has by now."""
