A node counts for its reports or for the heat it holds; cold nodes stay under the mean

Cause: answers of an overloaded fresh node end late, so its reports lag and evacuations piled onto it.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -38,7 +38,6 @@
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
-        self.reserved = []  # (until, heat) of slices on their way here
         self.stripped = True  # since its last start it has been rid of what it held before
 
     def sums(self, last=REPORTS):
@@ -289,17 +288,20 @@
         return {node.index: (node.weight or 1.0) * self.warmth(node, now) for node in self.nodes.values()
                 if node.state == "up" and node.stripped and now >= node.barred_until}
 
-    def survey(self, now):
-        """Each node's busy time a second with what is on its way to it, and the fleet's time an op."""
+    def survey(self):
+        """Each node's busy time a second, and the fleet's time an op. A node counts for what its reports show
+        or for the heat of what it holds, whichever is more: so a move weighs on both ends until its reports
+        are in, and a fresh node whose answers have yet to end does not look idle."""
         sums = [node.sums() for node in self.nodes.values()]
         tries, busy = sum(part[0] for part in sums), sum(part[2] for part in sums)
         per_op = busy / tries if tries else 0.0
-        loads = {}
-        for node in self.nodes.values():
-            node.reserved = [item for item in node.reserved if item[0] > now]
-            seconds = max(1, len(node.past)) * self.period / S
-            loads[node.index] = (node.sums()[2] / seconds + sum(heat for _, heat in node.reserved))
-        return loads, per_op
+        held = dict.fromkeys(self.nodes, 0.0)
+        for kept in self.slices.values():
+            if kept.want:
+                held[kept.owner()] += self.heat(kept, per_op)
+        seconds = self.period / S
+        return {node.index: max(node.sums()[2] / max(1, len(node.past)) / seconds, held[node.index])
+                for node in self.nodes.values()}, per_op
 
     def heat(self, kept, per_op):
         return sum(kept.past) / max(1, len(kept.past)) / (self.period / S) * per_op
@@ -320,16 +322,18 @@
         live = self.sound(now)
         if not movers or not live:
             return
-        loads, per_op = self.survey(now)
+        loads, per_op = self.survey()
+        mean = sum(loads[index] for index in live) / sum(live.values())
         for kept in movers:
             owner = kept.owner()
             for index in [index for index in kept.want if index in flee]:
                 del kept.want[index]
             if owner is None or owner not in kept.want:
                 heat = self.heat(kept, per_op)
-                new = min(live, key=lambda index: (loads[index] + heat) / live[index])
+                fits = [index for index in live if self.warmth(self.nodes[index], now) >= 1.0
+                        or (loads[index] + heat) / live[index] <= mean] or live
+                new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
                 loads[new] += heat
-                self.nodes[new].reserved.append((now + REPORTS * self.period, heat))
                 kept.want[new] = 1.0
             kept.urgent = True
 
@@ -338,7 +342,7 @@
         live = self.sound(now)
         if now < self.moves_from or not live:
             return
-        loads, per_op = self.survey(now)
+        loads, per_op = self.survey()
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
@@ -360,7 +364,6 @@
             kept.want[target] = 1.0
             for index in (source, target):
                 self.nodes[index].settles_at = now + REPORTS * self.period + S
-            self.nodes[target].reserved.append((self.nodes[target].settles_at, heat))
             place[target] += heat / live[target]
             left -= 1
 
