--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -51,6 +51,7 @@
     def __init__(self, number):
         self.number, self.want, self.sent = number, {}, {}
         self.now, self.past, self.urgent = 0.0, deque(maxlen=REPORTS), False
+        self.settles_at = 0  # on its way until then: its heat counts on both ends
 
     def owner(self):
         return max(self.want, key=self.want.get) if self.want else None
@@ -288,20 +289,24 @@
         return {node.index: (node.weight or 1.0) * self.warmth(node, now) for node in self.nodes.values()
                 if node.state == "up" and node.stripped and now >= node.barred_until}
 
-    def survey(self):
-        """Each node's busy time a second, and the fleet's time an op. A node counts for what its reports show
-        or for the heat of what it holds, whichever is more: so a move weighs on both ends until its reports
-        are in, and a fresh node whose answers have yet to end does not look idle."""
+    def survey(self, now):
+        """Each node's busy time a second, and the fleet's time an op. A slice on its way counts on both ends
+        until the reports of its new node are in. A cold node counts for all it holds if that is more: its
+        answers end late, and it must not look idle meanwhile (rule 4)."""
         sums = [node.sums() for node in self.nodes.values()]
         tries, busy = sum(part[0] for part in sums), sum(part[2] for part in sums)
-        per_op = busy / tries if tries else 0.0
+        per_op, seconds = busy / tries if tries else 0.0, self.period / S
+        loads = {node.index: node.sums()[2] / max(1, len(node.past)) / seconds for node in self.nodes.values()}
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
             if kept.want:
                 held[kept.owner()] += self.heat(kept, per_op)
-        seconds = self.period / S
-        return {node.index: max(node.sums()[2] / max(1, len(node.past)) / seconds, held[node.index])
-                for node in self.nodes.values()}, per_op
+                if now < kept.settles_at:
+                    loads[kept.owner()] += self.heat(kept, per_op)
+        for index, node in self.nodes.items():
+            if self.warmth(node, now) < 1.0:
+                loads[index] = max(loads[index], held[index])
+        return loads, per_op
 
     def heat(self, kept, per_op):
         return sum(kept.past) / max(1, len(kept.past)) / (self.period / S) * per_op
@@ -322,7 +327,7 @@
         live = self.sound(now)
         if not movers or not live:
             return
-        loads, per_op = self.survey()
+        loads, per_op = self.survey(now)
         mean = sum(loads[index] for index in live) / sum(live.values())
         for kept in movers:
             owner = kept.owner()
@@ -334,6 +339,7 @@
                         or (loads[index] + heat) / live[index] <= mean] or live
                 new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
                 loads[new] += heat
+                kept.settles_at = now + REPORTS * self.period + S
                 kept.want[new] = 1.0
             kept.urgent = True
 
@@ -342,7 +348,7 @@
         live = self.sound(now)
         if now < self.moves_from or not live:
             return
-        loads, per_op = self.survey()
+        loads, per_op = self.survey(now)
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
@@ -363,7 +369,7 @@
             del kept.want[source]
             kept.want[target] = 1.0
             for index in (source, target):
-                self.nodes[index].settles_at = now + REPORTS * self.period + S
+                self.nodes[index].settles_at = kept.settles_at = now + REPORTS * self.period + S
             place[target] += heat / live[target]
             left -= 1
 
