--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -51,7 +51,6 @@
     def __init__(self, number):
         self.number, self.want, self.sent = number, {}, {}
         self.now, self.past, self.urgent = 0.0, deque(maxlen=REPORTS), False
-        self.settles_at = 0  # on its way until then: its heat counts on both ends
 
     def owner(self):
         return max(self.want, key=self.want.get) if self.want else None
@@ -289,27 +288,26 @@
         return {node.index: (node.weight or 1.0) * self.warmth(node, now) for node in self.nodes.values()
                 if node.state == "up" and node.stripped and now >= node.barred_until}
 
-    def survey(self, now):
-        """Each node's busy time a second, and the fleet's time an op. A slice on its way counts on both ends
-        until the reports of its new node are in. A cold node counts for all it holds if that is more: its
-        answers end late, and it must not look idle meanwhile (rule 4)."""
-        sums = [node.sums() for node in self.nodes.values()]
-        tries, busy = sum(part[0] for part in sums), sum(part[2] for part in sums)
-        per_op, seconds = busy / tries if tries else 0.0, self.period / S
-        loads = {node.index: node.sums()[2] / max(1, len(node.past)) / seconds for node in self.nodes.values()}
+    def survey(self):
+        """Each node's busy time a second, and its time an op (the fleet's while it has shown too little). A
+        node counts for its reports, or for what it holds at that price if that is more: so a move weighs on
+        both ends until its reports are in, and a fresh node whose answers end late does not look idle."""
+        tries, busy = (sum(node.sums()[part] for node in self.nodes.values()) for part in (0, 2))
+        usual = busy / tries if tries else 0.0
+        price, loads, seconds = {}, {}, self.period / S
+        for index, node in self.nodes.items():
+            tries, failed, busy = node.sums()
+            price[index] = busy / tries if tries - failed >= EVIDENCE else usual
+            loads[index] = busy / max(1, len(node.past)) / seconds
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
             if kept.want:
-                held[kept.owner()] += self.heat(kept, per_op)
-                if now < kept.settles_at:
-                    loads[kept.owner()] += self.heat(kept, per_op)
-        for index, node in self.nodes.items():
-            if self.warmth(node, now) < 1.0:
-                loads[index] = max(loads[index], held[index])
-        return loads, per_op
+                held[kept.owner()] += self.heat(kept)
+        return {index: max(load, held[index] * price[index]) for index, load in loads.items()}, price
 
-    def heat(self, kept, per_op):
-        return sum(kept.past) / max(1, len(kept.past)) / (self.period / S) * per_op
+    def heat(self, kept):
+        """Ops a second that come for a slice."""
+        return sum(kept.past) / max(1, len(kept.past)) / (self.period / S)
 
     # What is decided.
 
@@ -327,19 +325,18 @@
         live = self.sound(now)
         if not movers or not live:
             return
-        loads, per_op = self.survey(now)
+        loads, price = self.survey()
         mean = sum(loads[index] for index in live) / sum(live.values())
         for kept in movers:
             owner = kept.owner()
             for index in [index for index in kept.want if index in flee]:
                 del kept.want[index]
             if owner is None or owner not in kept.want:
-                heat = self.heat(kept, per_op)
+                heat = self.heat(kept)
                 fits = [index for index in live if self.warmth(self.nodes[index], now) >= 1.0
-                        or (loads[index] + heat) / live[index] <= mean] or live
-                new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
-                loads[new] += heat
-                kept.settles_at = now + REPORTS * self.period + S
+                        or (loads[index] + heat * price[index]) / live[index] <= mean] or live
+                new = min(fits, key=lambda index: (loads[index] + heat * price[index]) / live[index])
+                loads[new] += heat * price[new]
                 kept.want[new] = 1.0
             kept.urgent = True
 
@@ -348,29 +345,29 @@
         live = self.sound(now)
         if now < self.moves_from or not live:
             return
-        loads, per_op = self.survey(now)
+        loads, price = self.survey()
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
-        held = [(place[kept.owner()], self.heat(kept, per_op), kept) for kept in self.slices.values()
+        held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
-            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
+            if not left or now < self.nodes[source].settles_at or place[source] - heat * price[source] / live[source] < mean:
                 continue
             fits = [index for index in live if index != source and now >= self.nodes[index].settles_at]
             if not fits:
                 break
-            target = min(fits, key=lambda index: place[index] + heat / live[index])
-            if place[target] + heat / live[target] > top:
+            target = min(fits, key=lambda index: place[index] + heat * price[index] / live[index])
+            if place[target] + heat * price[target] / live[target] > top:
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
             for index in (source, target):
-                self.nodes[index].settles_at = kept.settles_at = now + REPORTS * self.period + S
-            place[target] += heat / live[target]
+                self.nodes[index].settles_at = now + REPORTS * self.period + S
+            place[target] += heat * price[target] / live[target]
             left -= 1
 
     def standbys(self, now):
