--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -18,6 +18,7 @@
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.5, 0.35  # median answer over target latency: shed above the one, relent below the other
+SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
@@ -283,27 +284,28 @@
             return 1.0
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
 
-    def sound(self, now):
-        """Nodes that may hold work, each with the part of its listed weight that it surely has by now."""
-        return {node.index: (node.weight or 1.0) * self.warmth(node, now) for node in self.nodes.values()
-                if node.state == "up" and node.stripped and now >= node.barred_until}
-
-    def survey(self):
-        """Each node's busy time a second, and its time an op (the fleet's while it has shown too little). A
-        node counts for its reports, or for what it holds at that price if that is more: so a move weighs on
-        both ends until its reports are in, and a fresh node whose answers end late does not look idle."""
-        tries, busy = (sum(node.sums()[part] for node in self.nodes.values()) for part in (0, 2))
-        usual = busy / tries if tries else 0.0
-        price, loads, seconds = {}, {}, self.period / S
+    def survey(self, now):
+        """Nodes that may hold work, each with the weight that it surely is worth by now, and the ops a second
+        each node counts for: what its reports show, or what comes for the slices it holds if that is more. So
+        a move weighs on both ends until its reports are in, and a fresh node whose answers end late does not
+        look idle. Tries alone do not show slowness: the listed weight is scaled by the time of good answers
+        against the fleet's median, damped and bounded, as a queue makes any node look slower than it is."""
+        seconds = self.period / S
+        sums = {index: node.sums() for index, node in self.nodes.items()}
+        times = {index: busy / tries for index, (tries, failed, busy) in sums.items()
+                 if tries - failed >= EVIDENCE and busy}
+        usual = sorted(times.values())[len(times) // 2] if times else 0.0
+        live = {}
         for index, node in self.nodes.items():
-            tries, failed, busy = node.sums()
-            price[index] = busy / tries if tries - failed >= EVIDENCE else usual
-            loads[index] = busy / max(1, len(node.past)) / seconds
+            if node.state == "up" and node.stripped and now >= node.barred_until:
+                speed = min(FASTEST, max(SLOWEST, usual / times[index])) ** DAMPED if index in times else 1.0
+                live[index] = (node.weight or 1.0) * self.warmth(node, now) * speed
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
             if kept.want:
                 held[kept.owner()] += self.heat(kept)
-        return {index: max(load, held[index] * price[index]) for index, load in loads.items()}, price
+        return live, {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
+                      for index, node in self.nodes.items()}
 
     def heat(self, kept):
         """Ops a second that come for a slice."""
@@ -322,10 +324,11 @@
                     flee.discard(node.index)
         movers = [kept for kept in self.slices.values()
                   if not kept.want or any(index in flee for index in kept.want)]
-        live = self.sound(now)
-        if not movers or not live:
+        if not movers:
+            return
+        live, loads = self.survey(now)
+        if not live:
             return
-        loads, price = self.survey()
         mean = sum(loads[index] for index in live) / sum(live.values())
         for kept in movers:
             owner = kept.owner()
@@ -334,18 +337,17 @@
             if owner is None or owner not in kept.want:
                 heat = self.heat(kept)
                 fits = [index for index in live if self.warmth(self.nodes[index], now) >= 1.0
-                        or (loads[index] + heat * price[index]) / live[index] <= mean] or live
-                new = min(fits, key=lambda index: (loads[index] + heat * price[index]) / live[index])
-                loads[new] += heat * price[new]
+                        or (loads[index] + heat) / live[index] <= mean] or live
+                new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
+                loads[new] += heat
                 kept.want[new] = 1.0
             kept.urgent = True
 
     def turn(self, now):
         """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch."""
-        live = self.sound(now)
+        live, loads = self.survey(now)
         if now < self.moves_from or not live:
             return
-        loads, price = self.survey()
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
@@ -355,19 +357,19 @@
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
-            if not left or now < self.nodes[source].settles_at or place[source] - heat * price[source] / live[source] < mean:
+            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
                 continue
             fits = [index for index in live if index != source and now >= self.nodes[index].settles_at]
             if not fits:
                 break
-            target = min(fits, key=lambda index: place[index] + heat * price[index] / live[index])
-            if place[target] + heat * price[target] / live[target] > top:
+            target = min(fits, key=lambda index: place[index] + heat / live[index])
+            if place[target] + heat / live[target] > top:
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
             for index in (source, target):
                 self.nodes[index].settles_at = now + REPORTS * self.period + S
-            place[target] += heat * price[target] / live[target]
+            place[target] += heat / live[target]
             left -= 1
 
     def standbys(self, now):
@@ -375,8 +377,8 @@
         off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go without an
         order. Also catches a lost zone and a broken stream. Harm: a node that takes over cold caches at once,
         so only warm nodes stand by, and those of one owner stand by on different nodes."""
-        live = [node for node in self.nodes.values()
-                if node.index in self.sound(now) and self.warmth(node, now) >= 1.0]
+        live = [node for node in self.nodes.values() if node.state == "up" and node.stripped
+                and now >= node.barred_until and self.warmth(node, now) >= 1.0]
         if self.exclusive:
             return
         held = {node.index: 0 for node in live}
