A cold node is given no more than half the falling multiple of what the fleet acks

Cause: with much of the fleet gone the mean itself was over what a cold node can take. Acked ops a weight never overstate what a node can do.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -19,6 +19,7 @@
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.5, 0.35  # median answer over target latency: shed above the one, relent below the other
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
+SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
@@ -175,6 +176,7 @@
                                  ("envelope", "most_waiting", "most_messages", "messages_span")))
         self.subscribe, self.ask_at = settings["subscribe"], now
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
+        self.now, self.fall_multiple = now, settings["fall_multiple"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
         self.health = Health()
@@ -183,6 +185,7 @@
         self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
+        self.now = now
         for word, *fields in events:
             handler = getattr(self, "on_" + word, None)
             if handler:
@@ -307,6 +310,19 @@
         return live, {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                       for index, node in self.nodes.items()}
 
+    def bears(self, index, heat, live, loads):
+        """Whether a node may be given so much more. A cold one is kept, with room to spare, under the multiple
+        of what it can do that would push it over (rule 4); what a node can do is told by what the fleet acks,
+        never more than it can. All conductors count alike by their own slices, so their parts add up."""
+        node = self.nodes[index]
+        warmth = self.warmth(node, now=self.now)
+        if warmth >= 1.0:
+            return True
+        acked = sum(node.sums()[0] - node.sums()[1] for node in self.nodes.values()) / REPORTS / (self.period / S)
+        weight = sum(self.nodes[index].weight or 1.0 for index in live)
+        can = min(acked / weight * self.fall_multiple * SPARE, sum(loads.values()) / weight)
+        return (loads[index] + heat) / (node.weight or 1.0) / warmth <= can
+
     def heat(self, kept):
         """Ops a second that come for a slice."""
         return sum(kept.past) / max(1, len(kept.past)) / (self.period / S)
@@ -329,15 +345,13 @@
         live, loads = self.survey(now)
         if not live:
             return
-        mean = sum(loads[index] for index in live) / sum(live.values())
         for kept in movers:
             owner = kept.owner()
             for index in [index for index in kept.want if index in flee]:
                 del kept.want[index]
             if owner is None or owner not in kept.want:
                 heat = self.heat(kept)
-                fits = [index for index in live if self.warmth(self.nodes[index], now) >= 1.0
-                        or (loads[index] + heat) / live[index] <= mean] or live
+                fits = [index for index in live if self.bears(index, heat, live, loads)] or live
                 new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
                 loads[new] += heat
                 kept.want[new] = 1.0
@@ -359,9 +373,10 @@
             source = kept.owner()
             if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
                 continue
-            fits = [index for index in live if index != source and now >= self.nodes[index].settles_at]
+            fits = [index for index in live if index != source and now >= self.nodes[index].settles_at
+                    and self.bears(index, heat, live, loads)]
             if not fits:
-                break
+                continue
             target = min(fits, key=lambda index: place[index] + heat / live[index])
             if place[target] + heat / live[target] > top:
                 continue
@@ -369,6 +384,7 @@
             kept.want[target] = 1.0
             for index in (source, target):
                 self.nodes[index].settles_at = now + REPORTS * self.period + S
+            loads[target] += heat
             place[target] += heat / live[target]
             left -= 1
 
