--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -152,10 +152,12 @@
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
             self.strained = strain > (RELAXED if self.strained else STRAINED)
+            acked = max(sum(node.past[at][0] - node.past[at][1] for node in nodes if len(node.past) >= -at)
+                        for at in range(-REPORTS, 0))
             if strain > STRAINED:
-                self.shed = min(0.9, self.shed + 0.1 * min(3.0, strain / STRAINED))
+                self.shed = min(0.9, max(self.shed, 1.05 - acked * REPORTS / total))
             elif strain < RELAXED:
-                self.shed = max(0.0, self.shed - 0.03)
+                self.shed = max(0.0, self.shed - 0.05)
         self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):
@@ -278,7 +280,7 @@
         for kept in self.slices.values():
             kept.past.append(kept.now)
             kept.now = 0.0
-        self.levels.close(self.nodes.values())
+        self.levels.close(list(self.nodes.values()))
         self.health.judge(now, self.nodes.values(), self.levels.strained)
 
     def warmth(self, node, now):
