--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -18,7 +18,7 @@
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
-SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.75  # bounds and power of a node's speed against the median
+SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
@@ -373,19 +373,22 @@
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
-            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
+            if not left or now < self.nodes[source].settles_at:
                 continue
             fits = [index for index in live if index != source and now >= self.nodes[index].settles_at
                     and self.bears(index, heat, live, loads)]
             if not fits:
                 continue
             target = min(fits, key=lambda index: place[index] + heat / live[index])
-            if place[target] + heat / live[target] > top:
+            after, rest = place[target] + heat / live[target], place[source] - heat / live[source]
+            if abs(rest - mean) >= place[source] - mean or (
+                    after > top and abs(after - mean) >= abs(place[target] - mean)):
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
             for index in (source, target):
-                self.nodes[index].settles_at = now + REPORTS * self.period + S
+                fresh = self.warmth(self.nodes[index], now) < 1.0
+                self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
             loads[target] += heat
             place[target] += heat / live[target]
             left -= 1
