--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -373,16 +373,15 @@
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
-            if not left or now < self.nodes[source].settles_at:
+            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
                 continue
             fits = [index for index in live if index != source and now >= self.nodes[index].settles_at
                     and self.bears(index, heat, live, loads)]
             if not fits:
                 continue
             target = min(fits, key=lambda index: place[index] + heat / live[index])
-            after, rest = place[target] + heat / live[target], place[source] - heat / live[source]
-            if abs(rest - mean) >= place[source] - mean or (
-                    after > top and abs(after - mean) >= abs(place[target] - mean)):
+            after = place[target] + heat / live[target]
+            if after > top and abs(after - mean) >= abs(place[target] - mean):
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
