The cold bound counts what live nodes ack, not barred or draining ones

Cause: under a release and a cut at once the bound divided what fourteen nodes acked by the weight of nine, and a cold node got twice its part, then clients' repeats doubled it.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -320,8 +320,8 @@
         warmth = self.warmth(node, now=self.now)
         if warmth >= 1.0:
             return True
-        acked = sum(node.sums()[0] - node.sums()[1] for node in self.nodes.values()) / REPORTS / (self.period / S)
-        weight = sum(self.nodes[index].weight or 1.0 for index in live)
+        acked = sum(self.nodes[at].sums()[0] - self.nodes[at].sums()[1] for at in live) / REPORTS / (self.period / S)
+        weight = sum(self.nodes[at].weight or 1.0 for at in live)
         can = min(acked / weight * self.fall_multiple * SPARE, sum(loads.values()) / weight)
         return (loads[index] + heat) / (node.weight or 1.0) / warmth <= can
 
@@ -380,8 +380,7 @@
             if not fits:
                 continue
             target = min(fits, key=lambda index: place[index] + heat / live[index])
-            after = place[target] + heat / live[target]
-            if after > top and abs(after - mean) >= abs(place[target] - mean):
+            if place[target] + heat / live[target] > top:
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
