--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -370,7 +370,7 @@
         held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
-        left = max(1, len(self.slices) // BATCH)
+        left, moved = max(1, len(self.slices) // BATCH), []
         for _, heat, kept in held:
             source = kept.owner()
             if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
@@ -384,12 +384,14 @@
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
-            for index in (source, target):
-                fresh = self.warmth(self.nodes[index], now) < 1.0
-                self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
+            moved += [source, target]
+            place[source] -= heat / live[source]
             loads[target] += heat
             place[target] += heat / live[target]
             left -= 1
+        for index in moved:
+            fresh = self.warmth(self.nodes[index], now) < 1.0
+            self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
 
     def standbys(self, now):
         """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or cut
