--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -20,7 +20,7 @@
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
-BATCH = 10  # a turn moves at most one in this many of the conductor's slices
+BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
@@ -370,7 +370,7 @@
         held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
-        left, moved = max(1, len(self.slices) // BATCH), []
+        left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
             if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
@@ -384,14 +384,12 @@
                 continue
             del kept.want[source]
             kept.want[target] = 1.0
-            moved += [source, target]
-            place[source] -= heat / live[source]
+            for index in (source, target):
+                fresh = self.warmth(self.nodes[index], now) < 1.0
+                self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
             loads[target] += heat
             place[target] += heat / live[target]
             left -= 1
-        for index in moved:
-            fresh = self.warmth(self.nodes[index], now) < 1.0
-            self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
 
     def standbys(self, now):
         """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or cut
