--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -19,8 +19,9 @@
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
-SPARE = 0.35  # how much of the multiple that pushes a cold node over may be used
+SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
+SILENCE = 6  # so many ops in a report period must have come for a node that ended none
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
@@ -53,6 +54,7 @@
     def __init__(self, number):
         self.number, self.want, self.sent = number, {}, {}
         self.now, self.past, self.urgent = 0.0, deque(maxlen=REPORTS), False
+        self.since = 0  # when its owner got it
 
     def owner(self):
         return max(self.want, key=self.want.get) if self.want else None
@@ -106,7 +108,19 @@
     the next one, so it is left to the pass. Harm: a node that is full and answers nothing in time is barred
     for a while, unless the whole fleet is strained."""
 
-    def judge(self, now, nodes, strained):
+    def silent(self, now, nodes, slices, period):
+        """Nodes that ended no try though ops came for slices they have held for a while, and the rest did."""
+        came = {}
+        for kept in slices:
+            if kept.want and kept.past and now - kept.since > 3 * period:
+                came[kept.owner()] = came.get(kept.owner(), 0) + kept.past[-1]
+        ended = {node.index: node.past[-1][0] / came[node.index] for node in nodes
+                 if node.past and came.get(node.index, 0) >= SILENCE}
+        if not ended or sorted(ended.values())[len(ended) // 2] < 0.5:
+            return []
+        return [index for index, share in ended.items() if share == 0]
+
+    def judge(self, now, nodes, strained, silent):
         up = [node for node in nodes if node.state == "up"]
         shares, times = {}, {}
         for node in up:
@@ -120,10 +134,13 @@
         usual = sorted(times.values())[len(times) // 2]
         barred = sum(now < node.barred_until for node in up)
         for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
-            if now < node.barred_until or shares.get(node.index, 0) < median + SICK or node.sums(2)[1] < EVIDENCE:
-                continue
-            if times[node.index] > 1.5 * usual or (not times[node.index] and strained) or barred >= len(up) // 3:
+            if now < node.barred_until or barred >= len(up) // 3:
                 continue
+            if node.index not in silent:
+                if shares.get(node.index, 0) < median + SICK or node.sums(2)[1] < EVIDENCE:
+                    continue
+                if times[node.index] > 1.5 * usual or (not times[node.index] and strained):
+                    continue
             barred += 1
             node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
             node.barred_until = now + node.bar_for
@@ -230,7 +247,8 @@
 
     def on_tenure(self, now, number, held):
         if held:
-            self.slices[number] = Slice(number)
+            kept = self.slices[number] = Slice(number)
+            kept.since = now
             self.moves_from = now + REPORTS * self.period
         else:
             self.slices.pop(number, None)
@@ -281,7 +299,8 @@
             kept.past.append(kept.now)
             kept.now = 0.0
         self.levels.close(list(self.nodes.values()))
-        self.health.judge(now, self.nodes.values(), self.levels.strained)
+        silent = self.health.silent(now, self.nodes.values(), self.slices.values(), self.period)
+        self.health.judge(now, self.nodes.values(), self.levels.strained, silent)
 
     def warmth(self, node, now):
         """The share of its capacity that a node surely has by now."""
@@ -356,7 +375,7 @@
                 fits = [index for index in live if self.bears(index, heat, live, loads)] or live
                 new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
                 loads[new] += heat
-                kept.want[new] = 1.0
+                kept.want[new], kept.since = 1.0, now
             kept.urgent = True
 
     def turn(self, now):
@@ -383,7 +402,7 @@
             if place[target] + heat / live[target] > top:
                 continue
             del kept.want[source]
-            kept.want[target] = 1.0
+            kept.want[target], kept.since = 1.0, now
             for index in (source, target):
                 fresh = self.warmth(self.nodes[index], now) < 1.0
                 self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
