Withdrawals wait for slices they would leave bare; the last nodes are never taken out

Slices without an open line now go first and a withdrawal waits for them; it also catches a move not yet published when its old node shuts. Harm: a drain may wait a beat longer. And if every node has restarted or is barred, the listed ones are used again.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -53,7 +53,7 @@
 
     def __init__(self, number):
         self.number, self.want, self.sent = number, {}, {}
-        self.now, self.past, self.urgent = 0.0, deque(maxlen=REPORTS), False
+        self.now, self.past = 0.0, deque(maxlen=REPORTS)
         self.since = 0  # when its owner got it
 
     def owner(self):
@@ -364,7 +364,10 @@
         if not movers:
             return
         live, loads = self.survey(now)
-        if not live:
+        if not live:  # better a cold or suspect node than none (rule 1)
+            for node in self.nodes.values():
+                if node.state == "up":
+                    node.stripped, node.barred_until = True, now
             return
         for kept in movers:
             owner = kept.owner()
@@ -376,7 +379,6 @@
                 new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
                 loads[new] += heat
                 kept.want[new], kept.since = 1.0, now
-            kept.urgent = True
 
     def turn(self, now):
         """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch."""
@@ -456,32 +458,49 @@
                 node.out, node.stale = out, True
 
     def flush(self, now, out):
-        """Publishes what changed: withdrawals, then slices that had to move, then the others."""
-        room, lines = self.channel.room(now, 0.6, 0), 0
+        """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
+        then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel is
+        short of room, a new line serves the drain rule as well as the withdrawal does."""
+        shut = {node.index for node in self.nodes.values() if node.out}
+        lines, changed = 0, []
+        for kept in self.slices.values():
+            if kept.want != kept.sent:
+                dead = sum(index in shut for index in kept.sent)
+                changed.append((0 if dead == len(kept.sent) else 1 if dead else 2, kept.number, kept))
+        room = self.channel.room(now, 0.6, 0)
         for node in self.nodes.values():
-            if node.stale and lines < room:
-                out.take_out(node.index, node.out)
-                node.stale, node.tainted = False, True
-                lines += 1
+            if node.stale and not node.out and lines < room:
+                lines += self.take_out(node, out)
+        for rank, _, kept in sorted(changed, key=lambda item: item[:2]):
+            if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
+                break
+            if lines < room:
+                lines += self.publish(kept, out)
+        bare = set()
+        for kept in self.slices.values():
+            if kept.sent and all(index in shut for index in kept.sent):
+                bare.update(kept.sent)
+        for node in self.nodes.values():
+            if node.stale and node.out and node.index not in bare and lines < room:
+                lines += self.take_out(node, out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
                     out.level(ALL_TABLES, 1 << kind, share, self.again)
                     self.levels.sent[kind] = share
                     lines += 1
-        for urgent in (True, False):
-            if not urgent:
-                room = self.channel.room(now, 0.3, 2)
-            for kept in self.slices.values():
-                if kept.urgent == urgent and kept.want != kept.sent and lines < room:
-                    for index, weight in kept.want.items():
-                        if kept.sent.get(index) != weight:
-                            out.line(kept.number, index, weight)
-                            lines += 1
-                    for index in kept.sent:
-                        if index not in kept.want:
-                            out.line(kept.number, index, 0)
-                            lines += 1
-                    kept.sent, kept.urgent = dict(kept.want), False
         if lines:
             self.channel.send(now, lines, out)
+
+    def take_out(self, node, out):
+        out.take_out(node.index, node.out)
+        node.stale, node.tainted = False, True
+        return 1
+
+    def publish(self, kept, out):
+        new = [(index, weight) for index, weight in kept.want.items() if kept.sent.get(index) != weight]
+        new += [(index, 0) for index in kept.sent if index not in kept.want]
+        for index, weight in new:
+            out.line(kept.number, index, weight)
+        kept.sent = dict(kept.want)
+        return len(new)
