--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -52,6 +52,7 @@
 
     def __init__(self, number):
         self.number, self.want, self.sent = number, {}, {}
+        self.closing, self.opens_at = None, None  # exclusive tables: proof awaited, new owner not before
         self.now, self.past = 0.0, deque(maxlen=REPORTS)
 
     def owner(self):
@@ -90,8 +91,14 @@
         unproved = sum(cost for queue in self.waiting.values() for _, cost in queue)
         return (self.most_waiting * share - unproved) / len(self.waiting) - self.envelope - 1
 
+    def next_mark(self):
+        return (self.mark + 1) % 65536
+
+    def awaits(self, mark):
+        return any(number == mark for queue in self.waiting.values() for number, _ in queue)
+
     def send(self, now, lines, out):
-        self.mark = (self.mark + 1) % 65536
+        self.mark = self.next_mark()
         self.messages.append(now)
         out.mark(self.mark, False)
         for queue in self.waiting.values():
@@ -186,6 +193,7 @@
         self.health = Health()
         self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
+        self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
         self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
@@ -232,7 +240,8 @@
 
     def on_tenure(self, now, number, held):
         if held:
-            self.slices[number] = Slice(number)
+            kept = self.slices[number] = Slice(number)
+            kept.opens_at = now + self.lease + self.write_life  # were the table empty: another closed it
             self.moves_from = now + REPORTS * self.period
         else:
             self.slices.pop(number, None)
@@ -252,6 +261,7 @@
 
     def on_left(self, now, proxy):
         self.channel.left(proxy)
+        self.quiet_at = now + self.lease  # it goes on sending writes for so long
 
     def on_applied(self, now, proxy, mark, wait):
         self.channel.applied(proxy, mark)
@@ -458,7 +468,7 @@
             if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
                 break
             if lines < room:
-                lines += self.publish(kept, out)
+                lines += self.publish(now, kept, out)
         bare = set()
         for kept in self.slices.values():
             if kept.sent and all(index in shut for index in kept.sent):
@@ -480,10 +490,30 @@
         node.stale, node.tainted = False, True
         return 1
 
-    def publish(self, kept, out):
+    def publish(self, now, kept, out):
+        if self.exclusive:
+            return self.hand_over(now, kept, out)
         new = [(index, weight) for index, weight in kept.want.items() if kept.sent.get(index) != weight]
         new += [(index, 0) for index in kept.sent if index not in kept.want]
         for index, weight in new:
             out.line(kept.number, index, weight)
         kept.sent = dict(kept.want)
         return len(new)
+
+    def hand_over(self, now, kept, out):
+        """One owner at a time: the old line goes first, and the new one comes when every joined proxy has
+        proved that and all writes in hand, also of proxies that lost their stream, must have ended. Guards
+        against writes of one slice at two nodes (rule 2). Harm: the slice has no node meanwhile."""
+        if kept.sent:
+            out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
+            kept.sent, kept.closing, kept.opens_at = {}, self.channel.next_mark(), None
+            return 1
+        if kept.closing is not None and self.channel.awaits(kept.closing):
+            return 0
+        if kept.opens_at is None:
+            kept.opens_at = max(now, self.quiet_at) + self.write_life
+        if now < kept.opens_at:
+            return 0
+        out.line(kept.number, kept.owner(), 1.0)
+        kept.sent = dict(kept.want)
+        return 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,7 +4,7 @@
 
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
-                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1, fall_multiple=3.0, levels="", op_types=[])
+                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
 
 
 class Orders(list):
@@ -60,3 +60,16 @@
     conductor.evacuate(0)
     conductor.guard(0)
     assert not any(node.out for node in conductor.nodes.values())
+
+
+@pytest.mark.parametrize("proved, wait, opened", [(False, 9 * S, False), (True, S // 2, False), (True, S, True)])
+def test_an_exclusive_slice_opens_only_when_the_old_owner_is_surely_done(proved, wait, opened):
+    conductor, out = fleet(["up", "up"], {3: {0: 1.0}}), Orders()
+    kept, conductor.exclusive = conductor.slices[3], True
+    conductor.channel.joined(4)
+    kept.want, kept.sent, kept.closing = {1: 1.0}, {}, 7
+    if not proved:
+        conductor.channel.waiting[4].append((7, 9))
+    conductor.hand_over(0, kept, out)
+    conductor.hand_over(wait, kept, out)
+    assert (out == [("line", 3, 1, 1.0)]) is opened
