--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -129,7 +129,7 @@
         for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
             if now < node.barred_until or barred >= len(up) // 3:
                 continue
-            if shares.get(node.index, 0) < median + SICK or node.sums(2)[1] < EVIDENCE:
+            if shares.get(node.index, 0) < median + (2 if strained else 1) * SICK or node.sums(2)[1] < EVIDENCE:
                 continue
             if times[node.index] > 1.5 * usual or (not times[node.index] and strained):
                 continue
