Withdrawals told to rejoining proxies once a beat; stricter bars under strain

Cause: twelve proxies rejoining one by one made the restarted conductor send every withdrawal state to all of them twelve times.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -35,6 +35,7 @@
         self.state = "unlisted"  # or up, draining, removed
         self.out = False  # withdrawn from the proxies, as last ordered
         self.stale = False  # some joined proxy may hold another withdrawal than that
+        self.untold = False  # a proxy has joined that may hold another
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
         self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
@@ -131,7 +132,7 @@
                 continue
             if shares.get(node.index, 0) < median + (2 if strained else 1) * SICK or node.sums(2)[1] < EVIDENCE:
                 continue
-            if times[node.index] > 1.5 * usual or (not times[node.index] and strained):
+            if times[node.index] > (0.75 if strained else 1.5) * usual or (not times[node.index] and strained):
                 continue
             barred += 1
             node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
@@ -217,10 +218,12 @@
             self.turn(now)
             self.standbys(now)
         self.guard(now)
-        self.flush(now, out)
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             out.timer(self.next_beat, "beat")
+            for node in self.nodes.values():  # once a beat, as proxies come back in swarms
+                node.stale, node.untold = node.stale or node.untold, False
+        self.flush(now, out)
 
     # What comes in.
 
@@ -257,7 +260,7 @@
         # back could leave it without a line (rule 1), and one it missed would let it send (rule 3).
         self.channel.joined(proxy)
         for node in self.nodes.values():
-            node.stale = node.stale or node.tainted or not fresh
+            node.untold = node.untold or node.tainted or not fresh
 
     def on_left(self, now, proxy):
         self.channel.left(proxy)
