--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -132,7 +132,7 @@
                 continue
             if shares.get(node.index, 0) < median + (2 if strained else 1) * SICK or node.sums(2)[1] < EVIDENCE:
                 continue
-            if times[node.index] > (0.75 if strained else 1.5) * usual or (not times[node.index] and strained):
+            if times[node.index] > (1.0 if strained else 1.5) * usual or (not times[node.index] and strained):
                 continue
             barred += 1
             node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
