--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -399,8 +399,9 @@
             target = min(fits, key=lambda index: place[index] + heat / live[index])
             if place[target] + heat / live[target] > top:
                 continue
-            del kept.want[source]
-            kept.want[target] = 1.0
+            kept.want[source], kept.want[target] = STANDBY, 1.0
+            if self.exclusive:
+                del kept.want[source]
             for index in (source, target):
                 fresh = self.warmth(self.nodes[index], now) < 1.0
                 self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
