--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -16,7 +16,7 @@
 BEAT = S // 10  # how often a conductor looks at what is due, also when nothing comes in
 TURN = 2 * S  # the greedy pass runs this often
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
-BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
+BAND = 0.35  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
@@ -399,9 +399,8 @@
             target = min(fits, key=lambda index: place[index] + heat / live[index])
             if place[target] + heat / live[target] > top:
                 continue
-            kept.want[source], kept.want[target] = STANDBY, 1.0
-            if self.exclusive:
-                del kept.want[source]
+            del kept.want[source]
+            kept.want[target] = 1.0
             for index in (source, target):
                 fresh = self.warmth(self.nodes[index], now) < 1.0
                 self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
