--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -16,7 +16,7 @@
 BEAT = S // 10  # how often a conductor looks at what is due, also when nothing comes in
 TURN = 2 * S  # the greedy pass runs this often
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
-BAND = 0.27  # how far above the mean a node's load may lie before its slices cost anything
+BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
@@ -383,7 +383,7 @@
             return
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
-        top = mean * (1 + BAND)
+        top = mean * (1 + (2 if self.levels.strained else 1) * BAND)
         held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
