--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -383,7 +383,7 @@
             return
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
-        top = mean * (1 + (2 if self.levels.strained else 1) * BAND)
+        top = mean * (1 + BAND)
         held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
