Each fresh node gains one slice a turn, outside the cap

Told from a plain overload by the list, which grows, and by full nodes beside idle ones. The design gives a fresh server one slice a turn; the cap and the settling wait of its sources held that back.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -41,6 +41,7 @@
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
+        self.fresh = False  # new or restarted, and not up to its part of the load yet
         self.stripped = True  # since its last start it has been rid of what it held before
 
     def sums(self, last=REPORTS):
@@ -236,8 +237,10 @@
                 node.state = "removed" if node.state != "unlisted" else "unlisted"
         for index, condition, zone, cell, weight, boot in entries:
             node = self.node(index)
+            if node.state == "unlisted" and how == "delta":
+                node.fresh = True
             if boot is not None and boot != node.boot and now - boot < self.warm_up:
-                node.stripped = False
+                node.stripped, node.fresh = False, True
                 node.past.clear()
             node.state, node.zone, node.cell, node.weight, node.boot = condition, zone, cell, weight, boot
 
@@ -384,6 +387,7 @@
         place = {index: loads[index] / live[index] for index in live}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
+        self.feed(live, loads, place, mean)
         held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
                 if kept.owner() in place and place[kept.owner()] > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
@@ -408,6 +412,25 @@
             place[target] += heat / live[target]
             left -= 1
 
+    def feed(self, live, loads, place, mean):
+        """Each fresh node gains one slice, outside the cap: the hottest that keeps it under the mean, from the
+        node that has most. Guards against a fleet that grows, or comes back, faster than the cap fills it."""
+        for index in sorted((index for index in live if self.nodes[index].fresh), key=place.get):
+            if place[index] >= mean * (1 - BAND):
+                self.nodes[index].fresh = False
+                continue
+            source = max(place, key=place.get)
+            fits = [(self.heat(kept), -kept.number, kept) for kept in self.slices.values()
+                    if kept.owner() == source and place[index] + self.heat(kept) / live[index] <= mean
+                    and self.bears(index, self.heat(kept), live, loads)]
+            if fits and place[source] > mean:
+                heat, _, kept = max(fits, key=lambda item: item[:2])
+                del kept.want[source]
+                kept.want[index] = 1.0
+                loads[index] += heat
+                place[index] += heat / live[index]
+                place[source] -= heat / live[source]
+
     def standbys(self, now):
         """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or cut
         off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go without an
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -73,3 +73,13 @@
     conductor.hand_over(0, kept, out)
     conductor.hand_over(wait, kept, out)
     assert (out == [("line", 3, 1, 1.0)]) is opened
+
+
+@pytest.mark.parametrize("fresh, owners", [(True, [1, 0, 0]), (False, [0, 0, 0])])
+def test_a_fresh_node_gains_one_slice_in_a_turn(fresh, owners):
+    conductor = fleet(["up", "up"], {number: {0: 1.0} for number in range(3)})
+    for kept in conductor.slices.values():
+        kept.past.append(1.0)
+    conductor.nodes[1].fresh = fresh
+    conductor.feed({0: 1.0, 1: 1.0}, {0: 3.0, 1: 0.0}, {0: 3.0, 1: 0.0}, 1.5)
+    assert [conductor.slices[number].owner() for number in range(3)] == owners
