--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -4,7 +4,8 @@
 round with all that came in; it writes its orders into `out`. The events, their fields and the writer are
 described in `kestrelplank/interface.py`. Times are whole nanoseconds.
 
-Read it in this order: the records; Channel; Roster; Health; the greedy pass; Conductor, which joins them.
+Read it in this order: the records; Channel; Health; Levels; Conductor, which joins them: what comes in, what
+is known, what is decided (first what must move, then the greedy pass), and how it is published.
 """
 
 from collections import deque
@@ -17,7 +18,7 @@
 TURN = 2 * S  # the greedy pass runs this often
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
-STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above the one, relent below the other
+STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above, relent below
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
@@ -31,8 +32,8 @@
     """All that is known of one node."""
 
     def __init__(self, index):
-        self.index, self.zone, self.cell, self.weight, self.boot = index, None, None, 1.0, None
-        self.state = "unlisted"  # or up, draining, removed
+        self.index, self.zone, self.weight, self.boot = index, None, 1.0, None
+        self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
         self.out = False  # withdrawn from the proxies, as last ordered
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
@@ -44,6 +45,17 @@
         self.fresh = False  # new or restarted, and not up to its part of the load yet
         self.stripped = True  # since its last start it has been rid of what it held before
 
+    def live(self, now):
+        return self.state == "up" and self.stripped and now >= self.barred_until
+
+    def shut(self, now):
+        return self.state in GONE or not self.stripped or now < self.barred_until
+
+    def tell(self, out):
+        out.take_out(self.index, self.out)
+        self.stale, self.tainted = False, True
+        return 1
+
     def sums(self, last=REPORTS):
         recent = list(self.past)[-last:]
         return [sum(part) for part in zip(*recent)] if recent else [0.0, 0.0, 0.0]
@@ -57,6 +69,10 @@
         self.closing, self.opens_at = None, None  # exclusive tables: proof awaited, new owner not before
         self.now, self.past = 0.0, deque(maxlen=REPORTS)
 
+    def heat(self, period):
+        """Ops a second that come for it."""
+        return sum(self.past) / max(1, len(self.past)) / (period / S)
+
     def owner(self):
         return max(self.want, key=self.want.get) if self.want else None
 
@@ -116,7 +132,7 @@
     for a while, unless the whole fleet is strained."""
 
     def judge(self, now, nodes, strained):
-        up = [node for node in nodes if node.state == "up"]
+        up = [node for node in nodes if node.state in ("up", "dropped")]
         shares, times = {}, {}
         for node in up:
             tries, failed, busy = node.sums(2)
@@ -131,7 +147,8 @@
         for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
             if now < node.barred_until or barred >= len(up) // 3:
                 continue
-            if shares.get(node.index, 0) < median + (2 if strained else 1) * SICK or node.sums(2)[1] < EVIDENCE:
+            far = (2 if strained else 1) * SICK
+            if shares.get(node.index, 0) < median + far or node.sums(2)[1] < EVIDENCE:
                 continue
             if times[node.index] > (1.0 if strained else 1.5) * usual or (not times[node.index] and strained):
                 continue
@@ -189,7 +206,7 @@
                                  ("envelope", "most_waiting", "most_messages", "messages_span")))
         self.subscribe, self.ask_at = settings["subscribe"], now
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
-        self.now, self.fall_multiple = now, settings["fall_multiple"]
+        self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
         self.health = Health()
@@ -199,7 +216,6 @@
         self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
-        self.now = now
         for word, *fields in events:
             handler = getattr(self, "on_" + word, None)
             if handler:
@@ -234,7 +250,8 @@
             return
         if how != "delta":
             for node in self.nodes.values():
-                node.state = "removed" if node.state != "unlisted" else "unlisted"
+                if node.state != "unlisted":
+                    node.state = self.removed(node)
         for index, condition, zone, cell, weight, boot in entries:
             node = self.node(index)
             if node.state == "unlisted" and how == "delta":
@@ -242,7 +259,12 @@
             if boot is not None and boot != node.boot and now - boot < self.warm_up:
                 node.stripped, node.fresh = False, True
                 node.past.clear()
-            node.state, node.zone, node.cell, node.weight, node.boot = condition, zone, cell, weight, boot
+            condition = self.removed(node) if condition == "removed" else condition
+            node.state, node.zone, node.weight, node.boot = condition, zone, weight or 1.0, boot
+
+    def removed(self, node):
+        """Where only draining binds, lists drop sound nodes: a dropped one keeps its work until it fails."""
+        return "dropped" if self.only_draining and node.state in ("up", "dropped") else "removed"
 
     def on_tenure(self, now, number, held):
         if held:
@@ -308,178 +330,159 @@
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
 
     def survey(self, now):
-        """Nodes that may hold work, each with the weight that it surely is worth by now, and the ops a second
-        each node counts for: what its reports show, or what comes for the slices it holds if that is more. So
-        a move weighs on both ends until its reports are in, and a fresh node whose answers end late does not
-        look idle. Tries alone do not show slowness: the listed weight is scaled by the time of good answers
-        against the fleet's median, damped and bounded, as a queue makes any node look slower than it is."""
+        """The weight that each live node surely is worth by now, the ops a second that each node counts for,
+        and the most that each may be given. A node counts for what its reports show, or for what comes for
+        the slices it holds if that is more: so a move weighs on both ends until its reports are in, and a
+        fresh node whose answers end late does not look idle. Tries alone do not show slowness: the listed
+        weight is scaled by the time of good answers against the fleet's median, damped and bounded, as a
+        queue makes any node look slower than it is."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
         times = {index: busy / tries for index, (tries, failed, busy) in sums.items()
                  if tries - failed >= EVIDENCE and busy}
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
-        live = {}
-        for index, node in self.nodes.items():
-            if node.state == "up" and node.stripped and now >= node.barred_until:
-                speed = min(FASTEST, max(SLOWEST, usual / times[index])) ** DAMPED if index in times else 1.0
-                live[index] = (node.weight or 1.0) * self.warmth(node, now) * speed
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
             if kept.want:
-                held[kept.owner()] += self.heat(kept)
-        return live, {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
-                      for index, node in self.nodes.items()}
-
-    def bears(self, index, heat, live, loads):
-        """Whether a node may be given so much more. A cold one is kept, with room to spare, under the multiple
-        of what it can do that would push it over (rule 4); what a node can do is told by what the fleet acks,
-        never more than it can. All conductors count alike by their own slices, so their parts add up."""
-        node = self.nodes[index]
-        warmth = self.warmth(node, now=self.now)
-        if warmth >= 1.0:
-            return True
-        acked = sum(self.nodes[at].sums()[0] - self.nodes[at].sums()[1] for at in live) / REPORTS / (self.period / S)
-        weight = sum(self.nodes[at].weight or 1.0 for at in live)
-        can = min(acked / weight * self.fall_multiple * SPARE, sum(loads.values()) / weight)
-        return (loads[index] + heat) / (node.weight or 1.0) / warmth <= can
-
-    def heat(self, kept):
-        """Ops a second that come for a slice."""
-        return sum(kept.past) / max(1, len(kept.past)) / (self.period / S)
+                held[kept.owner()] += kept.heat(self.period)
+        loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
+                 for index, node in self.nodes.items()}
+        up = [node for node in self.nodes.values() if node.live(now)]
+        worth, most = {}, {}
+        weight = sum(node.weight for node in up)
+        acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
+        for node in up:
+            speed = usual / times[node.index] if node.index in times else 1.0
+            warmth = self.warmth(node, now)
+            worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
+            # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do.
+            # All conductors count alike, each by its own slices, so their parts add up.
+            can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight
+            most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
+        return worth, loads, most
 
     # What is decided.
 
     def evacuate(self, now):
-        """Slices on nodes that drain, are gone or have just restarted cost infinity: all move at once."""
-        flee = {node.index for node in self.nodes.values() if node.state in GONE or not node.stripped
-                or now < node.barred_until}
-        for node in self.nodes.values():
+        """Slices on nodes that drain, are gone, barred or have just restarted cost infinity: all move at
+        once, each to the least-loaded live node. A node that only the store knows is gone once the list has
+        had time to name it: another conductor may have heard of it first."""
+        flee = set()
+        for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
-                node.stripped = not any(node.index in kept.want for kept in self.slices.values())
-                if node.stripped:
-                    flee.discard(node.index)
-        movers = [kept for kept in self.slices.values()
-                  if not kept.want or any(index in flee for index in kept.want)]
+                node.stripped = not any(index in kept.want for kept in self.slices.values())
+            if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
+                flee.add(index)
+        movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
         if not movers:
             return
-        live, loads = self.survey(now)
-        if not live:  # better a cold or suspect node than none (rule 1)
+        worth, loads, most = self.survey(now)
+        if not worth:  # better a cold or suspect node than none (rule 1)
             for node in self.nodes.values():
                 if node.state == "up":
                     node.stripped, node.barred_until = True, now
             return
         for kept in movers:
-            owner = kept.owner()
-            for index in [index for index in kept.want if index in flee]:
-                del kept.want[index]
-            if owner is None or owner not in kept.want:
-                heat = self.heat(kept)
-                fits = [index for index in live if self.bears(index, heat, live, loads)] or live
-                new = min(fits, key=lambda index: (loads[index] + heat) / live[index])
+            owner, heat = kept.owner(), kept.heat(self.period)
+            kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
+            if owner not in kept.want:
+                fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
+                new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
                 loads[new] += heat
                 kept.want[new] = 1.0
 
     def turn(self, now):
         """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch."""
-        live, loads = self.survey(now)
-        if now < self.moves_from or not live:
+        worth, loads, most = self.survey(now)
+        if now < self.moves_from or not worth:
             return
-        place = {index: loads[index] / live[index] for index in live}
+        place = {index: loads[index] / worth[index] for index in worth}
         mean = sum(place.values()) / len(place)
         top = mean * (1 + BAND)
-        self.feed(live, loads, place, mean)
-        held = [(place[kept.owner()], self.heat(kept), kept) for kept in self.slices.values()
-                if kept.owner() in place and place[kept.owner()] > top]
+
+        def shift(kept, heat, source, target):
+            del kept.want[source]
+            kept.want[target] = 1.0
+            loads[target] += heat
+            place[target] += heat / worth[target]
+
+        # Each fresh node gains one slice, outside the cap: the hottest that keeps it under the mean, from the
+        # node that has most. Guards against a fleet that grows, or comes back, faster than the cap fills it.
+        for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
+            self.nodes[index].fresh = place[index] < mean * (1 - BAND)
+            source = max(place, key=place.get)
+            fits = [(kept.heat(self.period), -kept.number) for kept in self.slices.values()
+                    if kept.owner() == source and place[index] + kept.heat(self.period) / worth[index] <= mean
+                    and loads[index] + kept.heat(self.period) <= most[index]]
+            if self.nodes[index].fresh and fits and place[source] > mean:
+                heat, number = max(fits)
+                shift(self.slices[-number], heat, source, index)
+                place[source] -= heat / worth[source]
+
+        held = [(place[kept.owner()], kept.heat(self.period), kept) for kept in self.slices.values()
+                if place.get(kept.owner(), 0) > top]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
             source = kept.owner()
-            if not left or now < self.nodes[source].settles_at or place[source] - heat / live[source] < mean:
+            if not left or now < self.nodes[source].settles_at or place[source] - heat / worth[source] < mean:
                 continue
-            fits = [index for index in live if index != source and now >= self.nodes[index].settles_at
-                    and self.bears(index, heat, live, loads)]
-            if not fits:
-                continue
-            target = min(fits, key=lambda index: place[index] + heat / live[index])
-            if place[target] + heat / live[target] > top:
-                continue
-            del kept.want[source]
-            kept.want[target] = 1.0
-            for index in (source, target):
-                fresh = self.warmth(self.nodes[index], now) < 1.0
-                self.nodes[index].settles_at = now + S if fresh else now + REPORTS * self.period + S
-            loads[target] += heat
-            place[target] += heat / live[target]
-            left -= 1
-
-    def feed(self, live, loads, place, mean):
-        """Each fresh node gains one slice, outside the cap: the hottest that keeps it under the mean, from the
-        node that has most. Guards against a fleet that grows, or comes back, faster than the cap fills it."""
-        for index in sorted((index for index in live if self.nodes[index].fresh), key=place.get):
-            if place[index] >= mean * (1 - BAND):
-                self.nodes[index].fresh = False
-                continue
-            source = max(place, key=place.get)
-            fits = [(self.heat(kept), -kept.number, kept) for kept in self.slices.values()
-                    if kept.owner() == source and place[index] + self.heat(kept) / live[index] <= mean
-                    and self.bears(index, self.heat(kept), live, loads)]
-            if fits and place[source] > mean:
-                heat, _, kept = max(fits, key=lambda item: item[:2])
-                del kept.want[source]
-                kept.want[index] = 1.0
-                loads[index] += heat
-                place[index] += heat / live[index]
-                place[source] -= heat / live[source]
+            fits = [index for index in worth if index != source and now >= self.nodes[index].settles_at
+                    and loads[index] + heat <= most[index] and place[index] + heat / worth[index] <= top]
+            if fits:
+                target = min(fits, key=lambda index: place[index] + heat / worth[index])
+                shift(kept, heat, source, target)
+                left -= 1
+                for index in (source, target):
+                    cold = self.warmth(self.nodes[index], now) < 1.0
+                    self.nodes[index].settles_at = now + S + (0 if cold else REPORTS * self.period)
 
     def standbys(self, now):
-        """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or cut
-        off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go without an
-        order. Also catches a lost zone and a broken stream. Harm: a node that takes over cold caches at once,
-        so only warm nodes stand by, and those of one owner stand by on different nodes."""
-        live = [node for node in self.nodes.values() if node.state == "up" and node.stripped
-                and now >= node.barred_until and self.warmth(node, now) >= 1.0]
+        """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or
+        cut off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go
+        without an order. Also catches a lost zone and a broken stream. Harm: full nodes spill onto cold
+        caches, so only warm nodes stand by, those of one owner on different nodes, and none under strain."""
         if self.exclusive:
             return
-        held = {node.index: 0 for node in live}
-        pairs = {}
+        warm = [node for node in self.nodes.values() if node.live(now) and self.warmth(node, now) >= 1.0]
+        zones = sorted({node.zone for node in warm if node.zone is not None})
+        stand = {}  # lines by owner and standby, and by standby alone
         for kept in self.slices.values():
             for index in kept.want:
-                if index in held and index != kept.owner():
-                    held[index] += 1 / (self.nodes[index].weight or 1.0)
-                    pairs[kept.owner(), index] = pairs.get((kept.owner(), index), 0) + 1
-        zones = sorted({node.zone for node in live if node.zone is not None})
+                if index != kept.owner():
+                    for key in ((kept.owner(), index), index):
+                        stand[key] = stand.get(key, 0) + 1
         for kept in self.slices.values():
             owner = kept.owner()
             if owner is None:
                 continue
             home = self.nodes[owner].zone
             wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
-            have = {}
-            for index in list(kept.want):
-                if kept.want[index] <= STANDBY:
-                    zone = self.nodes[index].zone
-                    if zone in wanted and zone not in have:
-                        have[zone] = index
-                    else:
-                        del kept.want[index]
+            have = set()
+            for index in [index for index, weight in kept.want.items() if weight <= STANDBY]:
+                zone = self.nodes[index].zone
+                if zone in wanted and zone not in have:
+                    have.add(zone)
+                else:
+                    del kept.want[index]
             for zone in wanted:
-                choice = [node for node in live if node.zone == zone and node.index != owner]
+                choice = [node for node in warm if node.zone == zone and node.index != owner]
                 if zone not in have and choice:
-                    new = min(choice, key=lambda node: (pairs.get((owner, node.index), 0), held[node.index]))
-                    kept.want[new.index] = STANDBY
-                    held[new.index] += 1 / (new.weight or 1.0)
-                    pairs[owner, new.index] = pairs.get((owner, new.index), 0) + 1
+                    new = min(choice, key=lambda node: (stand.get((owner, node.index), 0),
+                                                        stand.get(node.index, 0) / node.weight)).index
+                    kept.want[new] = STANDBY
+                    for key in ((owner, new), new):
+                        stand[key] = stand.get(key, 0) + 1
 
     def guard(self, now):
         for node in self.nodes.values():
-            out = node.state in GONE or not node.stripped or now < node.barred_until
-            if out != node.out:
-                node.out, node.stale = out, True
+            if node.shut(now) != node.out:
+                node.out, node.stale = not node.out, True
 
     def flush(self, now, out):
         """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
-        then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel is
-        short of room, a new line serves the drain rule as well as the withdrawal does."""
+        then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel
+        is short of room, a new line serves the drain rule as well as the withdrawal does."""
         shut = {node.index for node in self.nodes.values() if node.out}
         lines, changed = 0, []
         for kept in self.slices.values():
@@ -489,7 +492,7 @@
         room = self.channel.room(now, 0.6, 0)
         for node in self.nodes.values():
             if node.stale and not node.out and lines < room:
-                lines += self.take_out(node, out)
+                lines += node.tell(out)
         for rank, _, kept in sorted(changed, key=lambda item: item[:2]):
             if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
                 break
@@ -501,7 +504,7 @@
                 bare.update(kept.sent)
         for node in self.nodes.values():
             if node.stale and node.out and node.index not in bare and lines < room:
-                lines += self.take_out(node, out)
+                lines += node.tell(out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
@@ -511,11 +514,6 @@
         if lines:
             self.channel.send(now, lines, out)
 
-    def take_out(self, node, out):
-        out.take_out(node.index, node.out)
-        node.stale, node.tainted = False, True
-        return 1
-
     def publish(self, now, kept, out):
         if self.exclusive:
             return self.hand_over(now, kept, out)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,7 +4,7 @@
 
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
-                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
+                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1, only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
 
 
 class Orders(list):
@@ -80,6 +80,23 @@
     conductor = fleet(["up", "up"], {number: {0: 1.0} for number in range(3)})
     for kept in conductor.slices.values():
         kept.past.append(1.0)
-    conductor.nodes[1].fresh = fresh
-    conductor.feed({0: 1.0, 1: 1.0}, {0: 3.0, 1: 0.0}, {0: 3.0, 1: 0.0}, 1.5)
+    conductor.nodes[1].fresh, conductor.nodes[0].settles_at = fresh, 9 * S
+    conductor.turn(0)
     assert [conductor.slices[number].owner() for number in range(3)] == owners
+
+
+@pytest.mark.parametrize("binds, state, owner", [(False, "removed", 1), (True, "dropped", 0)])
+def test_a_node_that_a_list_merely_drops_keeps_its_work_where_only_draining_binds(binds, state, owner):
+    conductor = fleet(["up", "up"], {3: {0: 1.0}})
+    conductor.only_draining = binds
+    conductor.on_roster(0, "delta", [(0, "removed", 0, 0, 1.0, None)])
+    conductor.evacuate(0)
+    assert conductor.nodes[0].state == state and conductor.slices[3].owner() == owner
+
+
+@pytest.mark.parametrize("now, owner", [(0, 0), (9 * S, 1)])
+def test_a_node_that_only_the_store_knows_is_gone_after_a_while(now, owner):
+    conductor = fleet(["unlisted", "up"], {3: {0: 1.0}})
+    conductor.moves_from = 5 * S
+    conductor.evacuate(now)
+    assert conductor.slices[3].owner() == owner
