--- a/build/lib/kestrelplank/drill/wire.py
+++ b/build/lib/kestrelplank/drill/wire.py
@@ -208,6 +208,7 @@
         "slices": read("Specifics.Shards", whole, 0),
         "exclusive": read("Specifics.Exclusive", flag, False),
         "write_life": read("Specifics.WriteLife", time, 0),
+        "lease": read("Specifics.Tenure", time, 0),
         "bare_limit": read("Specifics.Blackhole", time, 0),
         "envelope": read("Specifics.Envelope", count, 0),
         "lines_per_s": read("Specifics.EgressPerS", count, 0),
--- a/build/lib/kestrelplank/policy.py
+++ b/build/lib/kestrelplank/policy.py
@@ -3,89 +3,541 @@
 Make one `Conductor(now, seed, settings)` an instance and call `conductor.round(now, events, out)` once a
 round with all that came in; it writes its orders into `out`. The events, their fields and the writer are
 described in `kestrelplank/interface.py`. Times are whole nanoseconds.
+
+Read it in this order: the records; Channel; Health; Levels; Conductor, which joins them: what comes in, what
+is known, what is decided (first what must move, then the greedy pass), and how it is published.
 """
 
+from collections import deque
 from random import Random
 
-MS = 1_000_000
-BEAT = 100 * MS  # how often a conductor looks at what is due, also when nothing comes in
+from kestrelplank.interface import ALL_TABLES
+
+S = 1_000_000_000
+BEAT = S // 10  # how often a conductor looks at what is due, also when nothing comes in
+TURN = 2 * S  # the greedy pass runs this often
+REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
+BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
+STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above, relent below
+SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
+SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
+BATCH = 20  # a turn moves at most one in this many of the conductor's slices
+SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
+BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
+STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
+GONE = ("draining", "removed")
 
 
 class Node:
     """All that is known of one node."""
 
-    __slots__ = ("zone", "cell", "weight", "state", "boot", "out", "load")
+    def __init__(self, index):
+        self.index, self.zone, self.weight, self.boot = index, None, 1.0, None
+        self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
+        self.out = False  # withdrawn from the proxies, as last ordered
+        self.stale = False  # some joined proxy may hold another withdrawal than that
+        self.untold = False  # a proxy has joined that may hold another
+        self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
+        self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
+        self.past = deque(maxlen=REPORTS)  # the same of the periods before
+        self.barred_until, self.bar_for = -BAR_MOST, BAR
+        self.settles_at = 0  # takes part in no further move until then
+        self.fresh = False  # new or restarted, and not up to its part of the load yet
+        self.stripped = True  # since its last start it has been rid of what it held before
+
+    def live(self, now):
+        return self.state == "up" and self.stripped and now >= self.barred_until
+
+    def shut(self, now):
+        return self.state in GONE or not self.stripped or now < self.barred_until
 
-    def __init__(self):
-        self.zone = self.cell = self.boot = None
-        self.weight, self.state = 1.0, "unlisted"
-        self.out = False  # withdrawn from the joined proxies, as last ordered
-        self.load = 0.0
+    def tell(self, out):
+        out.take_out(self.index, self.out)
+        self.stale, self.tainted = False, True
+        return 1
+
+    def sums(self, last=REPORTS):
+        recent = list(self.past)[-last:]
+        return [sum(part) for part in zip(*recent)] if recent else [0.0, 0.0, 0.0]
 
 
 class Slice:
-    """A slice in this conductor's charge: the lines as last ordered."""
+    """A slice in this conductor's charge: lines wanted and lines ordered, node to weight."""
+
+    def __init__(self, number):
+        self.number, self.want, self.sent = number, {}, {}
+        self.closing, self.opens_at = None, None  # exclusive tables: proof awaited, new owner not before
+        self.now, self.past = 0.0, deque(maxlen=REPORTS)
+
+    def heat(self, period):
+        """Ops a second that come for it."""
+        return sum(self.past) / max(1, len(self.past)) / (period / S)
+
+    def owner(self):
+        return max(self.want, key=self.want.get) if self.want else None
+
+
+class Channel:
+    """Keeps the queue short (rule 5). What no proxy has confirmed is taken to be waiting still, so that a
+    channel slower than stated, or proxies that stand still, hold orders back instead of piling them up."""
+
+    def __init__(self, envelope, most_waiting, most_messages, messages_span):
+        self.envelope, self.most_waiting = envelope, most_waiting
+        self.most_messages, self.span = most_messages, messages_span
+        self.waiting, self.messages, self.mark = {}, deque(), 0
+
+    def joined(self, proxy):
+        self.waiting[proxy] = deque()
+
+    def left(self, proxy):
+        self.waiting.pop(proxy, None)
+
+    def applied(self, proxy, mark):
+        queue = self.waiting.get(proxy, ())
+        if any(number == mark for number, _ in queue):
+            while queue.popleft()[0] != mark:
+                pass
 
-    __slots__ = ("lines",)
+    def room(self, now, share, spare):
+        """How many lines one reply may hold, filling that share of the queue, `spare` messages kept back."""
+        while self.messages and now - self.messages[0] > self.span:
+            self.messages.popleft()
+        if not self.waiting:
+            return 1e9
+        if self.most_messages and len(self.messages) + spare >= self.most_messages:
+            return 0
+        unproved = sum(cost for queue in self.waiting.values() for _, cost in queue)
+        return (self.most_waiting * share - unproved) / len(self.waiting) - self.envelope - 1
 
-    def __init__(self):
-        self.lines = {}
+    def next_mark(self):
+        return (self.mark + 1) % 65536
+
+    def awaits(self, mark):
+        return any(number == mark for queue in self.waiting.values() for number, _ in queue)
+
+    def send(self, now, lines, out):
+        self.mark = self.next_mark()
+        self.messages.append(now)
+        out.mark(self.mark, False)
+        for queue in self.waiting.values():
+            queue.append((self.mark, lines + self.envelope + 1))
+
+
+class Health:
+    """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
+    nodes that hang, are silent or fail fast before the list tells; the median keeps a cut, a stall or an
+    overload of the whole fleet from looking like failing nodes, and no more than a third is ever barred.
+    A node that is only full fails as well, but its good answers are slow: barring it would throw its work on
+    the next one, so it is left to the pass. Harm: a node that is full and answers nothing in time is barred
+    for a while, unless the whole fleet is strained."""
+
+    def judge(self, now, nodes, strained):
+        up = [node for node in nodes if node.state in ("up", "dropped")]
+        shares, times = {}, {}
+        for node in up:
+            tries, failed, busy = node.sums(2)
+            if tries:
+                shares[node.index] = failed / tries
+                times[node.index] = busy / tries
+        if not shares:
+            return
+        median = sorted(shares.values())[len(shares) // 2]
+        usual = sorted(times.values())[len(times) // 2]
+        barred = sum(now < node.barred_until for node in up)
+        for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
+            if now < node.barred_until or barred >= len(up) // 3:
+                continue
+            far = (2 if strained else 1) * SICK
+            if shares.get(node.index, 0) < median + far or node.sums(2)[1] < EVIDENCE:
+                continue
+            if times[node.index] > (1.0 if strained else 1.5) * usual or (not times[node.index] and strained):
+                continue
+            barred += 1
+            node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
+            node.barred_until = now + node.bar_for
+            node.past.clear()
+
+
+class Levels:
+    """Sheds the op types of least value first while the median node answers too slowly. Guards against
+    overload, where work that ends in a time-out crowds out work that could be answered; it also catches a
+    fleet that is slow as a whole. Harm: what it gives up is rejected at once though it might have been
+    served, so it lets in more again as soon as answers come well within the target latency."""
+
+    def __init__(self, levels, op_types):
+        self.active = levels == "share"
+        self.targets = [kind["target_latency"] for kind in op_types]
+        self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
+        self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
+        self.strained = False
+
+    def close(self, nodes):
+        """Once a report period: how slow is the median node, and how much to give up for it."""
+        times = sorted(busy / tries for tries, failed, busy in (node.sums(2) for node in nodes)
+                       if tries > failed)
+        total = sum(self.came)
+        if times and total:
+            target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
+            strain = times[len(times) // 2] / target
+            self.strained = strain > (RELAXED if self.strained else STRAINED)
+            acked = max(sum(node.past[at][0] - node.past[at][1] for node in nodes if len(node.past) >= -at)
+                        for at in range(-REPORTS, 0))
+            if strain > STRAINED:
+                self.shed = min(0.9, max(self.shed, 1.05 - acked * REPORTS / total))
+            elif strain < RELAXED:
+                self.shed = max(0.0, self.shed - 0.05)
+        self.came = [came * (1 - 1 / REPORTS) for came in self.came]
+
+    def wanted(self):
+        """The share to let in of each op type, so that `shed` of all ops are given up."""
+        left, total, shares = self.shed * sum(self.came), sum(self.came), {}
+        for kind in self.order:
+            cut = min(left, self.came[kind]) if total else 0.0
+            left -= cut
+            shares[kind] = round(1 - cut / self.came[kind], 1) if self.came[kind] else 1.0
+        return shares
 
 
 class Conductor:
     def __init__(self, now, seed, settings):
         self.random = Random(seed)
         self.nodes, self.slices = {}, {}
-        self.subscribe, self.asked, self.due = settings["subscribe"], None, None
+        self.channel = Channel(*(settings[key] for key in
+                                 ("envelope", "most_waiting", "most_messages", "messages_span")))
+        self.subscribe, self.ask_at = settings["subscribe"], now
+        self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
+        self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
+        self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
+        self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
+        self.health = Health()
+        self.levels = Levels(settings["levels"], settings["op_types"])
+        self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
+        self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
+        self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
         for word, *fields in events:
             handler = getattr(self, "on_" + word, None)
             if handler:
                 handler(now, *fields)
-        if self.subscribe and self.asked is None:
+        if self.subscribe and self.ask_at is not None and now >= self.ask_at:
             out.watch(True)
-            self.asked = now
-        self.evacuate(out)
-        if self.due is None or now >= self.due:
-            self.due = now + BEAT
-            out.timer(self.due, "beat")
+            self.ask_at = None
+        while now >= self.closes_at:
+            self.close_period(now)
+        if not self.greeted:
+            self.greeted = True
+            if self.usual_again != self.again:
+                out.level(ALL_TABLES, 0, 1.0, self.again)
+        self.evacuate(now)
+        if now >= self.next_turn:
+            self.next_turn = now + TURN
+            self.turn(now)
+            self.standbys(now)
+        self.guard(now)
+        if now >= self.next_beat:
+            self.next_beat = now + BEAT
+            out.timer(self.next_beat, "beat")
+            for node in self.nodes.values():  # once a beat, as proxies come back in swarms
+                node.stale, node.untold = node.stale or node.untold, False
+        self.flush(now, out)
+
+    # What comes in.
 
     def on_roster(self, now, how, entries):
         if how == "failed":
-            self.asked = None
+            self.ask_at = now + S // 2 + int(self.random.random() * S)
             return
         if how != "delta":
             for node in self.nodes.values():
-                node.state = "removed" if node.state != "unlisted" else "unlisted"
+                if node.state != "unlisted":
+                    node.state = self.removed(node)
         for index, condition, zone, cell, weight, boot in entries:
-            node = self.nodes.setdefault(index, Node())
-            node.state, node.zone, node.cell, node.weight, node.boot = condition, zone, cell, weight, boot
+            node = self.node(index)
+            if node.state == "unlisted" and how == "delta":
+                node.fresh = True
+            if boot is not None and boot != node.boot and now - boot < self.warm_up:
+                node.stripped, node.fresh = False, True
+                node.past.clear()
+            condition = self.removed(node) if condition == "removed" else condition
+            node.state, node.zone, node.weight, node.boot = condition, zone, weight or 1.0, boot
+
+    def removed(self, node):
+        """Where only draining binds, lists drop sound nodes: a dropped one keeps its work until it fails."""
+        return "dropped" if self.only_draining and node.state in ("up", "dropped") else "removed"
 
     def on_tenure(self, now, number, held):
         if held:
-            self.slices[number] = Slice()
+            kept = self.slices[number] = Slice(number)
+            kept.opens_at = now + self.lease + self.write_life  # were the table empty: another closed it
+            self.moves_from = now + REPORTS * self.period
         else:
             self.slices.pop(number, None)
 
     def on_line(self, now, number, index, weight):
+        kept = self.slices.get(number)
+        if kept and weight > 0:
+            self.node(index)
+            kept.want[index] = kept.sent[index] = weight
+
+    def on_joined(self, now, proxy, zone, rate, fresh):
+        # A proxy keeps withdrawals over a broken stream and over our own death: one that we do not take
+        # back could leave it without a line (rule 1), and one it missed would let it send (rule 3).
+        self.channel.joined(proxy)
+        for node in self.nodes.values():
+            node.untold = node.untold or node.tainted or not fresh
+
+    def on_left(self, now, proxy):
+        self.channel.left(proxy)
+        self.quiet_at = now + self.lease  # it goes on sending writes for so long
+
+    def on_applied(self, now, proxy, mark, wait):
+        self.channel.applied(proxy, mark)
+
+    def on_tries(self, now, index, zone, tries, failed, mean_time, window, load):
+        node = self.nodes.get(index)
+        if node:
+            for place, value in enumerate((tries, failed, tries * (mean_time or 0) / S)):
+                node.now[place] += value
+
+    def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
-            self.nodes.setdefault(index, Node())
-            self.slices[number].lines[index] = weight
-
-    def evacuate(self, out):
-        live = [index for index, node in self.nodes.items() if node.state == "up"]
-        for number, kept in self.slices.items():
-            gone = [index for index in kept.lines if self.nodes[index].state in ("draining", "removed")]
-            if live and (gone or not kept.lines):
-                counts = {index: 0 for index in live}
-                for other in self.slices.values():
-                    for index in other.lines:
-                        if index in counts:
-                            counts[index] += 1
-                new = min(live, key=counts.get)
-                out.line(number, new, 1.0)
-                kept.lines[new] = 1.0
-                for index in gone:
-                    out.line(number, index, 0)
-                    del kept.lines[index]
+            self.slices[number].now += ops
+            self.levels.came[op_type] += ops
+
+    # What is known.
+
+    def node(self, index):
+        if index not in self.nodes:
+            self.nodes[index] = Node(index)
+        return self.nodes[index]
+
+    def close_period(self, now):
+        self.closes_at += self.period
+        for node in self.nodes.values():
+            node.past.append(tuple(node.now))
+            node.now = [0.0, 0.0, 0.0]
+        for kept in self.slices.values():
+            kept.past.append(kept.now)
+            kept.now = 0.0
+        self.levels.close(list(self.nodes.values()))
+        self.health.judge(now, self.nodes.values(), self.levels.strained)
+
+    def warmth(self, node, now):
+        """The share of its capacity that a node surely has by now."""
+        if node.boot is None or not self.warm_up or now - node.boot >= self.warm_up:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
+
+    def survey(self, now):
+        """The weight that each live node surely is worth by now, the ops a second that each node counts for,
+        and the most that each may be given. A node counts for what its reports show, or for what comes for
+        the slices it holds if that is more: so a move weighs on both ends until its reports are in, and a
+        fresh node whose answers end late does not look idle. Tries alone do not show slowness: the listed
+        weight is scaled by the time of good answers against the fleet's median, damped and bounded, as a
+        queue makes any node look slower than it is."""
+        seconds = self.period / S
+        sums = {index: node.sums() for index, node in self.nodes.items()}
+        times = {index: busy / tries for index, (tries, failed, busy) in sums.items()
+                 if tries - failed >= EVIDENCE and busy}
+        usual = sorted(times.values())[len(times) // 2] if times else 0.0
+        held = dict.fromkeys(self.nodes, 0.0)
+        for kept in self.slices.values():
+            if kept.want:
+                held[kept.owner()] += kept.heat(self.period)
+        loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
+                 for index, node in self.nodes.items()}
+        up = [node for node in self.nodes.values() if node.live(now)]
+        worth, most = {}, {}
+        weight = sum(node.weight for node in up)
+        acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
+        for node in up:
+            speed = usual / times[node.index] if node.index in times else 1.0
+            warmth = self.warmth(node, now)
+            worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
+            # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do.
+            # All conductors count alike, each by its own slices, so their parts add up.
+            can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight
+            most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
+        return worth, loads, most
+
+    # What is decided.
+
+    def evacuate(self, now):
+        """Slices on nodes that drain, are gone, barred or have just restarted cost infinity: all move at
+        once, each to the least-loaded live node. A node that only the store knows is gone once the list has
+        had time to name it: another conductor may have heard of it first."""
+        flee = set()
+        for index, node in self.nodes.items():
+            if node.state == "up" and not node.stripped:
+                node.stripped = not any(index in kept.want for kept in self.slices.values())
+            if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
+                flee.add(index)
+        movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
+        if not movers:
+            return
+        worth, loads, most = self.survey(now)
+        if not worth:  # better a cold or suspect node than none (rule 1)
+            for node in self.nodes.values():
+                if node.state == "up":
+                    node.stripped, node.barred_until = True, now
+            return
+        for kept in movers:
+            owner, heat = kept.owner(), kept.heat(self.period)
+            kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
+            if owner not in kept.want:
+                fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
+                new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
+                loads[new] += heat
+                kept.want[new] = 1.0
+
+    def turn(self, now):
+        """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch."""
+        worth, loads, most = self.survey(now)
+        if now < self.moves_from or not worth:
+            return
+        place = {index: loads[index] / worth[index] for index in worth}
+        mean = sum(place.values()) / len(place)
+        top = mean * (1 + BAND)
+
+        def shift(kept, heat, source, target):
+            del kept.want[source]
+            kept.want[target] = 1.0
+            loads[target] += heat
+            place[target] += heat / worth[target]
+
+        # Each fresh node gains one slice, outside the cap: the hottest that keeps it under the mean, from the
+        # node that has most. Guards against a fleet that grows, or comes back, faster than the cap fills it.
+        for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
+            self.nodes[index].fresh = place[index] < mean * (1 - BAND)
+            source = max(place, key=place.get)
+            fits = [(kept.heat(self.period), -kept.number) for kept in self.slices.values()
+                    if kept.owner() == source and place[index] + kept.heat(self.period) / worth[index] <= mean
+                    and loads[index] + kept.heat(self.period) <= most[index]]
+            if self.nodes[index].fresh and fits and place[source] > mean:
+                heat, number = max(fits)
+                shift(self.slices[-number], heat, source, index)
+                place[source] -= heat / worth[source]
+
+        held = [(place[kept.owner()], kept.heat(self.period), kept) for kept in self.slices.values()
+                if place.get(kept.owner(), 0) > top]
+        held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
+        left = max(1, len(self.slices) // BATCH)
+        for _, heat, kept in held:
+            source = kept.owner()
+            if not left or now < self.nodes[source].settles_at or place[source] - heat / worth[source] < mean:
+                continue
+            fits = [index for index in worth if index != source and now >= self.nodes[index].settles_at
+                    and loads[index] + heat <= most[index] and place[index] + heat / worth[index] <= top]
+            if fits:
+                target = min(fits, key=lambda index: place[index] + heat / worth[index])
+                shift(kept, heat, source, target)
+                left -= 1
+                for index in (source, target):
+                    cold = self.warmth(self.nodes[index], now) < 1.0
+                    self.nodes[index].settles_at = now + S + (0 if cold else REPORTS * self.period)
+
+    def standbys(self, now):
+        """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or
+        cut off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go
+        without an order. Also catches a lost zone and a broken stream. Harm: full nodes spill onto cold
+        caches, so only warm nodes stand by, those of one owner on different nodes, and none under strain."""
+        if self.exclusive:
+            return
+        warm = [node for node in self.nodes.values() if node.live(now) and self.warmth(node, now) >= 1.0]
+        zones = sorted({node.zone for node in warm if node.zone is not None})
+        stand = {}  # lines by owner and standby, and by standby alone
+        for kept in self.slices.values():
+            for index in kept.want:
+                if index != kept.owner():
+                    for key in ((kept.owner(), index), index):
+                        stand[key] = stand.get(key, 0) + 1
+        for kept in self.slices.values():
+            owner = kept.owner()
+            if owner is None:
+                continue
+            home = self.nodes[owner].zone
+            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
+            have = set()
+            for index in [index for index, weight in kept.want.items() if weight <= STANDBY]:
+                zone = self.nodes[index].zone
+                if zone in wanted and zone not in have:
+                    have.add(zone)
+                else:
+                    del kept.want[index]
+            for zone in wanted:
+                choice = [node for node in warm if node.zone == zone and node.index != owner]
+                if zone not in have and choice:
+                    new = min(choice, key=lambda node: (stand.get((owner, node.index), 0),
+                                                        stand.get(node.index, 0) / node.weight)).index
+                    kept.want[new] = STANDBY
+                    for key in ((owner, new), new):
+                        stand[key] = stand.get(key, 0) + 1
+
+    def guard(self, now):
+        for node in self.nodes.values():
+            if node.shut(now) != node.out:
+                node.out, node.stale = not node.out, True
+
+    def flush(self, now, out):
+        """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
+        then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel
+        is short of room, a new line serves the drain rule as well as the withdrawal does."""
+        shut = {node.index for node in self.nodes.values() if node.out}
+        lines, changed = 0, []
+        for kept in self.slices.values():
+            if kept.want != kept.sent:
+                dead = sum(index in shut for index in kept.sent)
+                changed.append((0 if dead == len(kept.sent) else 1 if dead else 2, kept.number, kept))
+        room = self.channel.room(now, 0.6, 0)
+        for node in self.nodes.values():
+            if node.stale and not node.out and lines < room:
+                lines += node.tell(out)
+        for rank, _, kept in sorted(changed, key=lambda item: item[:2]):
+            if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
+                break
+            if lines < room:
+                lines += self.publish(now, kept, out)
+        bare = set()
+        for kept in self.slices.values():
+            if kept.sent and all(index in shut for index in kept.sent):
+                bare.update(kept.sent)
+        for node in self.nodes.values():
+            if node.stale and node.out and node.index not in bare and lines < room:
+                lines += node.tell(out)
+        if self.levels.active and lines < room:
+            for kind, share in self.levels.wanted().items():
+                if self.levels.sent.get(kind, 1.0) != share:
+                    out.level(ALL_TABLES, 1 << kind, share, self.again)
+                    self.levels.sent[kind] = share
+                    lines += 1
+        if lines:
+            self.channel.send(now, lines, out)
+
+    def publish(self, now, kept, out):
+        if self.exclusive:
+            return self.hand_over(now, kept, out)
+        new = [(index, weight) for index, weight in kept.want.items() if kept.sent.get(index) != weight]
+        new += [(index, 0) for index in kept.sent if index not in kept.want]
+        for index, weight in new:
+            out.line(kept.number, index, weight)
+        kept.sent = dict(kept.want)
+        return len(new)
+
+    def hand_over(self, now, kept, out):
+        """One owner at a time: the old line goes first, and the new one comes when every joined proxy has
+        proved that and all writes in hand, also of proxies that lost their stream, must have ended. Guards
+        against writes of one slice at two nodes (rule 2). Harm: the slice has no node meanwhile."""
+        if kept.sent:
+            out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
+            kept.sent, kept.closing, kept.opens_at = {}, self.channel.next_mark(), None
+            return 1
+        if kept.closing is not None and self.channel.awaits(kept.closing):
+            return 0
+        if kept.opens_at is None:
+            kept.opens_at = max(now, self.quiet_at) + self.write_life
+        if now < kept.opens_at:
+            return 0
+        out.line(kept.number, kept.owner(), 1.0)
+        kept.sent = dict(kept.want)
+        return 1
