--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -371,11 +371,9 @@
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
                 node.stripped = not any(index in kept.want for kept in self.slices.values())
-            if node.state in GONE or not node.stripped or (node.state == "unlisted" and now >= self.moves_from):
+            if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
                 flee.add(index)
-        shut = {index for index, node in self.nodes.items() if node.shut(now)}
-        movers = [kept for kept in self.slices.values()
-                  if not flee.isdisjoint(kept.want) or shut.issuperset(kept.want)]
+        movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
         if not movers:
             return
         worth, loads, most = self.survey(now)
@@ -387,8 +385,6 @@
         for kept in movers:
             owner, heat = kept.owner(), kept.heat(self.period)
             kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
-            if shut.issuperset(kept.want):
-                kept.want = {}
             if owner not in kept.want:
                 fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
                 new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
