--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -185,7 +185,7 @@
             if strain > STRAINED:
                 self.shed = min(0.9, max(self.shed, 1.05 - acked * REPORTS / total))
             elif strain < RELAXED:
-                self.shed = max(0.0, self.shed - 0.05)
+                self.shed = max(0.0, 0.85 * self.shed - 0.02)
         self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):
