--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -185,7 +185,7 @@
             if strain > STRAINED:
                 self.shed = min(0.9, max(self.shed, 1.05 - acked * REPORTS / total))
             elif strain < RELAXED:
-                self.shed = max(0.0, 0.85 * self.shed - 0.02)
+                self.shed = max(0.0, self.shed - 0.05)
         self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):
@@ -213,7 +213,8 @@
         self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
         self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
-        self.greeted, self.again = False, 1
+        self.greeted = False
+        self.again = [2 if kind["effect"] == "retryable" else 1 for kind in settings["op_types"]]
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -227,8 +228,9 @@
             self.close_period(now)
         if not self.greeted:
             self.greeted = True
-            if self.usual_again != self.again:
-                out.level(ALL_TABLES, 0, 1.0, self.again)
+            for kind, again in enumerate(self.again):
+                if self.usual_again != again:
+                    out.level(ALL_TABLES, 1 << kind, 1.0, again)
         self.evacuate(now)
         if now >= self.next_turn:
             self.next_turn = now + TURN
@@ -508,7 +510,7 @@
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
-                    out.level(ALL_TABLES, 1 << kind, share, self.again)
+                    out.level(ALL_TABLES, 1 << kind, share, self.again[kind])
                     self.levels.sent[kind] = share
                     lines += 1
         if lines:
