--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -21,6 +21,7 @@
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above, relent below
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
+SPLIT = 0.6  # a slice that makes more than this part of the mean load is split while its node is above the band
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
@@ -73,6 +74,9 @@
         """Ops a second that come for it."""
         return sum(self.past) / max(1, len(self.past)) / (period / S)
 
+    def parts(self):
+        return [index for index, weight in self.want.items() if weight > STANDBY]
+
     def owner(self):
         return max(self.want, key=self.want.get) if self.want else None
 
@@ -213,8 +217,7 @@
         self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
         self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
-        self.greeted = False
-        self.again = [2 if kind["effect"] == "retryable" else 1 for kind in settings["op_types"]]
+        self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -228,9 +231,8 @@
             self.close_period(now)
         if not self.greeted:
             self.greeted = True
-            for kind, again in enumerate(self.again):
-                if self.usual_again != again:
-                    out.level(ALL_TABLES, 1 << kind, 1.0, again)
+            if self.usual_again != self.again:
+                out.level(ALL_TABLES, 0, 1.0, self.again)
         self.evacuate(now)
         if now >= self.next_turn:
             self.next_turn = now + TURN
@@ -345,8 +347,8 @@
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
-            if kept.want:
-                held[kept.owner()] += kept.heat(self.period)
+            for index in kept.parts():
+                held[index] += kept.heat(self.period) / len(kept.parts())
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
         up = [node for node in self.nodes.values() if node.live(now)]
@@ -421,8 +423,25 @@
                 shift(self.slices[-number], heat, source, index)
                 place[source] -= heat / worth[source]
 
+        for kept in self.slices.values():
+            heat, owner, parts = kept.heat(self.period), kept.owner(), kept.parts()
+            if owner not in worth or self.exclusive:
+                continue
+            if len(parts) == 1 and heat > SPLIT * mean * worth[owner] and place[owner] > top:
+                fits = [index for index in worth if index != owner and loads[index] + heat / 2 <= most[index]
+                        and place[index] + heat / 2 / worth[index] <= top]
+                if fits:
+                    new = min(fits, key=lambda index: place[index] + heat / 2 / worth[index])
+                    kept.want[new] = 1.0
+                    loads[new] += heat / 2
+                    place[new] += heat / 2 / worth[new]
+            elif len(parts) > 1 and heat < SPLIT / 2 * mean * worth[owner]:
+                for index in parts:
+                    if index != owner:
+                        del kept.want[index]
+
         held = [(place[kept.owner()], kept.heat(self.period), kept) for kept in self.slices.values()
-                if place.get(kept.owner(), 0) > top]
+                if place.get(kept.owner(), 0) > top and len(kept.parts()) == 1]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
@@ -510,7 +529,7 @@
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
-                    out.level(ALL_TABLES, 1 << kind, share, self.again[kind])
+                    out.level(ALL_TABLES, 1 << kind, share, self.again)
                     self.levels.sent[kind] = share
                     lines += 1
         if lines:
