--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -427,7 +427,7 @@
             heat, owner, parts = kept.heat(self.period), kept.owner(), kept.parts()
             if owner not in worth or self.exclusive:
                 continue
-            if len(parts) == 1 and heat > SPLIT * mean * worth[owner] and place[owner] > top:
+            if not self.levels.strained and len(parts) == 1 and heat > SPLIT * mean * worth[owner] and place[owner] > top:
                 fits = [index for index in worth if index != owner and loads[index] + heat / 2 <= most[index]
                         and place[index] + heat / 2 / worth[index] <= top]
                 if fits:
