--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -26,6 +26,7 @@
 SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
+HANDLED = ("roster", "tenure", "line", "joined", "left", "applied", "tries", "heat")
 GONE = ("draining", "removed")
 
 
@@ -110,9 +111,6 @@
     def next_mark(self):
         return (self.mark + 1) % 65536
 
-    def awaits(self, mark):
-        return any(number == mark for queue in self.waiting.values() for number, _ in queue)
-
     def send(self, now, lines, out):
         self.mark = self.next_mark()
         self.messages.append(now)
@@ -131,29 +129,20 @@
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
-        shares, times = {}, {}
-        for node in up:
-            tries, failed, busy = node.sums(2)
-            if tries:
-                shares[node.index] = failed / tries
-                times[node.index] = busy / tries
-        if not shares:
+        seen = [(node, *node.sums(2)) for node in up if node.sums(2)[0]]
+        if not seen:
             return
-        median = sorted(shares.values())[len(shares) // 2]
-        usual = sorted(times.values())[len(times) // 2]
+        median = sorted(failed / tries for _, tries, failed, _ in seen)[len(seen) // 2]
+        usual = sorted(busy / tries for _, tries, _, busy in seen)[len(seen) // 2]
+        far, slow = (2 * SICK, usual) if strained else (SICK, 1.5 * usual)
         barred = sum(now < node.barred_until for node in up)
-        for node in sorted(up, key=lambda node: (-shares.get(node.index, 0), node.index)):
-            if now < node.barred_until or barred >= len(up) // 3:
-                continue
-            far = (2 if strained else 1) * SICK
-            if shares.get(node.index, 0) < median + far or node.sums(2)[1] < EVIDENCE:
-                continue
-            if times[node.index] > (1.0 if strained else 1.5) * usual or (not times[node.index] and strained):
-                continue
-            barred += 1
-            node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
-            node.barred_until = now + node.bar_for
-            node.past.clear()
+        for node, tries, failed, busy in sorted(seen, key=lambda item: (-item[2] / item[1], item[0].index)):
+            sick = failed >= max(EVIDENCE, tries * (median + far)) and busy / tries <= slow
+            if sick and (busy or not strained) and now >= node.barred_until and barred < len(up) // 3:
+                barred += 1
+                node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
+                node.barred_until = now + node.bar_for
+                node.past.clear()
 
 
 class Levels:
@@ -215,7 +204,8 @@
 
     def round(self, now, events, out):
         for word, *fields in events:
-            getattr(self, "on_" + word, self.ignore)(now, *fields)
+            if word in HANDLED:  # timers, demand, probes and peers decide nothing yet
+                getattr(self, "on_" + word)(now, *fields)
         if self.subscribe and self.ask_at is not None and now >= self.ask_at:
             out.watch(True)
             self.ask_at = None
@@ -303,9 +293,6 @@
 
     # What is known.
 
-    def ignore(self, now, *fields):
-        """Timers, demand, probes and peers: nothing is decided by them yet."""
-
     def node(self, index):
         if index not in self.nodes:
             self.nodes[index] = Node(index)
@@ -463,17 +450,16 @@
         """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or
         cut off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go
         without an order. Also catches a lost zone and a broken stream. Harm: full nodes spill onto cold
-        caches, so only warm nodes stand by, those of one owner on different nodes, and none under strain."""
+        caches, so only warm nodes stand by, spread evenly, and none under strain."""
         if self.exclusive:
             return
         warm = [node for node in self.nodes.values() if node.live(now) and self.warmth(node, now) >= 1.0]
         zones = sorted({node.zone for node in warm if node.zone is not None})
-        stand = {}  # lines by owner and standby, and by standby alone
+        stand = {node.index: 0 for node in warm}
         for kept in self.slices.values():
-            for index in kept.want:
-                if index != kept.owner():
-                    for key in ((kept.owner(), index), index):
-                        stand[key] = stand.get(key, 0) + 1
+            for index, weight in kept.want.items():
+                if index in stand and weight <= STANDBY:
+                    stand[index] += 1 / self.nodes[index].weight
         for kept in self.slices.values():
             owner = kept.owner()
             if owner is None:
@@ -488,13 +474,11 @@
                 else:
                     del kept.want[index]
             for zone in wanted:
-                choice = [node for node in warm if node.zone == zone and node.index != owner]
+                choice = [node.index for node in warm if node.zone == zone and node.index not in kept.want]
                 if zone not in have and choice:
-                    new = min(choice, key=lambda node: (stand.get((owner, node.index), 0),
-                                                        stand.get(node.index, 0) / node.weight)).index
+                    new = min(choice, key=stand.get)
                     kept.want[new] = STANDBY
-                    for key in ((owner, new), new):
-                        stand[key] = stand.get(key, 0) + 1
+                    stand[new] += 1 / self.nodes[new].weight
 
     def guard(self, now):
         for node in self.nodes.values():
@@ -554,7 +538,7 @@
             out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
             kept.sent, kept.closing, kept.opens_at = {}, self.channel.next_mark(), None
             return 1
-        if kept.closing is not None and self.channel.awaits(kept.closing):
+        if any(mark == kept.closing for queue in self.channel.waiting.values() for mark, _ in queue):
             return 0
         if kept.opens_at is None:
             kept.opens_at = max(now, self.quiet_at) + self.write_life
