--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -22,6 +22,7 @@
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 SPLIT = 0.3  # a slice that is more than this part of a mean node's load is too hot to be moved
+AGAIN = 1  # another try only once the first provably never ran: safe for every op type (rule 2)
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
@@ -200,7 +201,6 @@
         self.levels = Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
         self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
-        self.greeted, self.again = False, 1
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -211,16 +211,17 @@
             self.ask_at = None
         while now >= self.closes_at:
             self.close_period(now)
-        if not self.greeted:
-            self.greeted = True
-            if self.usual_again != self.again:
-                out.level(ALL_TABLES, 0, 1.0, self.again)
+        if self.usual_again != AGAIN:
+            out.level(ALL_TABLES, 0, 1.0, AGAIN)
+            self.usual_again = AGAIN
         self.evacuate(now)
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
             self.standbys(now)
-        self.guard(now)
+        for node in self.nodes.values():
+            if node.shut(now) != node.out:
+                node.out, node.stale = not node.out, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             out.timer(self.next_beat, "beat")
@@ -294,9 +295,7 @@
     # What is known.
 
     def node(self, index):
-        if index not in self.nodes:
-            self.nodes[index] = Node(index)
-        return self.nodes[index]
+        return self.nodes.setdefault(index, Node(index))
 
     def close_period(self, now):
         self.closes_at += self.period
@@ -480,30 +479,22 @@
                     kept.want[new] = STANDBY
                     stand[new] += 1 / self.nodes[new].weight
 
-    def guard(self, now):
-        for node in self.nodes.values():
-            if node.shut(now) != node.out:
-                node.out, node.stale = not node.out, True
-
     def flush(self, now, out):
         """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
         then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel
         is short of room, a new line serves the drain rule as well as the withdrawal does."""
         shut = {node.index for node in self.nodes.values() if node.out}
-        lines, changed = 0, []
-        for kept in self.slices.values():
-            if kept.want != kept.sent:
-                dead = sum(index in shut for index in kept.sent)
-                changed.append((0 if dead == len(kept.sent) else 1 if dead else 2, kept.number, kept))
-        room = self.channel.room(now, 0.6, 0)
+        changed = [(0 if shut.issuperset(kept.sent) else 1 if not shut.isdisjoint(kept.sent) else 2, number)
+                   for number, kept in self.slices.items() if kept.want != kept.sent]
+        lines, room = 0, self.channel.room(now, 0.6, 0)
         for node in self.nodes.values():
             if node.stale and not node.out and lines < room:
                 lines += node.tell(out)
-        for rank, _, kept in sorted(changed, key=lambda item: item[:2]):
+        for rank, number in sorted(changed):
             if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
                 break
             if lines < room:
-                lines += self.publish(now, kept, out)
+                lines += self.publish(now, self.slices[number], out)
         bare = set()
         for kept in self.slices.values():
             if kept.sent and all(index in shut for index in kept.sent):
@@ -514,7 +505,7 @@
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
-                    out.level(ALL_TABLES, 1 << kind, share, self.again)
+                    out.level(ALL_TABLES, 1 << kind, share, AGAIN)
                     self.levels.sent[kind] = share
                     lines += 1
         if lines:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -60,8 +60,7 @@
         node.stripped = trouble != "restarted"
         node.barred_until = S if trouble == "barred" else 0
     conductor.evacuate(0)
-    conductor.guard(0)
-    assert not any(node.out for node in conductor.nodes.values())
+    assert not any(node.shut(0) for node in conductor.nodes.values())
 
 
 @pytest.mark.parametrize("proved, wait, opened", [(False, 9 * S, False), (True, S // 2, False), (True, S, True)])
