--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -411,6 +411,9 @@
                 give(self.slices[-number], heat, index)
                 place[source] -= heat / worth[source]
 
+        if self.levels.strained and not self.levels.active:
+            return  # no room to spare and nothing to shed: what a cooled cache costs is more than balance gains
+
         # A slice hotter than the band pins its node, and moving it moves the trouble: it gets a second full
         # line instead, until it cools. Guards against hot keys and tides; it also catches a slow node with
         # one large slice. Harm: two caches must warm to the same keys.
