Cold nodes get nothing while heat is unknown after a start or take-over

Cause: a restarted conductor had seen one report, took its slices for cold ones and moved thirteen onto a node 1 s after its start; clients' repeats did the rest.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -341,9 +341,12 @@
             warmth = self.warmth(node, now)
             worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
             # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do.
-            # All conductors count alike, each by its own slices, so their parts add up.
+            # All conductors count alike, each by its own slices, so their parts add up. After a start or a
+            # take-over heat is not known yet, and a cold node is given nothing unless nothing else lives.
             can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
+            if warmth < 1.0 and now < self.moves_from:
+                most[node.index] = -1.0
         return worth, loads, most
 
     # What is decided.
@@ -411,9 +414,6 @@
                 give(self.slices[-number], heat, index)
                 place[source] -= heat / worth[source]
 
-        if self.levels.strained and not self.levels.active:
-            return  # no room to spare and nothing to shed: what a cooled cache costs is more than balance gains
-
         # A slice hotter than the band pins its node, and moving it moves the trouble: it gets a second full
         # line instead, until it cools. Guards against hot keys and tides; it also catches a slow node with
         # one large slice. Harm: two caches must warm to the same keys.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -112,3 +112,14 @@
         conductor.slices[3].want[1] = 1.0
     conductor.turn(0)
     assert conductor.slices[3].parts() == parts
+
+
+@pytest.mark.parametrize("moves_from, owner", [(9 * S, 2), (0, 1)])
+def test_a_conductor_that_knows_no_heat_yet_gives_cold_nodes_nothing(moves_from, owner):
+    conductor = fleet(["removed", "up", "up"], {3: {0: 1.0}, 4: {2: 1.0}})
+    conductor.nodes[1].boot, conductor.moves_from = 0, moves_from
+    for number, ops in ((3, 1.0), (4, 9.0)):
+        conductor.slices[number].past.append(ops)
+    conductor.nodes[2].past.append((45.0, 0.0, 9.0))
+    conductor.evacuate(5 * S)
+    assert conductor.slices[3].owner() == owner
