--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -422,10 +422,11 @@
             if owner not in worth or self.exclusive:
                 continue
             hot = heat / (mean * worth[owner]) if mean else 0
-            if len(parts) == 1 and hot > SPLIT and place[owner] > top:
-                new = fitting(heat / 2, [index for index in worth if index != owner], top)
+            if len(parts) < 3 and hot / len(parts) > SPLIT and place[owner] > top:
+                part = heat / (len(parts) + 1)
+                new = fitting(part, [index for index in worth if index not in parts], top)
                 if new is not None:
-                    give(kept, heat / 2, new)
+                    give(kept, part, new)
             elif len(parts) > 1 and hot < SPLIT / 2:
                 kept.want = {index: weight for index, weight in kept.want.items()
                              if index == owner or index not in parts}
