--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -422,7 +422,7 @@
             if owner not in worth or self.exclusive:
                 continue
             hot = heat / (mean * worth[owner]) if mean else 0
-            if len(parts) < 3 and hot / len(parts) > SPLIT and place[owner] > top:
+            if len(parts) < (2 if self.levels.strained else 3) and hot / len(parts) > SPLIT and place[owner] > top:
                 part = heat / (len(parts) + 1)
                 new = fitting(part, [index for index in worth if index not in parts], top)
                 if new is not None:
