--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -218,7 +218,7 @@
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
-            self.standbys(now)
+            #self.standbys(now)
         for node in self.nodes.values():
             if node.shut(now) != node.out:
                 node.out, node.stale = not node.out, True
