--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -218,7 +218,7 @@
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
-            #self.standbys(now)
+            self.standbys(now)
         for node in self.nodes.values():
             if node.shut(now) != node.out:
                 node.out, node.stale = not node.out, True
@@ -468,6 +468,7 @@
                 continue
             home = self.nodes[owner].zone
             wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
+            wanted = wanted[kept.number % max(1, len(wanted)):][:1]
             have = set()
             for index in [index for index, weight in kept.want.items() if weight <= STANDBY]:
                 zone = self.nodes[index].zone
