--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -23,7 +23,6 @@
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 SPLIT = 0.3  # a slice that is more than this part of a mean node's load is too hot to be moved
 AGAIN = 1  # another try only once the first provably never ran: safe for every op type (rule 2)
-CALM = 0.18  # standbys go above RELAXED already, and come back below this
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
@@ -158,7 +157,7 @@
         self.targets = [kind["target_latency"] for kind in op_types]
         self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
         self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
-        self.strained = self.tense = False
+        self.strained = False
 
     def close(self, nodes):
         """Once a report period: how slow is the median node, and how much to give up for it."""
@@ -168,7 +167,6 @@
         if times and total:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
-            self.tense = strain > (CALM if self.tense else RELAXED)
             self.strained = strain > (RELAXED if self.strained else STRAINED)
             acked = max(sum(node.past[at][0] - node.past[at][1] for node in nodes if len(node.past) >= -at)
                         for at in range(-REPORTS, 0))
@@ -469,7 +467,7 @@
             if owner is None:
                 continue
             home = self.nodes[owner].zone
-            wanted = [] if self.levels.tense else [zone for zone in zones if zone != home] or zones
+            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
             have = set()
             for index in [index for index, weight in kept.want.items() if weight <= STANDBY]:
                 zone = self.nodes[index].zone
