--- a/build/lib/kestrelplank/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""kestrelplank: an assigner that tells forwarding proxies where work goes."""
