Loop-invariant work hoisted out of the survey and the flush; no decision changed

The cold bound and the ordinary room were worked out again for each node and each slice; the bare check repeated an issuperset by hand; the comment on a node's withdrawal said ordered where it means wanted.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -37,7 +37,7 @@
     def __init__(self, index):
         self.index, self.zone, self.weight, self.boot = index, None, 1.0, None
         self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
-        self.out = False  # withdrawn from the proxies, as last ordered
+        self.out = False  # to be withdrawn from the proxies; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
@@ -328,25 +328,25 @@
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
-            for index in kept.parts():
-                held[index] += kept.heat(self.period) / len(kept.parts())
+            parts = kept.parts()
+            for index in parts:
+                held[index] += kept.heat(self.period) / len(parts)
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
         up = [node for node in self.nodes.values() if node.live(now)]
         worth, most = {}, {}
+        # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do. All
+        # conductors count alike, each by its own slices, so their parts add up. After a start or a take-over
+        # heat is not known yet, and a cold node is given nothing unless nothing else lives.
         weight = sum(node.weight for node in up)
         acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
+        known = up and now >= self.moves_from
+        can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight if known else -1.0
         for node in up:
             speed = usual / times[node.index] if node.index in times else 1.0
             warmth = self.warmth(node, now)
             worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
-            # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do.
-            # All conductors count alike, each by its own slices, so their parts add up. After a start or a
-            # take-over heat is not known yet, and a cold node is given nothing unless nothing else lives.
-            can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
-            if warmth < 1.0 and now < self.moves_from:
-                most[node.index] = -1.0
         return worth, loads, most
 
     # What is decided.
@@ -406,13 +406,13 @@
         for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
             source = max(place, key=place.get)
-            fits = [(heats[kept.number], -kept.number) for kept in self.slices.values()
+            fits = [kept for kept in self.slices.values()
                     if kept.owner() == source and fitting(heats[kept.number], [index], mean) is not None]
             if self.nodes[index].fresh and fits and place[source] > mean:
-                heat, number = max(fits)
-                del self.slices[-number].want[source]
-                give(self.slices[-number], heat, index)
-                place[source] -= heat / worth[source]
+                kept = max(fits, key=lambda kept: (heats[kept.number], -kept.number))
+                del kept.want[source]
+                give(kept, heats[kept.number], index)
+                place[source] -= heats[kept.number] / worth[source]
 
         # A slice hotter than the band pins its node, and moving it moves the trouble: it gets a second full
         # line instead, until it cools. Guards against hot keys and tides; it also catches a slow node with
@@ -489,18 +489,18 @@
         shut = {node.index for node in self.nodes.values() if node.out}
         changed = [(0 if shut.issuperset(kept.sent) else 1 if not shut.isdisjoint(kept.sent) else 2, number)
                    for number, kept in self.slices.items() if kept.want != kept.sent]
-        lines, room = 0, self.channel.room(now, 0.6, 0)
+        lines, room, ordinary = 0, self.channel.room(now, 0.6, 0), self.channel.room(now, 0.3, 2)
         for node in self.nodes.values():
             if node.stale and not node.out and lines < room:
                 lines += node.tell(out)
         for rank, number in sorted(changed):
-            if rank == 2 and lines >= self.channel.room(now, 0.3, 2):
+            if rank == 2 and lines >= ordinary:
                 break
             if lines < room:
                 lines += self.publish(now, self.slices[number], out)
         bare = set()
         for kept in self.slices.values():
-            if kept.sent and all(index in shut for index in kept.sent):
+            if shut.issuperset(kept.sent):
                 bare.update(kept.sent)
         for node in self.nodes.values():
             if node.stale and node.out and node.index not in bare and lines < room:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,7 +6,8 @@
 
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
-                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1, only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
+                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1,
+                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
 
 
 class Orders(list):
