Standbys taken out: they kept the channel full at full size

Cause: each standby is a line at every proxy; with 330 slices and 89 proxies their upkeep used most of the channel (orders price 0.019 of 0.020), and drained slices waited behind it.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -218,7 +218,6 @@
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
-            self.standbys(now)
         for node in self.nodes.values():
             if node.shut(now) != node.out:
                 node.out, node.stale = not node.out, True
@@ -448,40 +447,6 @@
                     cold = self.warmth(self.nodes[index], now) < 1.0
                     self.nodes[index].settles_at = now + S + (0 if cold else REPORTS * self.period)
 
-    def standbys(self, now):
-        """One line of almost no weight in each other zone. Guards against an owner that is silent, hung or
-        cut off before anybody knows: proxies that avoid it, or that may try again, have somewhere to go
-        without an order. Also catches a lost zone and a broken stream. Harm: full nodes spill onto cold
-        caches, so only warm nodes stand by, spread evenly, and none under strain."""
-        if self.exclusive:
-            return
-        warm = [node for node in self.nodes.values() if node.live(now) and self.warmth(node, now) >= 1.0]
-        zones = sorted({node.zone for node in warm if node.zone is not None})
-        stand = {node.index: 0 for node in warm}
-        for kept in self.slices.values():
-            for index, weight in kept.want.items():
-                if index in stand and weight <= STANDBY:
-                    stand[index] += 1 / self.nodes[index].weight
-        for kept in self.slices.values():
-            owner = kept.owner()
-            if owner is None:
-                continue
-            home = self.nodes[owner].zone
-            wanted = [] if self.levels.strained else [zone for zone in zones if zone != home] or zones
-            have = set()
-            for index in [index for index, weight in kept.want.items() if weight <= STANDBY]:
-                zone = self.nodes[index].zone
-                if zone in wanted and zone not in have:
-                    have.add(zone)
-                else:
-                    del kept.want[index]
-            for zone in wanted:
-                choice = [node.index for node in warm if node.zone == zone and node.index not in kept.want]
-                if zone not in have and choice:
-                    new = min(choice, key=stand.get)
-                    kept.want[new] = STANDBY
-                    stand[new] += 1 / self.nodes[new].weight
-
     def flush(self, now, out):
         """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
         then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel
