Any proof shows that older messages have left the channel

Unproved messages of each proxy held the room back; the channel is in order, so one proof clears all older ones.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -84,19 +84,28 @@
 
 
 class Channel:
-    """Keeps the queue short (rule 5). What no proxy has confirmed is taken to be waiting still, so that a
-    channel slower than stated, or proxies that stand still, hold orders back instead of piling them up."""
+    """Keeps the queue short (rule 5). Messages leave one after the other, so the answer of any proxy proves
+    that all older messages to all proxies have left. What is not proved is taken to wait still: a channel
+    slower than stated holds orders back instead of piling them up. Proxies that stand still, or whose answers
+    are lost on the way, hold back no more than their own messages of the last reply."""
 
     def __init__(self, envelope, most_waiting, most_messages, messages_span):
         self.envelope, self.most_waiting = envelope, most_waiting
         self.most_messages, self.span = most_messages, messages_span
-        self.waiting, self.messages, self.mark = {}, deque(), 0
+        self.waiting = {}  # proxy to the marks it has not answered
+        self.unproved = {}  # mark to lines of one of its messages, and how many of those are not proved
+        self.messages, self.mark = deque(), 0
 
     def applied(self, proxy, mark):
         queue = self.waiting.get(proxy, ())
-        if any(number == mark for number, _ in queue):
-            while queue.popleft()[0] != mark:
+        if mark in queue:
+            while queue.popleft() != mark:
                 pass
+        if mark in self.unproved:
+            while next(iter(self.unproved)) != mark:
+                del self.unproved[next(iter(self.unproved))]
+            lines, proxies = self.unproved[mark]
+            self.unproved[mark] = lines, proxies - 1
 
     def room(self, now, share, spare):
         """How many lines one reply may hold, filling that share of the queue, `spare` messages kept back."""
@@ -106,8 +115,8 @@
             return 1e9
         if self.most_messages and len(self.messages) + spare >= self.most_messages:
             return 0
-        unproved = sum(cost for queue in self.waiting.values() for _, cost in queue)
-        return (self.most_waiting * share - unproved) / len(self.waiting) - self.envelope - 1
+        waiting = sum(lines * proxies for lines, proxies in self.unproved.values())
+        return (self.most_waiting * share - waiting) / len(self.waiting) - self.envelope - 1
 
     def next_mark(self):
         return (self.mark + 1) % 65536
@@ -116,8 +125,9 @@
         self.mark = self.next_mark()
         self.messages.append(now)
         out.mark(self.mark, False)
+        self.unproved[self.mark] = lines + self.envelope + 1, len(self.waiting)
         for queue in self.waiting.values():
-            queue.append((self.mark, lines + self.envelope + 1))
+            queue.append(self.mark)
 
 
 class Health:
@@ -497,7 +507,7 @@
             out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
             kept.sent, kept.closing, kept.opens_at = {}, self.channel.next_mark(), None
             return 1
-        if any(mark == kept.closing for queue in self.channel.waiting.values() for mark, _ in queue):
+        if any(kept.closing in queue for queue in self.channel.waiting.values()):
             return 0
         if kept.opens_at is None:
             kept.opens_at = max(now, self.quiet_at) + self.write_life
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kestrelplank.policy import Conductor, Slice
+from kestrelplank.policy import Channel, Conductor, Slice
 
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
@@ -71,7 +71,7 @@
     conductor.channel.waiting[4] = deque()
     kept.want, kept.sent, kept.closing = {1: 1.0}, {}, 7
     if not proved:
-        conductor.channel.waiting[4].append((7, 9))
+        conductor.channel.waiting[4].append(7)
     conductor.hand_over(0, kept, out)
     conductor.hand_over(wait, kept, out)
     assert (out == [("line", 3, 1, 1.0)]) is opened
@@ -124,3 +124,13 @@
     conductor.nodes[2].past.append((45.0, 0.0, 9.0))
     conductor.evacuate(5 * S)
     assert conductor.slices[3].owner() == owner
+
+
+@pytest.mark.parametrize("proofs, lines", [([], 60), ([(4, 2)], 20), ([(4, 2), (5, 2), (6, 2)], 0)])
+def test_one_proxys_proof_shows_that_all_older_messages_have_left(proofs, lines):
+    channel = Channel(4, 600, 0, S)
+    channel.waiting = {4: deque([1, 2]), 5: deque([1, 2]), 6: deque([1, 2])}
+    channel.unproved = {1: (10, 3), 2: (10, 3)}
+    for proxy, mark in proofs:
+        channel.applied(proxy, mark)
+    assert sum(cost * left for cost, left in channel.unproved.values()) == lines
