New lines and withdrawals go first, old lines later; orders are gathered

Now a drained slice gets only its new line, withdrawals follow in the same message, the line to the shut node goes later with ordinary orders, and nothing is sent until what is due fits or half of an empty queue is free. Harm: tables name shut nodes for a while, so joining proxies must be told of them.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -107,8 +107,9 @@
             lines, proxies = self.unproved[mark]
             self.unproved[mark] = lines, proxies - 1
 
-    def room(self, now, share, spare):
-        """How many lines one reply may hold, filling that share of the queue, `spare` messages kept back."""
+    def room(self, now, share, spare, due):
+        """How many lines one reply may hold, filling that share of the queue, `spare` messages kept back. It
+        is none until all that is due fits, or half of what an empty queue takes: else envelopes fill it."""
         while self.messages and now - self.messages[0] > self.span:
             self.messages.popleft()
         if not self.waiting:
@@ -116,7 +117,9 @@
         if self.most_messages and len(self.messages) + spare >= self.most_messages:
             return 0
         waiting = sum(lines * proxies for lines, proxies in self.unproved.values())
-        return (self.most_waiting * share - waiting) / len(self.waiting) - self.envelope - 1
+        most = self.most_waiting * share / len(self.waiting) - self.envelope - 1
+        room = most - waiting / len(self.waiting)
+        return room if room >= min(due, most / 2) else 0
 
     def next_mark(self):
         return (self.mark + 1) % 65536
@@ -367,7 +370,8 @@
         flee = set()
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
-                node.stripped = not any(index in kept.want for kept in self.slices.values())
+                node.stripped = not any(index in kept.want or index in kept.sent
+                                        for kept in self.slices.values())
             if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
                 flee.add(index)
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
@@ -458,27 +462,30 @@
                     self.nodes[index].settles_at = now + S + (0 if cold else REPORTS * self.period)
 
     def flush(self, now, out):
-        """Publishes what changed, what binds first: slices left with no open line, slices with a shut line,
-        then the rest. A withdrawal waits for the slices that it would leave bare (rule 1): when the channel
-        is short of room, a new line serves the drain rule as well as the withdrawal does."""
+        """Publishes what changed, what binds first: new lines of slices that have a shut line, then the
+        withdrawals, each only once no slice would be left bare by it (rule 1). The line to a shut node keeps
+        nothing waiting: it goes later, with what is ordinary, and the node is not let in before. Guards
+        against waves of drained or restarted nodes that fill the channel; harm: tables name shut nodes for
+        a while, so proxies that join must be told of them."""
         shut = {node.index for node in self.nodes.values() if node.out}
-        changed = [(0 if shut.issuperset(kept.sent) else 1 if not shut.isdisjoint(kept.sent) else 2, number)
-                   for number, kept in self.slices.items() if kept.want != kept.sent]
-        lines, room, ordinary = 0, self.channel.room(now, 0.6, 0), self.channel.room(now, 0.3, 2)
-        for node in self.nodes.values():
-            if node.stale and not node.out and lines < room:
-                lines += node.tell(out)
-        for rank, number in sorted(changed):
-            if rank == 2 and lines >= ordinary:
-                break
+        urgent, ordinary, lingering, bare = [], [], set(), set()
+        for kept in self.slices.values():
+            if kept.want != kept.sent:
+                lingering.update(index for index in kept.sent if index not in kept.want)
+                bound = not shut.isdisjoint(kept.sent) and not kept.sent.keys() >= kept.want.keys()
+                (urgent if bound or not kept.sent else ordinary).append(kept)
+        urgent.sort(key=lambda kept: not shut.issuperset(kept.sent))
+        stale = [node for node in self.nodes.values()
+                 if node.stale and (node.out or node.index not in lingering)]
+        room, lines = self.channel.room(now, 0.8, 0, len(urgent) + len(stale)), 0
+        for kept in urgent:
             if lines < room:
-                lines += self.publish(now, self.slices[number], out)
-        bare = set()
+                lines += self.publish(now, kept, shut, out)
         for kept in self.slices.values():
             if shut.issuperset(kept.sent):
                 bare.update(kept.sent)
-        for node in self.nodes.values():
-            if node.stale and node.out and node.index not in bare and lines < room:
+        for node in stale:
+            if lines < room and not (node.out and node.index in bare):
                 lines += node.tell(out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
@@ -486,17 +493,22 @@
                     out.level(ALL_TABLES, 1 << kind, share, AGAIN)
                     self.levels.sent[kind] = share
                     lines += 1
+        room = self.channel.room(now, 0.3, 2, 2 * len(ordinary)) if ordinary else 0
+        for kept in ordinary:
+            if lines < room:
+                lines += self.publish(now, kept, (), out)
         if lines:
             self.channel.send(now, lines, out)
 
-    def publish(self, now, kept, out):
+    def publish(self, now, kept, keep, out):
+        """Orders what changed in a slice, but leaves the lines to the nodes in `keep` standing."""
         if self.exclusive:
             return self.hand_over(now, kept, out)
         new = [(index, weight) for index, weight in kept.want.items() if kept.sent.get(index) != weight]
-        new += [(index, 0) for index in kept.sent if index not in kept.want]
+        new += [(index, 0) for index in kept.sent if index not in kept.want and index not in keep]
         for index, weight in new:
             out.line(kept.number, index, weight)
-        kept.sent = dict(kept.want)
+        kept.sent = {**{index: weight for index, weight in kept.sent.items() if index in keep}, **kept.want}
         return len(new)
 
     def hand_over(self, now, kept, out):
