--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -41,7 +41,7 @@
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
-        self.now = [0.0, 0.0, 0.0]  # of the report period that is running: tries, failures, busy seconds
+        self.now = [0.0] * 6  # of the running report period: tries, failures, busy seconds; own zone's share
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
@@ -61,7 +61,15 @@
 
     def sums(self, last=REPORTS):
         recent = list(self.past)[-last:]
-        return [sum(part) for part in zip(*recent)] if recent else [0.0, 0.0, 0.0]
+        return [sum(part) for part in zip(*recent)] if recent else [0.0] * 6
+
+    def speed(self, last=REPORTS):
+        """Mean time of its answers, as seen from its own zone if that saw enough: so a slow way between zones
+        is not taken for a slow node, nor for a strained fleet. None without answers."""
+        tries, failed, busy, *own = self.sums(last)
+        if own[0] - own[1] >= EVIDENCE:
+            tries, failed, busy = own
+        return busy / tries if tries > failed and busy else None
 
 
 class Slice:
@@ -143,7 +151,7 @@
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
-        seen = [(node, *node.sums(2)) for node in up if node.sums(2)[0]]
+        seen = [(node, *node.sums(2)[:3]) for node in up if node.sums(2)[0]]
         if not seen:
             return
         median = sorted(failed / tries for _, tries, failed, _ in seen)[len(seen) // 2]
@@ -174,8 +182,7 @@
 
     def close(self, nodes):
         """Once a report period: how slow is the median node, and how much to give up for it."""
-        times = sorted(busy / tries for tries, failed, busy in (node.sums(2) for node in nodes)
-                       if tries > failed)
+        times = sorted(time for time in (node.speed(2) for node in nodes) if time)
         total = sum(self.came)
         if times and total:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
@@ -296,7 +303,8 @@
     def on_tries(self, now, index, zone, tries, failed, mean_time, window, load):
         node = self.nodes.get(index)
         if node:
-            for place, value in enumerate((tries, failed, tries * (mean_time or 0) / S)):
+            met = (tries, failed, tries * (mean_time or 0) / S)
+            for place, value in enumerate(met + met if zone == node.zone else met):
                 node.now[place] += value
 
     def on_heat(self, now, number, op_type, ops, aborted, window):
@@ -313,7 +321,7 @@
         self.closes_at += self.period
         for node in self.nodes.values():
             node.past.append(tuple(node.now))
-            node.now = [0.0, 0.0, 0.0]
+            node.now = [0.0] * 6
         for kept in self.slices.values():
             kept.past.append(kept.now)
             kept.now = 0.0
@@ -335,8 +343,8 @@
         queue makes any node look slower than it is."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
-        times = {index: busy / tries for index, (tries, failed, busy) in sums.items()
-                 if tries - failed >= EVIDENCE and busy}
+        times = {index: self.nodes[index].speed() for index, (tries, failed, *_) in sums.items()
+                 if tries - failed >= EVIDENCE and self.nodes[index].speed()}
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
