--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -63,9 +63,9 @@
         recent = list(self.past)[-last:]
         return [sum(part) for part in zip(*recent)] if recent else [0.0] * 6
 
-    def speed(self, last=REPORTS):
+    def time(self, last):
         """Mean time of its answers, as seen from its own zone if that saw enough: so a slow way between zones
-        is not taken for a slow node, nor for a strained fleet. None without answers."""
+        is not taken for a strained fleet. None without answers."""
         tries, failed, busy, *own = self.sums(last)
         if own[0] - own[1] >= EVIDENCE:
             tries, failed, busy = own
@@ -182,7 +182,7 @@
 
     def close(self, nodes):
         """Once a report period: how slow is the median node, and how much to give up for it."""
-        times = sorted(time for time in (node.speed(2) for node in nodes) if time)
+        times = sorted(time for time in (node.time(2) for node in nodes) if time)
         total = sum(self.came)
         if times and total:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
@@ -343,8 +343,8 @@
         queue makes any node look slower than it is."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
-        times = {index: self.nodes[index].speed() for index, (tries, failed, *_) in sums.items()
-                 if tries - failed >= EVIDENCE and self.nodes[index].speed()}
+        times = {index: busy / tries for index, (tries, failed, busy, *_) in sums.items()
+                 if tries - failed >= EVIDENCE and busy}
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
