--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -26,7 +26,6 @@
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
-STANDBY = 1e-4  # weight of a line that takes work only when the others are shut off
 HANDLED = ("roster", "tenure", "line", "joined", "left", "applied", "tries", "heat")
 GONE = ("draining", "removed")
 
@@ -49,7 +48,7 @@
         self.stripped = True  # since its last start it has been rid of what it held before
 
     def live(self, now):
-        return self.state == "up" and self.stripped and now >= self.barred_until
+        return self.state == "up" and not self.out and not self.shut(now)
 
     def shut(self, now):
         return self.state in GONE or not self.stripped or now < self.barred_until
@@ -84,11 +83,8 @@
         """Ops a second that come for it."""
         return sum(self.past) / max(1, len(self.past)) / (period / S)
 
-    def parts(self):
-        return [index for index, weight in self.want.items() if weight > STANDBY]
-
     def owner(self):
-        return max(self.want, key=self.want.get) if self.want else None
+        return next(iter(self.want), None)
 
 
 class Channel:
@@ -104,6 +100,12 @@
         self.unproved = {}  # mark to lines of one of its messages, and how many of those are not proved
         self.messages, self.mark = deque(), 0
 
+    def left(self, proxy):
+        for mark in self.waiting.pop(proxy, ()):
+            if mark in self.unproved:
+                lines, proxies = self.unproved[mark]
+                self.unproved[mark] = lines, proxies - 1
+
     def applied(self, proxy, mark):
         queue = self.waiting.get(proxy, ())
         if mark in queue:
@@ -239,7 +241,7 @@
             self.next_turn = now + TURN
             self.turn(now)
         for node in self.nodes.values():
-            if node.shut(now) != node.out:
+            if node.shut(now) != node.out and (not node.out or self.rid(node.index)):
                 node.out, node.stale = not node.out, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
@@ -294,7 +296,7 @@
             node.untold = node.untold or node.tainted or not fresh
 
     def on_left(self, now, proxy):
-        self.channel.waiting.pop(proxy, None)
+        self.channel.left(proxy)
         self.quiet_at = now + self.lease  # it goes on sending writes for so long
 
     def on_applied(self, now, proxy, mark, wait):
@@ -348,9 +350,8 @@
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
         for kept in self.slices.values():
-            parts = kept.parts()
-            for index in parts:
-                held[index] += kept.heat(self.period) / len(parts)
+            for index in kept.want:
+                held[index] += kept.heat(self.period) / len(kept.want)
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
         up = [node for node in self.nodes.values() if node.live(now)]
@@ -369,6 +370,10 @@
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
         return worth, loads, most
 
+    def rid(self, index):
+        """No proxy is told a line to it any longer that is not wanted."""
+        return not any(index in kept.sent and index not in kept.want for kept in self.slices.values())
+
     # What is decided.
 
     def evacuate(self, now):
@@ -378,8 +383,7 @@
         flee = set()
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
-                node.stripped = not any(index in kept.want or index in kept.sent
-                                        for kept in self.slices.values())
+                node.stripped = not any(index in kept.want for kept in self.slices.values())
             if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
                 flee.add(index)
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
@@ -439,20 +443,19 @@
         # line instead, until it cools. Guards against hot keys and tides; it also catches a slow node with
         # one large slice. Harm: two caches must warm to the same keys.
         for kept in self.slices.values():
-            heat, owner, parts = heats[kept.number], kept.owner(), kept.parts()
+            heat, owner = heats[kept.number], kept.owner()
             if owner not in worth or self.exclusive:
                 continue
             hot = heat / (mean * worth[owner]) if mean else 0
-            if len(parts) == 1 and hot > SPLIT and place[owner] > top:
+            if len(kept.want) == 1 and hot > SPLIT and place[owner] > top:
                 new = fitting(heat / 2, [index for index in worth if index != owner], top)
                 if new is not None:
                     give(kept, heat / 2, new)
-            elif len(parts) > 1 and hot < SPLIT / 2:
-                kept.want = {index: weight for index, weight in kept.want.items()
-                             if index == owner or index not in parts}
+            elif len(kept.want) > 1 and hot < SPLIT / 2:
+                kept.want = {owner: kept.want[owner]}
 
         held = [(place[kept.owner()], heats[kept.number], kept) for kept in self.slices.values()
-                if place.get(kept.owner(), 0) > top and len(kept.parts()) == 1]
+                if place.get(kept.owner(), 0) > top and len(kept.want) == 1]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
@@ -470,22 +473,23 @@
                     self.nodes[index].settles_at = now + S + (0 if cold else REPORTS * self.period)
 
     def flush(self, now, out):
-        """Publishes what changed, what binds first: new lines of slices that have a shut line, then the
-        withdrawals, each only once no slice would be left bare by it (rule 1). The line to a shut node keeps
-        nothing waiting: it goes later, with what is ordinary, and the node is not let in before. Guards
+        """Publishes what changed, what binds first: nodes let in again, new lines of slices that have a shut
+        line, then withdrawals, each only once no slice would be left bare by it (rule 1). The line to a shut
+        node keeps nothing waiting: it goes later, and the node is not let in before. Guards
         against waves of drained or restarted nodes that fill the channel; harm: tables name shut nodes for
         a while, so proxies that join must be told of them."""
         shut = {node.index for node in self.nodes.values() if node.out}
-        urgent, ordinary, lingering, bare = [], [], set(), set()
+        urgent, ordinary, bare = [], [], set()
         for kept in self.slices.values():
             if kept.want != kept.sent:
-                lingering.update(index for index in kept.sent if index not in kept.want)
                 bound = not shut.isdisjoint(kept.sent) and not kept.sent.keys() >= kept.want.keys()
                 (urgent if bound or not kept.sent else ordinary).append(kept)
         urgent.sort(key=lambda kept: not shut.issuperset(kept.sent))
-        stale = [node for node in self.nodes.values()
-                 if node.stale and (node.out or node.index not in lingering)]
+        stale = [node for node in self.nodes.values() if node.stale]
         room, lines = self.channel.room(now, 0.8, 0, len(urgent) + len(stale)), 0
+        for node in stale:
+            if lines < room and not node.out:
+                lines += node.tell(out)
         for kept in urgent:
             if lines < room:
                 lines += self.publish(now, kept, shut, out)
@@ -493,7 +497,7 @@
             if shut.issuperset(kept.sent):
                 bare.update(kept.sent)
         for node in stale:
-            if lines < room and not (node.out and node.index in bare):
+            if lines < room and node.out and node.index not in bare:
                 lines += node.tell(out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
