Nothing is told without slices; every order is proved; late drains win over bare slices

Now nothing is told without slices, marks reach every proxy, a slice's nodes are told again when it is given, and a rule-bound withdrawal goes after half the grace even where slices are bare, as rule 1 gives longer.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -36,7 +36,7 @@
     def __init__(self, index):
         self.index, self.zone, self.weight, self.boot = index, None, 1.0, None
         self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
-        self.out = False  # to be withdrawn from the proxies; ordered unless stale
+        self.out, self.since = False, 0  # to be withdrawn from the proxies, since when; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
         self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
@@ -50,8 +50,12 @@
     def live(self, now):
         return self.state == "up" and not self.out and not self.shut(now)
 
+    def bound(self):
+        """A rule wants it shut: it drains, is gone, or came back cold with all that it held before."""
+        return self.state in GONE or not self.stripped
+
     def shut(self, now):
-        return self.state in GONE or not self.stripped or now < self.barred_until
+        return self.bound() or now < self.barred_until
 
     def tell(self, out):
         out.take_out(self.index, self.out)
@@ -79,8 +83,7 @@
         self.closing, self.opens_at = None, None  # exclusive tables: proof awaited, new owner not before
         self.now, self.past = 0.0, deque(maxlen=REPORTS)
 
-    def heat(self, period):
-        """Ops a second that come for it."""
+    def heat(self, period):  # ops a second that come for it
         return sum(self.past) / max(1, len(self.past)) / (period / S)
 
     def owner(self):
@@ -88,17 +91,16 @@
 
 
 class Channel:
-    """Keeps the queue short (rule 5). Messages leave one after the other, so the answer of any proxy proves
-    that all older messages to all proxies have left. What is not proved is taken to wait still: a channel
-    slower than stated holds orders back instead of piling them up. Proxies that stand still, or whose answers
-    are lost on the way, hold back no more than their own messages of the last reply."""
+    """Keeps the queue short (rule 5). Messages leave in order, so the answer of any proxy proves that all
+    older ones have left. What is not proved is taken to wait still: a slow channel holds orders back instead
+    of piling them up. Proxies that stand still or left hold back no more than their part of the last reply."""
 
     def __init__(self, envelope, most_waiting, most_messages, messages_span):
         self.envelope, self.most_waiting = envelope, most_waiting
         self.most_messages, self.span = most_messages, messages_span
         self.waiting = {}  # proxy to the marks it has not answered
         self.unproved = {}  # mark to lines of one of its messages, and how many of those are not proved
-        self.messages, self.mark = deque(), 0
+        self.messages, self.mark = deque(), 0  # the mark to be sent next
 
     def left(self, proxy):
         for mark in self.waiting.pop(proxy, ()):
@@ -108,9 +110,8 @@
 
     def applied(self, proxy, mark):
         queue = self.waiting.get(proxy, ())
-        if mark in queue:
-            while queue.popleft() != mark:
-                pass
+        while mark in queue:
+            queue.popleft()
         if mark in self.unproved:
             while next(iter(self.unproved)) != mark:
                 del self.unproved[next(iter(self.unproved))]
@@ -131,16 +132,13 @@
         room = most - waiting / len(self.waiting)
         return room if room >= min(due, most / 2) else 0
 
-    def next_mark(self):
-        return (self.mark + 1) % 65536
-
     def send(self, now, lines, out):
-        self.mark = self.next_mark()
         self.messages.append(now)
-        out.mark(self.mark, False)
+        out.mark(self.mark, True)  # also where no table names the node: else no proof comes, and room never
         self.unproved[self.mark] = lines + self.envelope + 1, len(self.waiting)
         for queue in self.waiting.values():
             queue.append(self.mark)
+        self.mark = (self.mark + 1) % 65536
 
 
 class Health:
@@ -173,7 +171,7 @@
     """Sheds the op types of least value first while the median node answers too slowly. Guards against
     overload, where work that ends in a time-out crowds out work that could be answered; it also catches a
     fleet that is slow as a whole. Harm: what it gives up is rejected at once though it might have been
-    served, so it lets in more again as soon as answers come well within the target latency."""
+    served, so it relents as soon as answers come well within the target latency."""
 
     def __init__(self, levels, op_types):
         self.active = levels == "share"
@@ -199,7 +197,7 @@
         self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):
-        """The share to let in of each op type, so that `shed` of all ops are given up."""
+        """The share to let in of each op type."""
         left, shares = self.shed * sum(self.came), {}
         for kind in self.order:
             cut = min(left, self.came[kind])
@@ -218,6 +216,7 @@
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
+        self.grace = settings["grace"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
         self.health = Health()
         self.levels = Levels(settings["levels"], settings["op_types"])
@@ -242,7 +241,7 @@
             self.turn(now)
         for node in self.nodes.values():
             if node.shut(now) != node.out and (not node.out or self.rid(node.index)):
-                node.out, node.stale = not node.out, True
+                node.out, node.since, node.stale = not node.out, now, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             out.timer(self.next_beat, "beat")
@@ -285,12 +284,13 @@
     def on_line(self, now, number, index, weight):
         kept = self.slices.get(number)
         if kept and weight > 0:
-            self.node(index)
+            node = self.node(index)  # what was told before the proxies had this table may not hold
+            node.untold = node.untold or node.tainted or node.out
             kept.want[index] = kept.sent[index] = weight
 
     def on_joined(self, now, proxy, zone, rate, fresh):
-        # A proxy keeps withdrawals over a broken stream and over our own death: one that we do not take
-        # back could leave it without a line (rule 1), and one it missed would let it send (rule 3).
+        # A proxy keeps withdrawals over a broken stream and over our own death: one not taken back could
+        # leave it without a line (rule 1), and one it missed would let it send (rule 3).
         self.channel.waiting[proxy] = deque()
         for node in self.nodes.values():
             node.untold = node.untold or node.tainted or not fresh
@@ -339,10 +339,9 @@
     def survey(self, now):
         """The weight that each live node surely is worth by now, the ops a second that each node counts for,
         and the most that each may be given. A node counts for what its reports show, or for what comes for
-        the slices it holds if that is more: so a move weighs on both ends until its reports are in, and a
-        fresh node whose answers end late does not look idle. Tries alone do not show slowness: the listed
-        weight is scaled by the time of good answers against the fleet's median, damped and bounded, as a
-        queue makes any node look slower than it is."""
+        the slices it holds if that is more: a move weighs on both ends until its reports are in, and a node
+        whose answers end late does not look idle. Tries alone do not show slowness: the listed weight is
+        scaled by the time of good answers against the median, damped as a queue slows any node."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
         times = {index: busy / tries for index, (tries, failed, busy, *_) in sums.items()
@@ -354,11 +353,10 @@
                 held[index] += kept.heat(self.period) / len(kept.want)
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
-        up = [node for node in self.nodes.values() if node.live(now)]
-        worth, most = {}, {}
+        up, worth, most = [node for node in self.nodes.values() if node.live(now)], {}, {}
         # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do. All
         # conductors count alike, each by its own slices, so their parts add up. After a start or a take-over
-        # heat is not known yet, and a cold node is given nothing unless nothing else lives.
+        # heat is not known, and a cold node gets nothing unless nothing else lives.
         weight = sum(node.weight for node in up)
         acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
         known = up and now >= self.moves_from
@@ -474,21 +472,25 @@
 
     def flush(self, now, out):
         """Publishes what changed, what binds first: nodes let in again, new lines of slices that have a shut
-        line, then withdrawals, each only once no slice would be left bare by it (rule 1). The line to a shut
-        node keeps nothing waiting: it goes later, and the node is not let in before. Guards
-        against waves of drained or restarted nodes that fill the channel; harm: tables name shut nodes for
-        a while, so proxies that join must be told of them."""
+        line, then withdrawals, each once no slice would be left bare by it, or when half of the grace is
+        over: a bare slice has longer than a drain (rules 1 and 3). The line to a shut node goes later, and
+        the node is not let in before. Guards against waves of drained or restarted nodes that fill the
+        channel; harm: tables name shut nodes for a while, so proxies that join must be told of them."""
+        if not self.slices:
+            return  # nobody would get or prove it
         shut = {node.index for node in self.nodes.values() if node.out}
+        bound = {node.index for node in self.nodes.values() if node.out and node.bound()}
         urgent, ordinary, bare = [], [], set()
         for kept in self.slices.values():
             if kept.want != kept.sent:
-                bound = not shut.isdisjoint(kept.sent) and not kept.sent.keys() >= kept.want.keys()
-                (urgent if bound or not kept.sent else ordinary).append(kept)
-        urgent.sort(key=lambda kept: not shut.issuperset(kept.sent))
-        stale = [node for node in self.nodes.values() if node.stale]
+                hit = not shut.isdisjoint(kept.sent) and not kept.sent.keys() >= kept.want.keys()
+                (urgent if hit or not kept.sent else ordinary).append(kept)
+        urgent.sort(key=lambda kept: (bound.isdisjoint(kept.sent), not shut.issuperset(kept.sent)))
+        stale = sorted((node for node in self.nodes.values() if node.stale),
+                       key=lambda node: (node.out, not node.bound()))
         room, lines = self.channel.room(now, 0.8, 0, len(urgent) + len(stale)), 0
         for node in stale:
-            if lines < room and not node.out:
+            if lines < room and (not node.out or node.bound() and now - node.since > self.grace // 2):
                 lines += node.tell(out)
         for kept in urgent:
             if lines < room:
@@ -497,7 +499,7 @@
             if shut.issuperset(kept.sent):
                 bare.update(kept.sent)
         for node in stale:
-            if lines < room and node.out and node.index not in bare:
+            if lines < room and node.stale and node.index not in bare:
                 lines += node.tell(out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
@@ -529,7 +531,7 @@
         against writes of one slice at two nodes (rule 2). Harm: the slice has no node meanwhile."""
         if kept.sent:
             out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
-            kept.sent, kept.closing, kept.opens_at = {}, self.channel.next_mark(), None
+            kept.sent, kept.closing, kept.opens_at = {}, self.channel.mark, None
             return 1
         if any(kept.closing in queue for queue in self.channel.waiting.values()):
             return 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
                 report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1,
-                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, levels="", op_types=[])
+                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[])
 
 
 class Orders(list):
@@ -149,3 +149,21 @@
     node = Node(0)
     node.past.append((18.0, 0.0, 36.0, own, 0.0, own / 2))
     assert node.time(2) == time
+
+
+@pytest.mark.parametrize("slices, told", [({3: {1: 1.0}}, True), ({}, False)])
+def test_a_conductor_without_slices_tells_nothing_that_no_proxy_would_prove(slices, told):
+    conductor, out = fleet(["removed", "up"], slices), Orders()
+    conductor.channel.waiting[4] = deque()
+    conductor.nodes[0].out = conductor.nodes[0].stale = True
+    conductor.flush(0, out)
+    assert bool(conductor.channel.unproved) is told
+
+
+@pytest.mark.parametrize("late, told", [(False, False), (True, True)])
+def test_a_drain_late_in_its_grace_does_not_wait_for_bare_slices(late, told):
+    conductor, out = fleet(["draining", "up"], {3: {0: 1.0}}), Orders()
+    conductor.nodes[0].out = conductor.nodes[0].stale = True
+    conductor.slices[3].want = {0: 1.0}
+    conductor.flush(3 * S if late else 0, out)
+    assert (("take_out", 0, True) in out) is told
