--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -216,12 +216,11 @@
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
-        self.grace = settings["grace"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
         self.health = Health()
         self.levels = Levels(settings["levels"], settings["op_types"])
-        self.next_beat, self.next_turn, self.moves_from = now, now + TURN, now
-        self.write_life, self.lease, self.quiet_at = settings["write_life"], settings["lease"], now
+        self.next_beat, self.next_turn, self.moves_from, self.quiet_at = now, now + TURN, now, now
+        self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -240,7 +239,8 @@
             self.next_turn = now + TURN
             self.turn(now)
         for node in self.nodes.values():
-            if node.shut(now) != node.out and (not node.out or self.rid(node.index)):
+            if node.shut(now) != node.out and (not node.out or not any(
+                    node.index in kept.sent and node.index not in kept.want for kept in self.slices.values())):
                 node.out, node.since, node.stale = not node.out, now, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
@@ -368,10 +368,6 @@
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
         return worth, loads, most
 
-    def rid(self, index):
-        """No proxy is told a line to it any longer that is not wanted."""
-        return not any(index in kept.sent and index not in kept.want for kept in self.slices.values())
-
     # What is decided.
 
     def evacuate(self, now):
@@ -381,7 +377,8 @@
         flee = set()
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
-                node.stripped = not any(index in kept.want for kept in self.slices.values())
+                node.stripped = not any(index in kept.want or index in kept.sent
+                                        for kept in self.slices.values())
             if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
                 flee.add(index)
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
@@ -472,12 +469,13 @@
 
     def flush(self, now, out):
         """Publishes what changed, what binds first: nodes let in again, new lines of slices that have a shut
-        line, then withdrawals, each once no slice would be left bare by it, or when half of the grace is
-        over: a bare slice has longer than a drain (rules 1 and 3). The line to a shut node goes later, and
-        the node is not let in before. Guards against waves of drained or restarted nodes that fill the
-        channel; harm: tables name shut nodes for a while, so proxies that join must be told of them."""
-        if not self.slices:
-            return  # nobody would get or prove it
+        line, then withdrawals, each once no slice would be left bare by it. A bare slice has longer than a
+        drain late in its grace, or than a cold node, which proxies load knowingly from the next message on
+        (rules 1, 3 and 4): these go before the lines. The line to a shut node goes later, and the node is
+        not let in before. Guards against waves of drained or restarted nodes that fill the channel; harm:
+        tables name shut nodes for a while, so proxies that join must be told of them."""
+        if not self.slices:  # nobody would get or prove it
+            return
         shut = {node.index for node in self.nodes.values() if node.out}
         bound = {node.index for node in self.nodes.values() if node.out and node.bound()}
         urgent, ordinary, bare = [], [], set()
@@ -490,7 +488,8 @@
                        key=lambda node: (node.out, not node.bound()))
         room, lines = self.channel.room(now, 0.8, 0, len(urgent) + len(stale)), 0
         for node in stale:
-            if lines < room and (not node.out or node.bound() and now - node.since > self.grace // 2):
+            soon = not node.stripped or node.bound() and now - node.since > self.grace // 2
+            if lines < room and (soon or not node.out):
                 lines += node.tell(out)
         for kept in urgent:
             if lines < room:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -160,9 +160,11 @@
     assert bool(conductor.channel.unproved) is told
 
 
-@pytest.mark.parametrize("late, told", [(False, False), (True, True)])
-def test_a_drain_late_in_its_grace_does_not_wait_for_bare_slices(late, told):
-    conductor, out = fleet(["draining", "up"], {3: {0: 1.0}}), Orders()
+@pytest.mark.parametrize("state, late, told", [("draining", False, False), ("draining", True, True),
+                                               ("up", False, True)])
+def test_late_drains_and_restarted_nodes_do_not_wait_for_bare_slices(state, late, told):
+    conductor, out = fleet([state, "up"], {3: {0: 1.0}}), Orders()
+    conductor.nodes[0].stripped = state == "draining"
     conductor.nodes[0].out = conductor.nodes[0].stale = True
     conductor.slices[3].want = {0: 1.0}
     conductor.flush(3 * S if late else 0, out)
