--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -93,7 +93,7 @@
 class Channel:
     """Keeps the queue short (rule 5). Messages leave in order, so the answer of any proxy proves that all
     older ones have left. What is not proved is taken to wait still: a slow channel holds orders back instead
-    of piling them up. Proxies that stand still or left hold back no more than their part of the last reply."""
+    of piling up. Proxies that stand still or left hold back no more than their part of the last reply."""
 
     def __init__(self, envelope, most_waiting, most_messages, messages_span):
         self.envelope, self.most_waiting = envelope, most_waiting
@@ -240,7 +240,7 @@
             self.turn(now)
         for node in self.nodes.values():
             if node.shut(now) != node.out and (not node.out or not any(
-                    node.index in kept.sent and node.index not in kept.want for kept in self.slices.values())):
+                    node.index in kept.sent.keys() - kept.want.keys() for kept in self.slices.values())):
                 node.out, node.since, node.stale = not node.out, now, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
