Levels shed from demand before any rejection and from the best acks of a live node

Demand is now only measured while nothing is rejected, and capacity is the best a live node was seen to ack, fading 2% a period. Harm: a fleet that loses speed without losing nodes is found slower.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -19,6 +19,7 @@
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
 BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above, relent below
+FADE = 0.98  # a report period, of the most that a node was seen to ack
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
 SPLIT = 0.3  # a slice that is more than this part of a mean node's load is too hot to be moved
@@ -67,12 +68,10 @@
         return [sum(part) for part in zip(*recent)] if recent else [0.0] * 6
 
     def time(self, last):
-        """Mean time of its answers, as seen from its own zone if that saw enough: so a slow way between zones
-        is not taken for a strained fleet. None without answers."""
-        tries, failed, busy, *own = self.sums(last)
-        if own[0] - own[1] >= EVIDENCE:
-            tries, failed, busy = own
-        return busy / tries if tries > failed and busy else None
+        """Mean time of its answers as seen from its own zone: so a slow way between zones is not taken for a
+        strained fleet. None without answers."""
+        tries, failed, busy = self.sums(last)[3:]
+        return busy / tries if tries > failed else None
 
 
 class Slice:
@@ -178,23 +177,24 @@
         self.targets = [kind["target_latency"] for kind in op_types]
         self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
         self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
-        self.strained = False
+        self.strained, self.best = False, 0.0  # best: what a node acked in a report period
 
     def close(self, nodes):
         """Once a report period: how slow is the median node, and how much to give up for it."""
         times = sorted(time for time in (node.time(2) for node in nodes) if time)
+        sums = [node.sums(2) for node in nodes if node.state == "up" and not node.out]
         total = sum(self.came)
-        if times and total:
+        if times and total and sums:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
             self.strained = strain > (RELAXED if self.strained else STRAINED)
-            acked = max(sum(node.past[at][0] - node.past[at][1] for node in nodes if len(node.past) >= -at)
-                        for at in range(-REPORTS, 0))
-            if strain > STRAINED:
-                self.shed = min(0.9, max(self.shed, 1.05 - acked * REPORTS / total))  # what is over
+            self.best = max(self.best * FADE, sum(tries - failed for tries, failed, *_ in sums) / 2 / len(sums))
+            if strain > STRAINED:  # what is over
+                self.shed = min(0.9, max(self.shed, 1.05 - self.best * len(sums) * REPORTS / total))
             elif strain < RELAXED:
                 self.shed = max(0.0, self.shed - 0.05)
-        self.came = [came * (1 - 1 / REPORTS) for came in self.came]
+        if not self.shed:  # clients come again when they are rejected, which would look like more to shed
+            self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):
         """The share to let in of each op type."""
@@ -312,7 +312,7 @@
     def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
             self.slices[number].now += ops
-            self.levels.came[op_type] += ops
+            self.levels.came[op_type] += 0 if self.levels.shed else ops
 
     # What is known.
 
