Bars only far above the median and never under strain; nodes weighed by what they tell

Tried and left out: caps of a sixth and a tenth, shares seen from the own zone only, undamped utilization.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -25,7 +25,7 @@
 SPLIT = 0.3  # a slice that is more than this part of a mean node's load is too hot to be moved
 AGAIN = 1  # another try only once the first provably never ran: safe for every op type (rule 2)
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
-SICK, EVIDENCE = 0.3, 4  # bar a node failing by so much more than the median, at least so many failures
+SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 HANDLED = ("roster", "tenure", "line", "joined", "left", "applied", "tries", "heat")
 GONE = ("draining", "removed")
@@ -40,8 +40,9 @@
         self.out, self.since = False, 0  # to be withdrawn from the proxies, since when; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
-        self.tainted = False  # withdrawn at some time, perhaps by this conductor before it was killed
-        self.now = [0.0] * 6  # of the running report period: tries, failures, busy seconds; own zone's share
+        # Of the running report period: tries, failures, busy seconds; the same as its own zone saw them; and
+        # utilization and ops acked a second, as the node itself tells them.
+        self.now = [0.0] * 8
         self.past = deque(maxlen=REPORTS)  # the same of the periods before
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
@@ -60,17 +61,17 @@
 
     def tell(self, out):
         out.take_out(self.index, self.out)
-        self.stale, self.tainted = False, True
+        self.stale = False
         return 1
 
     def sums(self, last=REPORTS):
         recent = list(self.past)[-last:]
-        return [sum(part) for part in zip(*recent)] if recent else [0.0] * 6
+        return [sum(part) for part in zip(*recent)] if recent else [0.0] * 8
 
     def time(self, last):
         """Mean time of its answers as seen from its own zone: so a slow way between zones is not taken for a
         strained fleet. None without answers."""
-        tries, failed, busy = self.sums(last)[3:]
+        tries, failed, busy = self.sums(last)[3:6]
         return busy / tries if tries > failed else None
 
 
@@ -144,22 +145,21 @@
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells; the median keeps a cut, a stall or an
     overload of the whole fleet from looking like failing nodes, and no more than a third is ever barred.
-    A node that is only full fails as well, but its good answers are slow: barring it would throw its work on
-    the next one, so it is left to the pass. Harm: a node that is full and answers nothing in time is barred
-    for a while, unless the whole fleet is strained."""
+    A node that is only full fails as well, but its good answers are slow: barring it, or any node while the
+    whole fleet is strained, would throw its work on the next one. So would barring for half of its ops: a bad
+    way between zones, or one op type unanswered, is not a bad node. Harm: such nodes keep what they fail."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
         seen = [(node, *node.sums(2)[:3]) for node in up if node.sums(2)[0]]
-        if not seen:
+        if strained or not seen:
             return
         median = sorted(failed / tries for _, tries, failed, _ in seen)[len(seen) // 2]
         usual = sorted(busy / tries for _, tries, _, busy in seen)[len(seen) // 2]
-        far, slow = (2 * SICK, usual) if strained else (SICK, 1.5 * usual)
         barred = sum(now < node.barred_until for node in up)
         for node, tries, failed, busy in sorted(seen, key=lambda item: (-item[2] / item[1], item[0].index)):
-            sick = failed >= max(EVIDENCE, tries * (median + far)) and busy / tries <= slow
-            if sick and (busy or not strained) and now >= node.barred_until and barred < len(up) // 3:
+            sick = failed >= max(EVIDENCE, tries * (median + SICK)) and busy / tries <= 1.5 * usual
+            if sick and now >= node.barred_until and barred < len(up) // 3:
                 barred += 1
                 node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
                 node.barred_until = now + node.bar_for
@@ -188,7 +188,8 @@
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
             self.strained = strain > (RELAXED if self.strained else STRAINED)
-            self.best = max(self.best * FADE, sum(tries - failed for tries, failed, *_ in sums) / 2 / len(sums))
+            acked = sum(tries - failed for tries, failed, *_ in sums) / 2 / len(sums)
+            self.best = max(self.best * FADE, acked)
             if strain > STRAINED:  # what is over
                 self.shed = min(0.9, max(self.shed, 1.05 - self.best * len(sums) * REPORTS / total))
             elif strain < RELAXED:
@@ -196,8 +197,7 @@
         if not self.shed:  # clients come again when they are rejected, which would look like more to shed
             self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
-    def wanted(self):
-        """The share to let in of each op type."""
+    def wanted(self):  # the share to let in of each op type
         left, shares = self.shed * sum(self.came), {}
         for kind in self.order:
             cut = min(left, self.came[kind])
@@ -217,8 +217,7 @@
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
-        self.health = Health()
-        self.levels = Levels(settings["levels"], settings["op_types"])
+        self.health, self.levels = Health(), Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from, self.quiet_at = now, now + TURN, now, now
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
 
@@ -284,8 +283,8 @@
     def on_line(self, now, number, index, weight):
         kept = self.slices.get(number)
         if kept and weight > 0:
-            node = self.node(index)  # what was told before the proxies had this table may not hold
-            node.untold = node.untold or node.tainted or node.out
+            node = self.node(index)  # a withdrawal told before the proxies had this table may not hold
+            node.untold = node.untold or node.out
             kept.want[index] = kept.sent[index] = weight
 
     def on_joined(self, now, proxy, zone, rate, fresh):
@@ -293,7 +292,7 @@
         # leave it without a line (rule 1), and one it missed would let it send (rule 3).
         self.channel.waiting[proxy] = deque()
         for node in self.nodes.values():
-            node.untold = node.untold or node.tainted or not fresh
+            node.untold = node.untold or node.out or not fresh
 
     def on_left(self, now, proxy):
         self.channel.left(proxy)
@@ -306,8 +305,9 @@
         node = self.nodes.get(index)
         if node:
             met = (tries, failed, tries * (mean_time or 0) / S)
-            for place, value in enumerate(met + met if zone == node.zone else met):
-                node.now[place] += value
+            own = met if zone == node.zone else (0, 0, 0)
+            told = (load.get("util", 0), load.get("acked_per_s", 0))
+            node.now = [sum(pair) for pair in zip(node.now, met + own + told)]
 
     def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
@@ -323,15 +323,14 @@
         self.closes_at += self.period
         for node in self.nodes.values():
             node.past.append(tuple(node.now))
-            node.now = [0.0] * 6
+            node.now = [0.0] * 8
         for kept in self.slices.values():
             kept.past.append(kept.now)
             kept.now = 0.0
         self.levels.close(list(self.nodes.values()))
         self.health.judge(now, self.nodes.values(), self.levels.strained)
 
-    def warmth(self, node, now):
-        """The share of its capacity that a node surely has by now."""
+    def warmth(self, node, now):  # the share of its capacity that a node surely has by now
         if node.boot is None or not self.warm_up or now - node.boot >= self.warm_up:
             return 1.0
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
@@ -341,10 +340,13 @@
         and the most that each may be given. A node counts for what its reports show, or for what comes for
         the slices it holds if that is more: a move weighs on both ends until its reports are in, and a node
         whose answers end late does not look idle. Tries alone do not show slowness: the listed weight is
-        scaled by the time of good answers against the median, damped as a queue slows any node."""
+        scaled by what an op uses of the node, or by the time of its answers where nodes do not tell, against
+        the median: damped, as a queue slows any node."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
-        times = {index: busy / tries for index, (tries, failed, busy, *_) in sums.items()
+        times = {index: self.nodes[index].weight * util / acked for index, (*_, util, acked) in sums.items()
+                 if util and acked} or {
+                 index: busy / tries for index, (tries, failed, busy, *_) in sums.items()
                  if tries - failed >= EVIDENCE and busy}
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
         held = dict.fromkeys(self.nodes, 0.0)
@@ -371,9 +373,8 @@
     # What is decided.
 
     def evacuate(self, now):
-        """Slices on nodes that drain, are gone, barred or have just restarted cost infinity: all move at
-        once, each to the least-loaded live node. A node that only the store knows is gone once the list has
-        had time to name it: another conductor may have heard of it first."""
+        """Slices on nodes that drain, are gone, barred or restarted cost infinity: all move at once, each to
+        the least-loaded live node. A node that only the store names is gone once the list should have it."""
         flee = set()
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
@@ -421,8 +422,8 @@
             loads[target] += heat
             place[target] += heat / worth[target]
 
-        # Each fresh node gains one slice, outside the cap: the hottest that keeps it under the mean, from the
-        # node that has most. Guards against a fleet that grows, or comes back, faster than the cap fills it.
+        # Each fresh node gains the hottest slice that keeps it under the mean, from the node that has most,
+        # outside the cap. Guards against a fleet that grows, or comes back, faster than the cap fills it.
         for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
             source = max(place, key=place.get)
@@ -469,11 +470,10 @@
 
     def flush(self, now, out):
         """Publishes what changed, what binds first: nodes let in again, new lines of slices that have a shut
-        line, then withdrawals, each once no slice would be left bare by it. A bare slice has longer than a
-        drain late in its grace, or than a cold node, which proxies load knowingly from the next message on
-        (rules 1, 3 and 4): these go before the lines. The line to a shut node goes later, and the node is
-        not let in before. Guards against waves of drained or restarted nodes that fill the channel; harm:
-        tables name shut nodes for a while, so proxies that join must be told of them."""
+        line, then withdrawals that leave no slice bare. A bare slice has longer than a drain late in its
+        grace, or than a cold node, which proxies load knowingly from the next message on (rules 1, 3, 4):
+        these go first. Lines to shut nodes go last, and the node is not let in before. Guards against waves
+        that fill the channel; harm: tables name shut nodes for a while, so who joins must be told of them."""
         if not self.slices:  # nobody would get or prove it
             return
         shut = {node.index for node in self.nodes.values() if node.out}
