Demand is also told from what is let in, so that a surge is seen while shedding

Demand measured only while nothing is rejected could not see it. It is now the more of that and of tries over the least share let in of late. Harm: tries that reports bring late may still hold the old share; the least share of five reports guards against that.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -40,10 +40,9 @@
         self.out, self.since = False, 0  # to be withdrawn from the proxies, since when; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
-        # Of the running report period: tries, failures, busy seconds; the same as its own zone saw them; and
-        # utilization and ops acked a second, as the node itself tells them.
-        self.now = [0.0] * 8
-        self.past = deque(maxlen=REPORTS)  # the same of the periods before
+        # Of the running report period, and the same of those before: tries, failures, busy seconds; these as
+        # its own zone saw them; and utilization and ops acked a second, as the node itself tells them.
+        self.now, self.past = [0.0] * 8, deque(maxlen=REPORTS)
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
         self.fresh = False  # new or restarted, and not up to its part of the load yet
@@ -143,11 +142,10 @@
 
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
-    nodes that hang, are silent or fail fast before the list tells; the median keeps a cut, a stall or an
-    overload of the whole fleet from looking like failing nodes, and no more than a third is ever barred.
-    A node that is only full fails as well, but its good answers are slow: barring it, or any node while the
-    whole fleet is strained, would throw its work on the next one. So would barring for half of its ops: a bad
-    way between zones, or one op type unanswered, is not a bad node. Harm: such nodes keep what they fail."""
+    nodes that hang, are silent or fail fast before the list tells; the median keeps a cut or a stall of the
+    whole fleet from looking like failing nodes, and no more than a third is ever barred. A node that is only
+    full answers slowly; barring it, or any node of a strained fleet, throws its work on the next one. A bad
+    way between zones, or one op type unanswered, fails half at most. Harm: such nodes keep what they fail."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
@@ -167,20 +165,20 @@
 
 
 class Levels:
-    """Sheds the op types of least value first while the median node answers too slowly. Guards against
-    overload, where work that ends in a time-out crowds out work that could be answered; it also catches a
-    fleet that is slow as a whole. Harm: what it gives up is rejected at once though it might have been
-    served, so it relents as soon as answers come well within the target latency."""
+    """Sheds the op types of least value first while the median node answers too slowly, down to what live
+    nodes were seen to ack. Guards against overload, where work that ends in a time-out crowds out work that
+    could be answered. Clients come again when rejected, which is no demand: that is told from before any
+    rejection, or from what is let in. Harm: it rejects what might have been served, so it relents early."""
 
     def __init__(self, levels, op_types):
         self.active = levels == "share"
         self.targets = [kind["target_latency"] for kind in op_types]
         self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
         self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
-        self.strained, self.best = False, 0.0  # best: what a node acked in a report period
+        self.strained, self.sheds = False, deque(maxlen=REPORTS)
+        self.best = 0.0  # the most that a live node acked in a report period, on average over them
 
-    def close(self, nodes):
-        """Once a report period: how slow is the median node, and how much to give up for it."""
+    def close(self, nodes):  # once a report period: how slow is the median node, what to give up for it
         times = sorted(time for time in (node.time(2) for node in nodes) if time)
         sums = [node.sums(2) for node in nodes if node.state == "up" and not node.out]
         total = sum(self.came)
@@ -188,13 +186,15 @@
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
             strain = times[len(times) // 2] / target
             self.strained = strain > (RELAXED if self.strained else STRAINED)
-            acked = sum(tries - failed for tries, failed, *_ in sums) / 2 / len(sums)
-            self.best = max(self.best * FADE, acked)
+            tries, failed = (sum(part) / 2 for part in list(zip(*sums))[:2])
+            self.best = max(self.best * FADE, (tries - failed) / len(sums))
+            self.sheds.append(self.shed)
+            demand = max(total / REPORTS, tries / (1 - min(self.sheds)))
             if strain > STRAINED:  # what is over
-                self.shed = min(0.9, max(self.shed, 1.05 - self.best * len(sums) * REPORTS / total))
+                self.shed = min(0.9, max(self.shed, 1.05 - self.best * len(sums) / demand))
             elif strain < RELAXED:
                 self.shed = max(0.0, self.shed - 0.05)
-        if not self.shed:  # clients come again when they are rejected, which would look like more to shed
+        if not self.shed:
             self.came = [came * (1 - 1 / REPORTS) for came in self.came]
 
     def wanted(self):  # the share to let in of each op type
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -179,11 +179,11 @@
     assert conductor.levels.came == [came]
 
 
-@pytest.mark.parametrize("acked, shed", [(5.0, 0.55), (1.0, 0.568)])
-def test_what_a_node_acked_at_best_bounds_what_is_shed(acked, shed):
+@pytest.mark.parametrize("acked, let_in, shed", [(5.0, 5.0, 0.55), (1.0, 1.0, 0.568), (5.0, 20.0, 0.8)])
+def test_what_a_node_acked_at_best_and_what_is_let_in_bound_what_is_shed(acked, let_in, shed):
     node, levels = Node(0), Levels("share", [dict(target_latency=S, value=1)])
     node.state, levels.came, levels.best = "up", [50.0], 5.0 / 0.98 if acked == 5.0 else 4.92
-    node.past.append((2 * acked, 0.0, 1.0, 1.0, 0.0, 1.0, 0.0, 0.0))
+    node.past.append((2 * let_in, 2 * (let_in - acked), 1.0, 1.0, 0.0, 1.0, 0.0, 0.0))
     levels.close([node])
     assert round(levels.shed, 3) == shed
 
