--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -153,11 +153,9 @@
             return
         median = sorted(failed / tries for _, tries, failed, _ in seen)[len(seen) // 2]
         usual = sorted(busy / tries for _, tries, _, busy in seen)[len(seen) // 2]
-        rate = sorted((tries - failed) / node.weight for node, tries, failed, _ in seen)[len(seen) // 2]
         barred = sum(now < node.barred_until for node in up)
         for node, tries, failed, busy in sorted(seen, key=lambda item: (-item[2] / item[1], item[0].index)):
             sick = failed >= max(EVIDENCE, tries * (median + SICK)) and busy / tries <= 1.5 * usual
-            sick = sick or (tries >= EVIDENCE and busy / tries > 3 * usual and (tries - failed) / node.weight < 0.5 * rate)
             if sick and now >= node.barred_until and barred < len(up) // 3:
                 barred += 1
                 node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
