Slices of a take-over count like the mean until their reports are in

On the wire: a zone cut; the other conductor was given its slices, moved those off barred nodes, and 40 of them went to one node, as slices without reports weigh nothing and each left it looking idlest. Told from a slow or failing node by its slices, 40 against 6.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -89,9 +89,9 @@
 
 
 class Channel:
-    """Keeps the queue short (rule 5). Messages leave in order, so the answer of any proxy proves that all
-    older ones have left. What is not proved is taken to wait still: a slow channel holds orders back instead
-    of piling up. Proxies that stand still or left hold back no more than their part of the last reply."""
+    """Keeps the queue short (rule 5). Messages leave in order, so any proxy's answer proves that all older ones
+    have left; what is not proved counts as waiting, so that a slow channel holds orders back. Proxies that
+    stand still or left hold back no more than their part of the last reply."""
 
     def __init__(self, envelope, most_waiting, most_messages, messages_span):
         self.envelope, self.most_waiting = envelope, most_waiting
@@ -391,10 +391,12 @@
                 if node.state == "up":
                     node.stripped, node.barred_until = True, now
             return
+        # Slices of a take-over count like the mean until reports are in: else all go to the idlest node.
+        usual = sum(kept.heat(self.period) for kept in self.slices.values()) / len(self.slices) or 1.0
         for kept in movers:
             kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
             if not kept.want:  # else its other line serves it, and the pass splits it again if need be
-                heat = kept.heat(self.period)
+                heat = kept.heat(self.period) if len(kept.past) == REPORTS else usual
                 fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
                 new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
                 loads[new] += heat
@@ -525,9 +527,8 @@
         return len(new)
 
     def hand_over(self, now, kept, out):
-        """One owner at a time: the old line goes first, and the new one comes when every joined proxy has
-        proved that and all writes in hand, also of proxies that lost their stream, must have ended. Guards
-        against writes of one slice at two nodes (rule 2). Harm: the slice has no node meanwhile."""
+        """The old line goes first; the new one comes when every proxy has proved that and all writes in hand
+        must have ended. Guards against writes of a slice at two nodes (rule 2). Harm: it has none meanwhile."""
         if kept.sent:
             out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
             kept.sent, kept.closing, kept.opens_at = {}, self.channel.mark, None
