--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -21,7 +21,7 @@
 FADE = 0.98  # a report period, of the most that a node was seen to ack
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
 SPARE = 0.5  # how much of the multiple that pushes a cold node over may be used
-SPLIT, SPLIT_TWO = 0.45, 0.3  # part of a mean node's load that makes a slice hot; if proxies pick from two
+SPLIT, SPLIT_TWO = (0.45, 2), (0.3, 4)  # hot: part of a mean node's load, most lines; if pick is from two
 AGAIN = 1  # another try only once the first provably never ran: safe for every op type (rule 2)
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
@@ -213,7 +213,7 @@
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
         self.exclusive, self.usual_again = settings["exclusive"], settings["usual_again"]
-        self.split = SPLIT_TWO if settings["pick"] == "two" else SPLIT
+        self.split, self.most_lines = SPLIT_TWO if settings["pick"] == "two" else SPLIT
         self.health, self.levels = Health(), Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from, self.quiet_at = now, now + TURN, now, now
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
@@ -435,19 +435,20 @@
                 give(kept, heats[kept.number], index)
                 place[source] -= heats[kept.number] / worth[source]
 
-        # A slice hotter than the band pins its node, and moving it moves the trouble: it gets a second full
-        # line, until it cools; sooner where proxies pick the idler of two, which evens out what no table
-        # foresees. Guards against hot keys, tides, slow nodes. Harm: two caches must warm to the same keys.
+        # A slice hotter than the band pins its node, and moving it moves the trouble: it gets another full
+        # line, until it cools; sooner and more where proxies pick the idler of two, which evens out what no
+        # table foresees. Guards against hot keys, tides, slow nodes. Harm: more caches warm to the same keys.
         for kept in self.slices.values():
             heat, owner = heats[kept.number], kept.owner()
             if owner not in worth or self.exclusive:
                 continue
             hot = heat / (mean * worth[owner]) if mean else 0
-            if len(kept.want) == 1 and hot > self.split and place[owner] > top:
-                new = fitting(heat / 2, [index for index in worth if index != owner], top)
+            parts = len(kept.want)
+            if parts < self.most_lines and hot > self.split * (2 * parts - 1) and place[owner] > top:
+                new = fitting(heat / (parts + 1), [index for index in worth if index not in kept.want], top)
                 if new is not None:
-                    give(kept, heat / 2, new)
-            elif len(kept.want) > 1 and hot < self.split / 2:
+                    give(kept, heat / (parts + 1), new)
+            elif parts > 1 and hot < self.split / 2:
                 kept.want = {owner: kept.want[owner]}
 
         held = [(place[kept.owner()], heats[kept.number], kept) for kept in self.slices.values()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -229,3 +229,13 @@
         kept.past.extend([0.5] * 5 if number > 7 else [0.0] * reports)
     conductor.evacuate(0)
     assert {conductor.slices[number].owner() for number in range(4)} == owners
+
+
+@pytest.mark.parametrize("most, lines, parts", [(2, [0, 1], 2), (4, [0, 1], 3), (4, [0, 1, 2, 3], 4)])
+def test_a_slice_gets_more_lines_where_proxies_pick_from_two(most, lines, parts):
+    conductor = fleet(["up"] * 6, {3: dict.fromkeys(lines, 1.0), 4: {0: 1.0}})
+    conductor.split, conductor.most_lines = 0.3, most
+    for kept in conductor.slices.values():
+        kept.past.extend([9.0] * 5)
+    conductor.turn(0)
+    assert len(conductor.slices[3].want) == parts
