Old lists take back neither drain nor start; ordinary orders fill only what a drain can wait for

They now fill what leaves in a third of the grace, 0.3 to 0.65, and bound withdrawals go after a quarter. An older list that comes again could set boot times back, so that a cold node counted as warm or the true list stripped nodes twice, and could have drained nodes fed again: the latest start and a drain stay known. Harm: a drain taken back without a restart is not believed.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -26,7 +26,6 @@
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
-HANDLED = ("roster", "tenure", "line", "joined", "left", "applied", "tries", "heat")
 GONE = ("draining", "removed")
 
 
@@ -139,10 +138,9 @@
 
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
-    nodes that hang, are silent or fail fast before the list tells; the median keeps a cut or a stall of the
-    whole fleet from looking like failing nodes, and no more than a third is ever barred. A node that is only
-    full answers slowly; barring it, or any node of a strained fleet, throws its work on the next one. A bad
-    way between zones, or one op type unanswered, fails half at most. Harm: such nodes keep what they fail."""
+    nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
+    fleet from looking like theirs, and at most a third is barred. A full node answers slowly; barring it, or any
+    under strain, throws its work on the next one. Harm: nodes that fail half of their ops keep them."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
@@ -216,11 +214,13 @@
         self.split, self.most_lines = SPLIT_TWO if settings["pick"] == "two" else SPLIT
         self.health, self.levels = Health(), Levels(settings["levels"], settings["op_types"])
         self.next_beat, self.next_turn, self.moves_from, self.quiet_at = now, now + TURN, now, now
+        leisure = settings["grace"] / S * settings["lines_per_s"] / max(1, settings["most_waiting"]) / 3
+        self.leisure = min(0.65, max(0.3, leisure))  # of the queue, for what is ordinary: a drain must pass
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
 
     def round(self, now, events, out):
         for word, *fields in events:
-            if word in HANDLED:  # timers, demand, probes and peers decide nothing yet
+            if hasattr(self, "on_" + word):  # timers, demand, probes and peers decide nothing yet
                 getattr(self, "on_" + word)(now, *fields)
         if self.subscribe and self.ask_at is not None and now >= self.ask_at:
             out.watch(True)
@@ -260,14 +260,16 @@
             node = self.node(index)
             if node.state == "unlisted" and how == "delta":
                 node.fresh = True
-            if boot is not None and boot != node.boot and now - boot < self.warm_up:
+            # An older list may come again: only a later start counts, and no drain is taken back without one.
+            started = boot is not None and (node.boot is None or boot > node.boot)
+            if started and now - boot < self.warm_up:
                 node.stripped, node.fresh = False, True
                 node.past.clear()
-            condition = self.removed(node) if condition == "removed" else condition
-            node.state, node.zone, node.weight, node.boot = condition, zone, weight or 1.0, boot
+            if condition == "removed" or node.state != "draining" or started:
+                node.state = self.removed(node) if condition == "removed" else condition
+            node.zone, node.weight, node.boot = zone, weight or 1.0, boot if started else node.boot
 
-    def removed(self, node):
-        """Where only draining binds, lists drop sound nodes: a dropped one keeps its work until it fails."""
+    def removed(self, node):  # where only draining binds, lists drop sound nodes: these work until they fail
         return "dropped" if self.only_draining and node.state in ("up", "dropped") else "removed"
 
     def on_tenure(self, now, number, held):
@@ -411,8 +413,7 @@
         top = mean * (1 + BAND)
         heats = {kept.number: kept.heat(self.period) for kept in self.slices.values()}
 
-        def fitting(heat, nodes, limit):
-            """The least-loaded of the nodes, with the heat, among those that stay under the limit."""
+        def fitting(heat, nodes, limit):  # the least-loaded that stays under the limit with the heat
             fits = [index for index in nodes if loads[index] + heat <= most[index]
                     and place[index] + heat / worth[index] <= limit]
             return min(fits, key=lambda index: place[index] + heat / worth[index], default=None)
@@ -489,7 +490,7 @@
                        key=lambda node: (node.out, not node.bound()))
         room, lines = self.channel.room(now, 0.8, 0, len(urgent) + len(stale)), 0
         for node in stale:
-            soon = not node.stripped or node.bound() and now - node.since > self.grace // 2
+            soon = not node.stripped or node.bound() and now - node.since > self.grace // 4
             if lines < room and (soon or not node.out):
                 lines += node.tell(out)
         for kept in urgent:
@@ -507,15 +508,14 @@
                     out.level(ALL_TABLES, 1 << kind, share, AGAIN)
                     self.levels.sent[kind] = share
                     lines += 1
-        room = self.channel.room(now, 0.65, 2, 2 * len(ordinary)) if ordinary else 0
+        room = self.channel.room(now, self.leisure, 2, 2 * len(ordinary)) if ordinary else 0
         for kept in ordinary:
             if lines < room:
                 lines += self.publish(now, kept, (), out)
         if lines:
             self.channel.send(now, lines, out)
 
-    def publish(self, now, kept, keep, out):
-        """Orders what changed in a slice, but leaves the lines to the nodes in `keep` standing."""
+    def publish(self, now, kept, keep, out):  # leaves the lines to the nodes in `keep` standing
         if self.exclusive:
             return self.hand_over(now, kept, out)
         new = [(index, weight) for index, weight in kept.want.items() if kept.sent.get(index) != weight]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
                 report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1,
-                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[], pick="random")
+                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[], pick="random", lines_per_s=6000)
 
 
 class Orders(list):
@@ -239,3 +239,15 @@
         kept.past.extend([9.0] * 5)
     conductor.turn(0)
     assert len(conductor.slices[3].want) == parts
+
+
+@pytest.mark.parametrize("known, listed, state, stripped", [
+    (9 * S, ("up", 8 * S), "up", True), (9 * S, ("up", None), "up", True), (8 * S, ("up", 9 * S), "up", False)])
+@pytest.mark.parametrize("before", ["up", "draining"])
+def test_an_older_list_takes_back_no_drain_and_strips_no_node(before, known, listed, state, stripped):
+    conductor = fleet([before], {3: {0: 1.0}})
+    conductor.nodes[0].boot = known
+    conductor.on_roster(10 * S, "delta", [(0, listed[0], 0, 0, 1.0, listed[1])])
+    node = conductor.nodes[0]
+    assert (node.state, node.stripped) == (before if stripped else state, stripped)
+    assert node.boot == max(known, listed[1] or 0)
