--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -139,8 +139,8 @@
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
-    fleet from looking like theirs, and at most a third is barred. A full node answers slowly; barring it, or any
-    under strain, throws its work on the next one. Harm: nodes that fail half of their ops keep them."""
+    fleet from looking like theirs, and at most a third is barred. A full node answers slowly; barring it, or one
+    under strain, throws its work on the next. Harm: nodes that fail half of their ops keep them."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
