--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -366,7 +366,7 @@
         for node in up:
             speed = usual / times[node.index] if node.index in times else 1.0
             warmth = self.warmth(node, now)
-            worth[node.index] = node.weight * (warmth * min(FASTEST, max(SLOWEST, speed))) ** DAMPED
+            worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
         return worth, loads, most
 
