--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -139,8 +139,9 @@
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
-    fleet from looking like theirs, and at most a third is barred. A full node answers slowly; barring it, or one
-    under strain, throws its work on the next. Harm: nodes that fail half of their ops keep them."""
+    fleet from looking like theirs, and at most an eighth is barred: the work of a lost zone would sink the
+    rest. A full node answers slowly; barring it, or one under strain, throws its work on the next. Harm: nodes
+    that fail half of their ops keep them, and so do most of a group that fails together."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
@@ -152,7 +153,7 @@
         barred = sum(now < node.barred_until for node in up)
         for node, tries, failed, busy in sorted(seen, key=lambda item: (-item[2] / item[1], item[0].index)):
             sick = failed >= max(EVIDENCE, tries * (median + SICK)) and busy / tries <= 1.5 * usual
-            if sick and now >= node.barred_until and barred < len(up) // 3:
+            if sick and now >= node.barred_until and barred < max(1, len(up) // 8):
                 barred += 1
                 node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
                 node.barred_until = now + node.bar_for
@@ -170,8 +171,7 @@
         self.targets = [kind["target_latency"] for kind in op_types]
         self.order = sorted(range(len(op_types)), key=lambda place: op_types[place]["value"])
         self.shed, self.came, self.sent = 0.0, [0.0] * len(op_types), {}
-        self.strained, self.sheds = False, deque(maxlen=REPORTS)
-        self.best = 0.0  # the most that a live node acked in a report period, on average over them
+        self.strained, self.sheds, self.best = False, deque(maxlen=REPORTS), 0.0  # best: acks of a live node
 
     def close(self, nodes):  # once a report period: how slow is the median node, what to give up for it
         times = sorted(time for time in (node.time(2) for node in nodes) if time)
