--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -139,7 +139,7 @@
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
-    fleet from looking like theirs, and at most an eighth is barred: the work of a lost zone would sink the
+    fleet from looking like theirs, and at most a seventh is barred: the work of a lost zone would sink the
     rest. A full node answers slowly; barring it, or one under strain, throws its work on the next. Harm: nodes
     that fail half of their ops keep them, and so do most of a group that fails together."""
 
@@ -153,7 +153,7 @@
         barred = sum(now < node.barred_until for node in up)
         for node, tries, failed, busy in sorted(seen, key=lambda item: (-item[2] / item[1], item[0].index)):
             sick = failed >= max(EVIDENCE, tries * (median + SICK)) and busy / tries <= 1.5 * usual
-            if sick and now >= node.barred_until and barred < max(1, len(up) // 8):
+            if sick and now >= node.barred_until and barred < max(1, len(up) // 7):
                 barred += 1
                 node.bar_for = min(BAR_MOST, 2 * node.bar_for) if now < node.barred_until + BAR_MOST else BAR
                 node.barred_until = now + node.bar_for
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -254,7 +254,7 @@
 
 
 @pytest.mark.parametrize("nodes, barred", [(6, 1), (24, 3)])
-def test_no_more_than_an_eighth_is_barred_when_a_zone_is_lost(nodes, barred):
+def test_no_more_than_a_seventh_is_barred_when_a_zone_is_lost(nodes, barred):
     conductor = fleet(["up"] * nodes, {})
     for node in conductor.nodes.values():
         node.past.append((20.0, 20.0 if node.index % 3 == 0 else 0.0, 9.0, 0.0, 0.0, 0.0, 0.0, 0.0))
