--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -140,8 +140,8 @@
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
     nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
     fleet from looking like theirs, and at most a seventh is barred: the work of a lost zone would sink the
-    rest. A full node answers slowly; barring it, or one under strain, throws its work on the next. Harm: nodes
-    that fail half of their ops keep them, and so do most of a group that fails together."""
+    rest. A full node answers slowly; barring it, or one under strain, throws its work on the next. Harm:
+    nodes that fail half of their ops keep them, as do most of a group that fails together."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
