--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -179,7 +179,7 @@
         total = sum(self.came)
         if times and total and sums:
             target = sum(came * aim for came, aim in zip(self.came, self.targets)) / total / S
-            strain = times[len(times) // 2] / target
+            strain = times[len(times) // 2] / target if target else 0.0
             self.strained = strain > (RELAXED if self.strained else STRAINED)
             tries, failed = (sum(part) / 2 for part in list(zip(*sums))[:2])
             self.best = max(self.best * FADE, (tries - failed) / len(sums))
