Sums read once a node, no sets built to let nodes in; no decision changed

Health summed each node's reports twice, letting a node in built a set for each slice, levels got a copied list, and the owner of an exclusive slice was still sought by weight though standbys are gone. Seen and left, as it would change decisions: a full list still takes back a drain, as it first marks every node gone.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -145,7 +145,7 @@
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
-        seen = [(node, *node.sums(2)[:3]) for node in up if node.sums(2)[0]]
+        seen = [(node, *sums[:3]) for node, sums in ((node, node.sums(2)) for node in up) if sums[0]]
         if strained or not seen:
             return
         median = sorted(failed / tries for _, tries, failed, _ in seen)[len(seen) // 2]
@@ -234,9 +234,9 @@
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.turn(now)
-        for node in self.nodes.values():
-            if node.shut(now) != node.out and (not node.out or not any(
-                    node.index in kept.sent.keys() - kept.want.keys() for kept in self.slices.values())):
+        for index, node in self.nodes.items():
+            if node.shut(now) != node.out and not (node.out and any(
+                    index in kept.sent and index not in kept.want for kept in self.slices.values())):
                 node.out, node.since, node.stale = not node.out, now, True
         if now >= self.next_beat:
             self.next_beat = now + BEAT
@@ -327,7 +327,7 @@
         for kept in self.slices.values():
             kept.past.append(kept.now)
             kept.now = 0.0
-        self.levels.close(list(self.nodes.values()))
+        self.levels.close(self.nodes.values())
         self.health.judge(now, self.nodes.values(), self.levels.strained)
 
     def warmth(self, node, now):  # the share of its capacity that a node surely has by now
@@ -529,7 +529,7 @@
         """The old line goes first; the new one comes when every proxy has proved that and all writes in hand
         must be over. Guards against writes of a slice at two nodes (rule 2). Harm: it has none meanwhile."""
         if kept.sent:
-            out.line(kept.number, max(kept.sent, key=kept.sent.get), 0)
+            out.line(kept.number, next(iter(kept.sent)), 0)
             kept.sent, kept.closing, kept.opens_at = {}, self.channel.mark, None
             return 1
         if any(kept.closing in queue for queue in self.channel.waiting.values()):
