--- /dev/null
+++ b/kestrelplank/__main__.py
@@ -0,0 +1,121 @@
+"""`python -m kestrelplank`: one real conductor, told all it needs by the file that $NODE_CONFIG names."""
+
+import gc
+import os
+import signal
+import socket
+import sys
+from typing import Any
+
+import msgspec
+
+from kestrelplank.decode import Ids, Malformed, settings, text
+from kestrelplank.net.buffers import Pool
+from kestrelplank.net.conductor import Conductor
+from kestrelplank.net.connection import address
+from kestrelplank.net.counters import Counters, logger
+from kestrelplank.net.discovery import Discovery
+from kestrelplank.net.front import Front
+from kestrelplank.net.loop import READ, Loop
+from kestrelplank.net.news import News
+from kestrelplank.net.orders import Orders
+from kestrelplank.net.peers import Peers
+from kestrelplank.net.probes import Probes
+
+BUFFER, BUFFERS = 1 << 16, 4
+
+
+def configuration(path: str | None) -> dict[str, Any]:
+    """The configuration as it stands, its addresses looked at; Malformed says what can't be used."""
+    if not path:
+        raise Malformed("NODE_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            found = msgspec.json.decode(file.read())
+    except OSError as err:
+        raise Malformed(f"{path} can't be read: {err.strerror}") from None
+    except msgspec.DecodeError as err:
+        raise Malformed(f"{path} is not JSON: {err}") from None
+    if not isinstance(found, dict):
+        raise Malformed(f"{path}: expected an object")
+    found["hub"] = found["hub"].get("address") if isinstance(found.get("hub"), dict) else None
+    for name in ("listen", "discovery", "hub"):
+        try:
+            address(text(found.get(name)))
+        except ValueError as err:
+            raise Malformed(f"{path}, field {name}: {err}") from None
+    if "settings" not in found:
+        raise Malformed(f"{path}, field settings: missing")
+    try:
+        found["seed"] = int(text(found.get("seed")), 16)
+    except ValueError as err:
+        raise Malformed(f"{path}, field seed: {err}") from None
+    return found
+
+
+class Signals:
+    """Signals as bytes on a socket of the loop's: nothing of ours runs inside a handler."""
+
+    def __init__(self, loop: Loop, calls: dict[int, Any]) -> None:
+        self._loop, self._calls = loop, calls
+        self._ours, self._theirs = socket.socketpair()
+        for sock in (self._ours, self._theirs):
+            sock.setblocking(False)
+        signal.set_wakeup_fd(self._theirs.fileno(), warn_on_full_buffer=False)
+        for number in calls:
+            signal.signal(number, lambda *_: None)
+        loop.watch(self._ours, READ, self._ready)
+
+    def _ready(self, events: int) -> None:
+        for number in self._ours.recv(64):
+            if number in self._calls:
+                self._calls[number]()
+
+    def close(self) -> None:
+        signal.set_wakeup_fd(-1)
+        self._loop.forget(self._ours)
+        self._ours.close()
+        self._theirs.close()
+
+
+def main() -> int:
+    try:
+        config, ids = configuration(os.environ.get("NODE_CONFIG")), Ids(text)
+        found = settings(config["settings"], ids, "settings")
+    except Malformed as err:
+        print(f"kestrelplank: {err}", file=sys.stderr)
+        return 2
+    loop = Loop(lambda err: counters.defect(err))
+    counters = Counters(logger(str(config.get("name", ""))), loop.now)
+    pool, op_types = Pool(BUFFER, BUFFERS), list(ids.op_types)
+
+    def on_event(event: tuple) -> None:
+        conductor.on_event(event)
+
+    orders = Orders(loop, pool, counters, config["hub"], ids, op_types)
+    discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_event)
+    probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
+                    found["load_by"] != "none", on_event)
+    peers = None
+    if found["may_tell"] and config.get("peer_listen"):
+        peers = Peers(loop, counters, config["peer_listen"], config.get("peers") or [],
+                      config.get("peers_all") or "", on_event)
+    conductor = Conductor(loop, counters, found["tick"], orders, discovery, probes, peers)
+    conductor.start(config["seed"], found)
+    discovery.start(config.get("known"))
+    news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], on_event)
+    front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
+    signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
+                             signal.SIGUSR1: counters.report})
+    counters.info("started", listen=config["listen"])
+    gc.freeze()  # what start-up made stays, and need not be looked through again
+    loop.run()
+    for part in (front, news, orders, discovery, probes, peers, signals, loop):
+        if part is not None:
+            part.close()
+    counters.report()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/kestrelplank/drill/host.py
+++ b/kestrelplank/drill/host.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from kestrelplank.decode import Ids, Malformed, settings, time, whole
 from kestrelplank.drill import wire
 from kestrelplank.policy import Conductor
 
@@ -15,7 +16,7 @@
 
 class Host:
     def __init__(self) -> None:
-        self._instances: dict[int, tuple[Conductor, wire.Ids]] = {}
+        self._instances: dict[int, tuple[Conductor, Ids]] = {}
         self._events: dict[int, list[tuple]] = {}
         self._now: int | None = None
 
@@ -23,7 +24,7 @@
         """Take one line of input; the reply's lines once a batch is complete, else None."""
         try:
             return self._read(raw)
-        except wire.Malformed as err:
+        except Malformed as err:
             complain(line_number, str(err))
         return None
 
@@ -31,34 +32,34 @@
         try:
             message = msgspec.json.decode(raw)
         except msgspec.DecodeError as err:
-            raise wire.Malformed(f"not JSON: {err}") from None
+            raise Malformed(f"not JSON: {err}") from None
         if not isinstance(message, list) or not message or not isinstance(message[0], str):
-            raise wire.Malformed(f"expected an array that begins with a name, got {raw[:60]!r}")
+            raise Malformed(f"expected an array that begins with a name, got {raw[:60]!r}")
         name = message[0]
         if name == "GO":
             return self._reply()
         if name == "ROUND":
             self._events = {}
             try:
-                self._now = wire.time(message[1] if len(message) > 1 else None)
-            except wire.Malformed as err:
-                raise wire.Malformed(f"ROUND, field clock: {err}") from None
+                self._now = time(message[1] if len(message) > 1 else None)
+            except Malformed as err:
+                raise Malformed(f"ROUND, field clock: {err}") from None
             return None
         if self._now is None:
-            raise wire.Malformed(f"{name} came before a ROUND with a clock")
+            raise Malformed(f"{name} came before a ROUND with a clock")
         if name not in wire.EVENTS and name not in ("CREATE", "KILLED"):
-            raise wire.Malformed(f"{name}: no event is called that")
+            raise Malformed(f"{name}: no event is called that")
         try:
-            instance = wire.whole(message[1] if len(message) > 1 else None)
-        except wire.Malformed as err:
-            raise wire.Malformed(f"{name}, field Conductor: {err}") from None
+            instance = whole(message[1] if len(message) > 1 else None)
+        except Malformed as err:
+            raise Malformed(f"{name}, field Conductor: {err}") from None
         if name == "CREATE":
             self._create(instance, message)
         elif name == "KILLED":
             self._instances.pop(instance, None)
             self._events.pop(instance, None)
         elif instance not in self._instances:
-            raise wire.Malformed(f"{name}, field Conductor: instance {instance} has not been created")
+            raise Malformed(f"{name}, field Conductor: instance {instance} has not been created")
         else:
             decoded = wire.event(message, self._instances[instance][1])
             self._events.setdefault(instance, []).append(decoded)
@@ -67,11 +68,11 @@
     def _create(self, instance: int, message: list) -> None:
         seed: Any = message[2] if len(message) > 2 else None
         try:
-            seed = wire.whole(seed)
-        except wire.Malformed as err:
-            raise wire.Malformed(f"CREATE, field RandomSeed: {err}") from None
-        ids = wire.Ids()
-        found = wire.settings(message[3] if len(message) > 3 else None, ids)
+            seed = whole(seed)
+        except Malformed as err:
+            raise Malformed(f"CREATE, field RandomSeed: {err}") from None
+        ids = Ids(whole)
+        found = settings(message[3] if len(message) > 3 else None, ids, "CREATE, field Conf")
         self._instances[instance] = Conductor(self._now, seed, found), ids
         self._events[instance] = []
 
--- a/kestrelplank/interface.py
+++ b/kestrelplank/interface.py
@@ -17,7 +17,7 @@
     peer     sender, body
     timer    name
 
-Settings arrive as one flat mapping when a conductor is made; `kestrelplank.drill.wire.settings` lists them.
+Settings arrive as one flat mapping when a conductor is made; `kestrelplank.decode.settings` lists them.
 """
 
 from typing import Protocol
--- /dev/null
+++ b/kestrelplank/net/connection.py
@@ -0,0 +1,163 @@
+"""A TCP connection that owns its socket: connecting, reading, a bounded queue of what is to be written."""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from kestrelplank.net.buffers import Pool
+from kestrelplank.net.loop import READ, WRITE, Loop
+
+
+class Owner(Protocol):
+    def on_open(self) -> None: ...
+    def on_data(self, data: memoryview) -> None: ...
+    def on_close(self, why: str) -> None: ...
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Connection:
+    """`close` is the one place where the socket is given back; the owner hears of it once. A read that ends
+    the connection still delivers what came before the end."""
+
+    def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner, most_waiting: int) -> None:
+        self._loop, self._pool, self._sock, self._owner = loop, pool, sock, owner
+        self._waiting, self._most_waiting, self._open = bytearray(), most_waiting, True
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop.watch(sock, READ, self._ready)
+
+    def write(self, data: bytes) -> None:
+        if not self._open:
+            return
+        if len(self._waiting) + len(data) > self._most_waiting:
+            self.close("the other side does not read")
+            return
+        self._waiting += data
+        self._flush()
+
+    def close(self, why: str) -> None:
+        if not self._open:
+            return
+        self._open = False
+        self._loop.forget(self._sock)
+        self._sock.close()
+        self._owner.on_close(why)
+
+    def _ready(self, events: int) -> None:
+        if events & WRITE and self._open:
+            self._flush()
+        if events & READ and self._open:
+            self._read()
+
+    def _flush(self) -> None:
+        had = len(self._waiting)
+        try:
+            while self._waiting:
+                sent = self._sock.send(self._waiting)
+                del self._waiting[:sent]
+        except BlockingIOError:
+            pass
+        except OSError as err:
+            self.close(errno.errorcode.get(err.errno, str(err)))
+            return
+        if had or self._waiting:
+            self._loop.change(self._sock, READ | WRITE if self._waiting else READ, self._ready)
+
+    def _read(self) -> None:
+        buffer = self._pool.take()
+        try:
+            size = self._sock.recv_into(buffer)
+            if size:
+                with memoryview(buffer) as whole, whole[:size] as data:
+                    self._owner.on_data(data)
+        except BlockingIOError:
+            return
+        except OSError as err:
+            self.close(errno.errorcode.get(err.errno, str(err)))
+            return
+        finally:
+            self._pool.give(buffer)
+        if not size:
+            self.close("ended")
+
+
+class Dialled(Connection):
+    """A connection that we open ourselves: nothing is read or written before it is up, or `within` is over."""
+
+    def __init__(self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Owner, most_waiting: int,
+                 within: int) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            super().__init__(loop, pool, sock, owner, most_waiting)
+            self._up = False
+            self._deadline = loop.at(loop.now() + within, lambda: self.close("does not come up"))
+            loop.change(sock, WRITE, self._ready)
+            failed = sock.connect_ex(to)
+        except OSError as err:
+            failed = err.errno
+        if failed not in (0, errno.EINPROGRESS):
+            # Told from the loop, as the owner does not hold this object yet.
+            loop.at(loop.now(), lambda: self.close(errno.errorcode.get(failed, str(failed))))
+
+    def close(self, why: str) -> None:
+        self._deadline.cancel()
+        super().close(why)
+
+    def _ready(self, events: int) -> None:
+        if self._up:
+            super()._ready(events)
+            return
+        failed = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            self.close(errno.errorcode.get(failed, str(failed)))
+            return
+        self._up = True
+        self._deadline.cancel()
+        self._loop.change(self._sock, READ, self._ready)
+        self._owner.on_open()
+        self._flush()
+
+
+class Listener:
+    """Accepts; short of descriptors it looks away for `pause`, as the socket stays ready and would spin."""
+
+    def __init__(self, loop: Loop, at: tuple[str, int], on_accept: Callable[[socket.socket], None],
+                 on_trouble: Callable[[str], None], pause: int) -> None:
+        self._loop, self._on_accept, self._on_trouble, self._pause = loop, on_accept, on_trouble, pause
+        self._sock = socket.create_server(at, backlog=128)
+        self._sock.setblocking(False)
+        self.at = self._sock.getsockname()
+        self._resume = None
+        self._watch()
+
+    def _watch(self) -> None:
+        self._loop.watch(self._sock, READ, self._ready)
+        self._watched = True
+
+    def _ready(self, events: int) -> None:
+        while self._watched:
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as err:
+                self._on_trouble(errno.errorcode.get(err.errno, str(err)))
+                if err.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self._loop.forget(self._sock)
+                    self._watched = False
+                    self._resume = self._loop.at(self._loop.now() + self._pause, self._watch)
+                return
+            self._on_accept(sock)
+
+    def close(self) -> None:
+        if self._watched:
+            self._loop.forget(self._sock)
+        elif self._resume:
+            self._resume.cancel()
+        self._watched, self._resume = False, None
+        self._sock.close()
--- /dev/null
+++ b/kestrelplank/net/discovery.py
@@ -0,0 +1,99 @@
+"""The node list: what the configuration remembers, then a watch on the agent of our own machine."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, number, text, whole, word
+from kestrelplank.net.buffers import Pool
+from kestrelplank.net.counters import Counters
+from kestrelplank.net.http import Client, Stream
+from kestrelplank.net.loop import Loop
+
+PATH = "/v1/endpoints"
+CONDITION = word({"in_service": "up", "terminating": "draining", "terminated": "removed"})
+SILENCE = 2600 * NS_PER_MS  # an empty line comes every 2 s
+DIAL = 250 * NS_PER_MS
+PAUSES = 20 * NS_PER_MS, 500 * NS_PER_MS
+MOST_LIST = 1 << 23
+
+
+class Discovery:
+    """`addresses` holds where each listed node is reached. The watch goes on from the newest list we have."""
+
+    def __init__(self, loop: Loop, pool: Pool, counters: Counters, at: str, ids: Ids,
+                 on_event: Callable[[tuple], None]) -> None:
+        self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
+        self._version, self.addresses = 0, {}
+        self._pool, self._at, self._stream = pool, at, None
+        self._whole = Client(loop, pool, at, self, DIAL, MOST_LIST)
+
+    def start(self, known: Any) -> None:
+        """What was known last comes first, and then what the agent says has changed since."""
+        if known is not None:
+            try:
+                self._take(known, "cached")
+            except Malformed as err:
+                self._counters.trouble("lists_skipped", err)
+        self._stream = Stream(self._loop, self._pool, self._at,
+                              lambda: f"{PATH}?follow=1&since={self._version}", self._line, lambda: None,
+                              lambda why: self._counters.trouble("discovery_broken", why), DIAL, SILENCE, PAUSES,
+                              MOST_LIST)
+
+    def fetch(self) -> None:
+        if not self._whole.busy:
+            self._whole.call("GET", PATH, b"", SILENCE)
+
+    def on_answer(self, status: int, body: bytes) -> None:
+        if status == 200:
+            self._line(body)
+        else:
+            self.on_broken(f"status {status}")
+
+    def on_broken(self, why: str) -> None:
+        self._counters.trouble("lists_broken", why)
+        self._on_event(("roster", "failed", []))
+
+    def close(self) -> None:
+        self._whole.close()
+        if self._stream:
+            self._stream.close()
+
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        try:
+            self._take(msgspec.json.decode(line), None)
+        except (Malformed, msgspec.DecodeError) as err:
+            self._counters.trouble("lists_skipped", err)
+
+    def _take(self, message: Any, how: str | None) -> None:
+        instances = message.get("instances") if isinstance(message, dict) else None
+        if not isinstance(instances, list):
+            raise Malformed(f"expected a list of instances, got {str(message)[:60]!r}")
+        version = whole(message.get("generation"))
+        how = how or ("full" if flag(message.get("reset")) else "delta")
+        entries = []
+        for instance in instances:
+            try:
+                entries.append(self._entry(instance))
+            except Malformed as err:  # the others still stand
+                self._counters.trouble("entries_skipped", err)
+        self._version = version
+        self._counters.add("lists_in")
+        self._on_event(("roster", how, entries))
+
+    def _entry(self, instance: Any) -> tuple:
+        if not isinstance(instance, dict):
+            raise Malformed(f"expected an object, got {instance!r}")
+        condition = CONDITION(instance.get("lifecycle"))
+        zone, cell = instance.get("zone"), instance.get("cell")
+        weight, started = instance.get("weight"), instance.get("startedAtMs")
+        entry = (self._ids.node(instance.get("instanceId")), condition,
+                 None if zone is None else self._ids.zone(zone), None if cell is None else whole(cell),
+                 1.0 if weight is None else count(weight),
+                 self._loop.from_unix_ms(number(started)) if started else None)
+        if isinstance(instance.get("hostPort"), str):
+            self.addresses[entry[0]] = text(instance["hostPort"])
+        return entry
--- /dev/null
+++ b/kestrelplank/net/loop.py
@@ -0,0 +1,85 @@
+"""One loop: a selector, a heap of timers, a clock. Everything else is called back from here."""
+
+import heapq
+import selectors
+import time
+from collections.abc import Callable
+from socket import socket
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+
+
+class Timer:
+    """One call at a time to come; cancelled, it is forgotten when it falls due."""
+
+    __slots__ = ("due", "callback")
+
+    def __init__(self, due: int, callback: Callable[[], None]) -> None:
+        self.due, self.callback = due, callback
+
+    def cancel(self) -> None:
+        self.callback = None
+
+
+class Loop:
+    def __init__(self, on_defect: Callable[[Exception], None]) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._given, self._running, self._on_defect = 0, False, on_defect
+        # Unix time is read once, so that a clock that is set while we run shifts nothing we were told.
+        self._unix = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return time.monotonic_ns()
+
+    def from_unix_ms(self, at: float) -> int:
+        return round(at * 1_000_000) - self._unix
+
+    def at(self, due: int, callback: Callable[[], None]) -> Timer:
+        timer = Timer(due, callback)
+        self._given += 1
+        heapq.heappush(self._timers, (due, self._given, timer))
+        return timer
+
+    def watch(self, sock: socket, events: int, callback: Callable[[int], None]) -> None:
+        self._selector.register(sock, events, callback)
+
+    def change(self, sock: socket, events: int, callback: Callable[[int], None]) -> None:
+        self._selector.modify(sock, events, callback)
+
+    def forget(self, sock: socket) -> None:
+        self._selector.unregister(sock)
+
+    def stop(self) -> None:
+        self._running = False
+
+    def run(self) -> None:
+        self._running = True
+        while self._running:
+            self.turn()
+
+    def turn(self) -> None:
+        """One pass. What has arrived is read before any deadline is held against it: after a stall of ours an
+        answer that came in time must not count as missing."""
+        while self._timers and self._timers[0][2].callback is None:
+            heapq.heappop(self._timers)
+        wait = max(0, self._timers[0][0] - self.now()) / 1e9 if self._timers else None
+        ready = self._selector.select(wait)
+        now = self.now()
+        for key, events in ready:
+            self._call(key.data, events)  # whoever was closed earlier in this pass ignores it
+        while self._timers and self._timers[0][0] <= now:
+            callback = heapq.heappop(self._timers)[2].callback
+            if callback is not None:
+                self._call(callback)
+
+    def _call(self, callback: Callable, *arguments: int) -> None:
+        # Against a defect of our own: one message that trips it must not take the conductor down.
+        try:
+            callback(*arguments)
+        except Exception as err:  # noqa: BLE001
+            self._on_defect(err)
+
+    def close(self) -> None:
+        self._timers.clear()
+        self._selector.close()
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -1,5 +1,6 @@
 import pytest
 
+from kestrelplank.decode import Ids, settings, whole
 from kestrelplank.drill import wire
 from kestrelplank.drill.host import Host
 
@@ -30,7 +31,7 @@
 
 @pytest.mark.parametrize("extra", [{}, {"Moon": "full"}, {"Specifics": {"Tilt": 3}}, {"Rules": None}])
 def test_unknown_and_missing_settings_are_skipped(extra):
-    found = wire.settings(CONF | extra, wire.Ids())
+    found = settings(CONF | extra, Ids(whole), "settings")
     assert found["op_types"][0]["target_latency"] == 750_000_000 and found["cold_from"] == 1.0
 
 
