--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -103,7 +103,8 @@
     conductor = Conductor(loop, counters, found["tick"], orders, discovery, probes, peers)
     conductor.start(config["seed"], found)
     discovery.start(config.get("known"))
-    news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], on_event)
+    news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders,
+                on_event)
     front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
                              signal.SIGUSR1: counters.report})
--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -27,6 +27,7 @@
     def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner, most_waiting: int) -> None:
         self._loop, self._pool, self._sock, self._owner = loop, pool, sock, owner
         self._waiting, self._most_waiting, self._open = bytearray(), most_waiting, True
+        self._writing = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.watch(sock, READ, self._ready)
@@ -55,7 +56,6 @@
             self._read()
 
     def _flush(self) -> None:
-        had = len(self._waiting)
         try:
             while self._waiting:
                 sent = self._sock.send(self._waiting)
@@ -65,8 +65,9 @@
         except OSError as err:
             self.close(errno.errorcode.get(err.errno, str(err)))
             return
-        if had or self._waiting:
-            self._loop.change(self._sock, READ | WRITE if self._waiting else READ, self._ready)
+        if self._writing != bool(self._waiting):
+            self._writing = not self._writing
+            self._loop.change(self._sock, READ | WRITE if self._writing else READ, self._ready)
 
     def _read(self) -> None:
         buffer = self._pool.take()
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -1,4 +1,8 @@
-"""The node list: what the configuration remembers, then a watch on the agent of our own machine."""
+"""The node list: what the configuration remembers, then a watch on the agent of our own machine.
+
+What the agent has written counts as told to us, also on a connection that has silently died. So it is asked now
+and then what it has, which costs nothing, and a watch that lies behind is replaced.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +21,8 @@
 DIAL = 250 * NS_PER_MS
 PAUSES = 20 * NS_PER_MS, 500 * NS_PER_MS
 MOST_LIST = 1 << 23
+POLL = 400 * NS_PER_MS  # the shortest grace leaves a second for an order to be made and to arrive
+ANSWERS_WITHIN = 300 * NS_PER_MS
 
 
 class Discovery:
@@ -27,7 +33,7 @@
         self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
         self._version, self.addresses = 0, {}
         self._pool, self._at, self._stream = pool, at, None
-        self._whole = Client(loop, pool, at, self, DIAL, MOST_LIST)
+        self._whole, self._asked, self._timer = Client(loop, pool, at, self, DIAL, MOST_LIST), False, None
 
     def start(self, known: Any) -> None:
         """What was known last comes first, and then what the agent says has changed since."""
@@ -41,21 +47,43 @@
                               lambda why: self._counters.trouble("discovery_broken", why), DIAL, SILENCE, PAUSES,
                               MOST_LIST)
 
+        self._poll()
+
     def fetch(self) -> None:
+        self._asked = True
+        if not self._whole.busy:
+            self._whole.call("GET", PATH, b"", ANSWERS_WITHIN)
+
+    def _poll(self) -> None:
         if not self._whole.busy:
-            self._whole.call("GET", PATH, b"", SILENCE)
+            self._whole.call("GET", PATH, b"", ANSWERS_WITHIN)
+        self._timer = self._loop.at(self._loop.now() + POLL, self._poll)
 
     def on_answer(self, status: int, body: bytes) -> None:
-        if status == 200:
+        if status != 200:
+            self.on_broken(f"status {status}")
+        elif self._asked:
+            self._asked = False
             self._line(body)
         else:
-            self.on_broken(f"status {status}")
+            try:
+                newest = whole(msgspec.json.decode(body, type=dict).get("generation"))
+            except (Malformed, msgspec.DecodeError) as err:
+                self._counters.trouble("lists_skipped", err)
+                return
+            if newest > self._version:
+                self._counters.add("watches_behind")
+                self._stream.again("lies behind")
 
     def on_broken(self, why: str) -> None:
         self._counters.trouble("lists_broken", why)
-        self._on_event(("roster", "failed", []))
+        if self._asked:
+            self._asked = False
+            self._on_event(("roster", "failed", []))
 
     def close(self) -> None:
+        if self._timer:
+            self._timer.cancel()
         self._whole.close()
         if self._stream:
             self._stream.close()
--- a/kestrelplank/net/http.py
+++ b/kestrelplank/net/http.py
@@ -96,7 +96,7 @@
         if self._size > self._most_body or self._headers > MOST_HEADERS and not self._status:
             self.drop("too large")
         elif self._complete:
-            status, body, keep = self._status, b"".join(self._body), self._parser.should_keep_alive()
+            status, body, keep = self._status, b"".join(self._body), self._keep
             self._status, self._headers, self._size, self._complete = 0, 0, 0, False
             self._body.clear()
             self.busy = False
@@ -120,7 +120,7 @@
             self._body.append(data)
 
     def on_message_complete(self) -> None:
-        self._complete = True
+        self._complete, self._keep = True, self._parser.should_keep_alive()  # known here and not later
 
 
 class Stream:
@@ -148,6 +148,11 @@
         except OSError as err:
             self._again(str(err))
 
+    def again(self, why: str) -> None:
+        """Give the present connection up for a new one."""
+        if self._connection:
+            self._connection.close(why)
+
     def close(self) -> None:
         self._closed = True
         if self._timer:
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -1,7 +1,8 @@
 """The relay's news: which proxies have joined, which slices are ours, what the store holds, what is applied.
 
-A new stream first tells all that stands. What we know already is not told to the module again, and what a
-broken stream could not tell is told then: proxies that are gone as `left`, slices not named as taken back.
+A new stream first tells all that stands. What is new in it is told to the module at once; what is known is
+held against it once all has been told: proxies not named are gone, slices not named are taken back, and a
+slice whose lines are not those that we ordered has passed through other hands.
 """
 
 from collections.abc import Callable
@@ -14,36 +15,57 @@
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.http import Stream
 from kestrelplank.net.loop import Loop
+from kestrelplank.net.orders import Orders
 
 PATH = "/api/stream"
 SILENCE = 1600 * NS_PER_MS  # a sign of life comes each second
 DIAL = 250 * NS_PER_MS
 PAUSES = 10 * NS_PER_MS, 250 * NS_PER_MS
 MOST_LINE = 1 << 20
+QUIET = 150 * NS_PER_MS  # after a line of what stands: nothing marks its end, and it comes in one burst
+
+
+class Picture:
+    """What a new stream has named so far of what we knew."""
+
+    def __init__(self, now: int) -> None:
+        self.proxies: dict[int, tuple] = {}  # proxy to how it joined; without that where it is new
+        self.slices: dict[int, dict[int, float] | None] = {}  # slice to its lines; None where it is new
+        self.heard_at, self.empty = now, True
 
 
 class News:
     def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, proxies: int, slices: int,
-                 on_event: Callable[[tuple], None]) -> None:
-        self._counters, self._ids, self._on_event = counters, ids, on_event
-        self._proxies, self._slices = proxies, slices
+                 orders: Orders, on_event: Callable[[tuple], None]) -> None:
+        self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
+        self._proxies, self._slices, self._orders = proxies, slices, orders
         self._joined: dict[int, int] = {}  # proxy to the last mark it was told to have applied
         self._held: dict[int, bool] = {}  # slices in our charge
-        self._named: tuple[set[int], set[int]] | None = None  # proxies and slices of a picture not yet whole
-        self._stream = Stream(loop, pool, to, lambda: PATH, self._line, self._start, self._end, DIAL, SILENCE,
+        self._picture: Picture | None = None
+        self._timer = None
+        self._stream = Stream(loop, pool, to, lambda: PATH, self.take, self.start, self.end, DIAL, SILENCE,
                               PAUSES, MOST_LINE)
 
     def close(self) -> None:
+        if self._timer:
+            self._timer.cancel()
         self._stream.close()
 
-    def _start(self) -> None:
+    # The stream's callbacks.
+
+    def start(self) -> None:
         self._counters.add("news_started")
-        self._named = set(), set()
+        self._picture = Picture(self._loop.now())
+        self._timer = self._loop.at(self._loop.now() + QUIET, self._listen)
 
-    def _end(self, why: str) -> None:
+    def end(self, why: str) -> None:
         self._counters.trouble("news_broken", why)
+        self._picture = None
+        if self._timer:
+            self._timer.cancel()
+        self._orders.hold(True)
 
-    def _line(self, line: bytes) -> None:
+    def take(self, line: bytes) -> None:
         if not line.strip():
             return
         try:
@@ -57,23 +79,59 @@
         except (Malformed, msgspec.DecodeError) as err:
             self._counters.trouble("news_skipped", err)
 
+    def _listen(self) -> None:
+        if self._picture is not None:
+            quiet = self._loop.now() - self._picture.heard_at >= QUIET
+            if quiet and not self._picture.empty:
+                self._whole()
+            else:
+                self._timer = self._loop.at(self._loop.now() + QUIET, self._listen)
+
     def _whole(self) -> None:
-        """All that stands has been told: what was not named is gone."""
-        if self._named is None:
+        """All that stands has been told."""
+        picture, self._picture = self._picture, None
+        if picture is None:
             return
-        proxies, slices = self._named
-        self._named = None
-        for proxy in [proxy for proxy in self._joined if proxy not in proxies]:
-            self._tell("left", proxy)
+        for proxy in [proxy for proxy in self._joined if proxy not in picture.proxies]:
             del self._joined[proxy]
-        for number in [number for number in self._held if number not in slices]:
-            self._tell("tenure", number, False)
-            del self._held[number]
+            self._tell("left", proxy)
+        for number in [number for number in self._held if number not in picture.slices]:
+            self._take_back(number)
+        for number, lines in picture.slices.items():
+            if lines is not None and not self._orders.agrees(number, lines):
+                self._counters.add("slices_given_anew")
+                self._take_back(number)
+                self._give(number)
+                for node, weight in lines.items():
+                    self._line(number, node, weight)
+        known = [event for event in picture.proxies.values() if event]
+        for event in known:
+            # It may have lost its stream and dialled again while we heard nothing, and have missed orders that
+            # no store keeps: the module tells a proxy that joins, if not afresh, what is withdrawn (rule 3).
+            self._tell("joined", *event)
+        self._orders.hold(False)
+        self._orders.ask_again([self._joined[event[0]] for event in known])
+
+    # The lines.
 
     def _tell(self, word: str, *fields: Any) -> None:
         self._counters.add(word + "_in")
         self._on_event((word, *fields))
 
+    def _give(self, number: int) -> None:
+        self._held[number] = True
+        self._orders.given(number)
+        self._tell("tenure", number, True)
+
+    def _take_back(self, number: int) -> None:
+        self._held.pop(number, None)
+        self._orders.taken_back(number)
+        self._tell("tenure", number, False)
+
+    def _line(self, number: int, node: int, weight: float) -> None:
+        self._orders.stands(number, node, weight)
+        self._tell("line", number, node, weight)
+
     def _below(self, value: Any, most: int) -> int:
         if whole(value) >= most:
             raise Malformed(f"{value} is not below {most}")
@@ -82,15 +140,22 @@
     def _take(self, kind: Any, fields: Any) -> None:
         if not isinstance(fields, dict):
             raise Malformed(f"{kind}: expected an object, got {fields!r}")
+        if kind in ("done", "detach"):  # never part of what stands
+            self._whole()
+        picture = self._picture
+        if picture:
+            picture.heard_at, picture.empty = self._loop.now(), False
         if kind == "attach":
             proxy = self._below(fields.get("node"), self._proxies)
-            event = proxy, self._ids.zone(fields.get("locality")), count(fields.get("w")), flag(fields.get("cold"))
-            if self._named:
-                self._named[0].add(proxy)
-                if proxy in self._joined:
-                    return
+            zone, rate = self._ids.zone(fields.get("locality")), count(fields.get("w"))
+            fresh = flag(fields.get("cold"))
+            if picture and proxy in self._joined:
+                picture.proxies[proxy] = (proxy, zone, rate, False)
+                return
+            if picture:
+                picture.proxies[proxy] = ()
             self._joined[proxy] = -1
-            self._tell("joined", *event)
+            self._tell("joined", proxy, zone, rate, fresh)
         elif kind == "detach":
             proxy = self._below(fields.get("node"), self._proxies)
             if self._joined.pop(proxy, None) is not None:
@@ -103,16 +168,20 @@
                 self._tell("applied", proxy, mark, time(fields.get("latency")))
         elif kind == "owner":
             number, held = self._below(fields.get("shard"), self._slices), flag(fields.get("set"))
-            if held and self._named:
-                self._named[1].add(number)
-            if held != (number in self._held):
-                if held:
-                    self._held[number] = True
-                else:
-                    del self._held[number]
-                self._tell("tenure", number, held)
+            if held and picture:
+                picture.slices[number] = {} if number in self._held else None
+            if held and not (picture and number in self._held):
+                self._give(number)
+            elif not held and number in self._held:
+                self._take_back(number)
         elif kind == "entry":
-            number = self._below(fields.get("shard"), self._slices)
-            self._tell("line", number, self._ids.node(fields.get("endpoint")), count(fields.get("w")))
+            number, weight = self._below(fields.get("shard"), self._slices), count(fields.get("w"))
+            if number not in self._held:
+                raise Malformed(f"a line of slice {number}, which is not ours")
+            node = self._ids.node(fields.get("endpoint"))
+            if picture and picture.slices.get(number) is not None:
+                picture.slices[number][node] = weight
+            else:
+                self._line(number, node, weight)
         else:
             raise Malformed(f"no news is called {text(kind)[:40]!r}")
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -1,5 +1,9 @@
 """Orders to the relay: one queue, one call out, and what may not have been carried out is sent again whole
-before anything newer. Orders set state, so carrying one out twice changes nothing."""
+before anything newer. Orders set state, so carrying one out twice changes nothing.
+
+Nothing is sent while the news is away: a slice may have passed through other hands meanwhile, and what waits
+here for it must go before it can do harm.
+"""
 
 from collections import deque
 
@@ -12,7 +16,7 @@
 from kestrelplank.net.http import Client
 from kestrelplank.net.loop import Loop
 
-MOST_BYTES = 60_000  # of the orders in one call
+MOST_BYTES = 60_000  # of one call
 HEAD, TAIL = b'{"ops":[', b"]}"
 ANSWERS_WITHIN = 50 * NS_PER_MS  # the relay's own word; after that no answer comes any more
 SLACK = 30 * NS_PER_MS  # for the way there and back, and for our own lateness
@@ -20,16 +24,28 @@
 PAUSES = 20 * NS_PER_MS, 200 * NS_PER_MS  # before the same call again: at first, at the most
 MOST_WAITING = 1 << 18  # bytes; see `full`
 MOST_TRIES = 5  # of a call that the relay calls malformed: a defect of ours must not stop the queue
+MOST_ANSWER = 1 << 14
 PATH = "/api/batches"
 
 
+def put(lines: dict[int, float], node: int, weight: float) -> None:
+    """What one line does to a table, as the store keeps it."""
+    if weight:
+        lines[node] = weight
+    else:
+        lines.pop(node, None)
+
+
 class Orders:
     def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, op_types: list[str]) -> None:
         self._loop, self._counters, self._ids, self._op_types = loop, counters, ids, op_types
-        self._client = Client(loop, pool, to, self, DIAL, MOST_BYTES)
-        self._round: list[bytes] = []  # what the present round has ordered
-        self._queue: deque[list[bytes]] = deque()  # calls to be made, the first of them may be out
-        self._waiting, self._pause, self._tries = 0, PAUSES[0], 0
+        self._client = Client(loop, pool, to, self, DIAL, MOST_ANSWER)
+        # An order is (encoded, table, node, weight): what it changes, as far as the store keeps that.
+        self._round: list[tuple] = []  # what the present round has ordered
+        self._queue: deque[list[tuple]] = deque()  # calls to be made, the first of them may be out
+        self._store: dict[int, dict[int, float]] = {}  # lines of our slices, as told and as answered for
+        self._waiting, self._pause, self._tries, self._held = 0, PAUSES[0], 0, True
+        self._marks: list[int] = []  # the last one ordered, if any
         self._timer = None
 
     def full(self) -> bool:
@@ -40,10 +56,11 @@
     # What the module orders.
 
     def line(self, table: int, node: int, weight: float) -> None:
-        self._order({"verb": "put", "cluster": table, "endpoint": self._ids.node_ids[node], "w": weight})
+        name = self._ids.node_ids[node]
+        self._order({"verb": "put", "cluster": table, "endpoint": name, "w": weight}, table, node, weight)
 
     def clear(self, table: int) -> None:
-        self._order({"verb": "wipe", "cluster": table})
+        self._order({"verb": "wipe", "cluster": table}, table)
 
     def take_out(self, node: int, out: bool) -> None:
         self._order({"verb": "eject" if out else "uneject", "endpoint": self._ids.node_ids[node]})
@@ -52,35 +69,92 @@
         order = {"verb": "gate", "cluster": "*" if table == ALL_TABLES else table, "gate": share, "again": again}
         if op_types:
             order["for"] = [name for place, name in enumerate(self._op_types) if op_types >> place & 1]
-        self._order(order)
+        self._order(order, table, None, 1.0)
 
     def mark(self, number: int, everyone: bool) -> None:
+        self._marks = [number]
         self._order({"verb": "fence", "stamp": number, "set": int(everyone)})
 
-    def _order(self, order: dict) -> None:
+    def _order(self, order: dict, table: int = ALL_TABLES, node: int | None = None, weight: float = 0.0) -> None:
         self._counters.add("orders_in")
-        self._round.append(msgspec.json.encode(order))
+        self._round.append((msgspec.json.encode(order), table, node, weight))
 
     def close_round(self) -> None:
         """What one round ordered is one call, unless it is too long; calls are never merged, so a mark proves
         what its round ordered and nothing later."""
         orders, self._round = self._round, []
-        size, call = MOST_BYTES, None
+        size, call = MOST_BYTES, []
         for order in orders:
-            if size + len(order) + 1 > MOST_BYTES:
+            if size + len(order[0]) + 1 > MOST_BYTES:
                 size, call = len(HEAD) + len(TAIL), []
                 self._queue.append(call)
             call.append(order)
-            size += len(order) + 1
-            self._waiting += len(order)
+            size += len(order[0]) + 1
+            self._waiting += len(order[0])
         self._next()
 
+    # What the news tells.
+
+    def hold(self, held: bool) -> None:
+        self._held = held
+        self._next()
+
+    def given(self, number: int) -> None:
+        """The slice's lines are told anew; what waits for it was decided on others."""
+        self._forget(number)
+        self._store[number] = {}
+
+    def taken_back(self, number: int) -> None:
+        self._forget(number)
+        self._store.pop(number, None)
+
+    def stands(self, number: int, node: int, weight: float) -> None:
+        put(self._store.setdefault(number, {}), node, weight)
+
+    def agrees(self, number: int, lines: dict[int, float]) -> bool:
+        """Whether the store may hold these lines by our orders alone, with the call of unknown outcome or
+        without it."""
+        held = dict(self._store.get(number, {}))
+        if held == lines:
+            return True
+        for order in self._queue[0] if self._queue else ():
+            self._apply(held, number, order)
+        return held == lines
+
+    def ask_again(self, told: list[int]) -> None:
+        """For the answers to the last mark that were lost with the news, by what each proxy was told to have
+        applied: the module would wait for them and order nothing more."""
+        if self._marks and not self._queue and any(mark != self._marks[0] for mark in told):
+            self._counters.add("marks_asked_again")
+            self.mark(self._marks[0], True)
+            self.close_round()
+
+    def _forget(self, number: int) -> None:
+        for call in self._queue:
+            stale = [order for order in call if order[1] == number]
+            if stale and not (call is self._queue[0] and self._client.busy):
+                self._counters.add("orders_outdated", len(stale))
+                self._waiting -= sum(len(order[0]) for order in stale)
+                call[:] = [order for order in call if order[1] != number]
+        while self._queue and not self._queue[0]:
+            self._queue.popleft()
+
+    def _apply(self, lines: dict[int, float], number: int, order: tuple) -> None:
+        _, table, node, weight = order
+        if table == number and node is not None:
+            put(lines, node, weight)
+        elif table == number and not weight:
+            lines.clear()
+
     # The queue.
 
     def _next(self) -> None:
-        if self._queue and not self._client.busy and self._timer is None:
+        while self._queue and not self._queue[0]:
+            self._queue.popleft()
+        if self._queue and not self._client.busy and self._timer is None and not self._held:
             self._counters.add("calls_sent")
-            self._client.call("POST", PATH, HEAD + b",".join(self._queue[0]) + TAIL, ANSWERS_WITHIN + SLACK)
+            body = HEAD + b",".join(order[0] for order in self._queue[0]) + TAIL
+            self._client.call("POST", PATH, body, ANSWERS_WITHIN + SLACK)
 
     def _again(self, name: str, why: str) -> None:
         self._counters.trouble(name, why, waiting=len(self._queue))
@@ -93,12 +167,17 @@
         self._next()
 
     def _taken(self, number: int) -> None:
-        """The first so many orders of the call that was out need no further care."""
+        """The first so many orders of the call that was out stand in the store."""
         call = self._queue[0]
-        self._waiting -= sum(map(len, call[:number]))
-        del call[:number]
-        if not call:
-            self._queue.popleft()
+        self._counters.add("orders_taken", number)
+        for order in call[:number]:
+            if order[1] in self._store:
+                self._apply(self._store[order[1]], order[1], order)
+        self._drop(number)
+
+    def _drop(self, number: int) -> None:
+        self._waiting -= sum(len(order[0]) for order in self._queue[0][:number])
+        del self._queue[0][:number]
 
     def on_answer(self, status: int, body: bytes) -> None:
         try:
@@ -109,21 +188,19 @@
         call = self._queue[0]
         if not isinstance(taken, int) or isinstance(taken, bool) or not 0 <= taken <= len(call):
             error = answer.get("error") if isinstance(answer, dict) else None
-            if error == "limit":
-                self._again("calls_limited", error)
-                return
             self._tries += error == "malformed"
             if self._tries < MOST_TRIES:
-                self._again("calls_unreadable", f"status {status}: {body[:80]!r}")
+                name = "calls_limited" if error == "limit" else "calls_unreadable"
+                self._again(name, f"status {status}: {body[:80]!r}")
                 return
             self._counters.trouble("calls_given_up", f"status {status}: {body[:80]!r}")
-            taken = len(call)
-        self._counters.add("orders_taken", taken)
+            self._drop(len(call))
+        else:
+            self._taken(taken)
+            if call:
+                self._counters.trouble("orders_dropped", f"not taken: {call[0][0]!r}")
+                self._drop(1)  # the relay can't use that one; what stands behind it still counts
         self._tries, self._pause = 0, PAUSES[0]
-        if taken < len(call):
-            self._counters.trouble("orders_dropped", f"not taken: {call[taken]!r}")
-            taken += 1  # the relay can't use that one; what stands behind it still counts
-        self._taken(taken)
         self._next()
 
     def on_broken(self, why: str) -> None:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,490 @@
+import json
+import socket
+import struct
+
+import pytest
+from parties import MS, Kit, Party, attach, instance, news, node_list, until
+
+from kestrelplank.decode import Ids, Malformed, text
+from kestrelplank.net import resp
+from kestrelplank.net.conductor import Conductor
+from kestrelplank.net.connection import Connection, Listener
+from kestrelplank.net.discovery import Discovery
+from kestrelplank.net.front import Front, report
+from kestrelplank.net.news import News
+from kestrelplank.net.orders import Orders
+from kestrelplank.net.peers import Peers
+from kestrelplank.net.probes import Probes
+
+REPORT = (b"upstream_stats", b"locality", b"a", b"endpoint", b"s-1", b"total", b"9", b"errors", b"3", b"rtt",
+          b"41.5", b"interval", b"1000.0", b"metrics", b"inflight:7,util:0.5,moon:1")
+
+
+@pytest.fixture
+def kit():
+    made = Kit()
+    yield made
+    made.loop.close()
+
+
+def names():
+    ids = Ids(text)
+    for name in ("s-1", "s-2"):
+        ids.node(name)
+    ids.zone("a")
+    ids.op_types["look"] = 0
+    return ids
+
+
+# RESP2
+
+@pytest.mark.parametrize("piece", [1, 2, 7, 10_000])
+def test_messages_come_whole_out_of_pieces(piece):
+    parser, data = resp.Parser(), resp.encode(b"hb") + resp.encode(*REPORT) + resp.encode(b"x", b"a\r\nb", b"")
+    found = [m for at in range(0, len(data), piece) for m in parser.feed(data[at:at + piece])]
+    assert found == [[b"hb"], list(REPORT), [b"x", b"a\r\nb", b""]]
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\n\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n", b"*1\r\n:5\r\n", b"*99999999999\r\n", b"*999999\r\n",
+    b"*1\r\n$1048577\r\n", b"*2\r\n$700000\r\n" + b"x" * 700_000 + b"\r\n$700000\r\n", b"*1\r\n$2\r\nabc\r\n", b"\x00" * 40, b"*1x\r\n", b"*" + b"1" * 30])
+def test_garbage_and_too_much_are_refused_before_anything_is_kept(data):
+    with pytest.raises(Malformed):
+        list(resp.Parser().feed(data))
+
+
+# Reports
+
+def test_a_report_becomes_an_event_in_our_units():
+    assert report(list(REPORT), names(), 9) == ("tries", 0, 0, 9.0, 3.0, 41_500_000, 1_000_000_000,
+                                                {"inflight": 7.0, "util": 0.5})
+    heat = [b"range_stats", b"shard", b"8", b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"500"]
+    assert report(heat, names(), 9) == ("heat", 8, 0, 4.0, 1.0, 500_000_000)
+
+
+@pytest.mark.parametrize("place, value", [
+    (2, b"mars"), (4, b"s-9"), (6, b"nan"), (6, b"-1"), (8, b"inf"), (10, b"soon"), (12, b"1e999"), (5, b"sum"), (2, b"\xff"), (0, b"downstream")])
+def test_a_report_that_cannot_be_used_is_skipped(place, value):
+    message = list(REPORT)
+    message[place] = value
+    with pytest.raises(Malformed):
+        report(message, names(), 9)
+
+
+def caller(front):
+    sock = socket.create_connection(front.at)
+    sock.setblocking(False)
+    return sock
+
+
+def heard(sock):
+    try:
+        return sock.recv(1 << 20)
+    except BlockingIOError:
+        return None
+
+
+def test_the_front_answers_hb_and_outlives_garbage_resets_and_strangers(kit):
+    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    stranger, broken, rude, good = (caller(front) for _ in range(4))
+    broken.send(b"\r\n\r\n")
+    rude.send(resp.encode(*REPORT)[:30])
+    rude.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    rude.close()
+    good.send(resp.encode(b"nonsense") + resp.encode(*REPORT) + resp.encode(b"hb"))
+    got = []
+    until(kit.loop, lambda: got.append(heard(good)) or got[-1])
+    assert got[-1] == b"*1\r\n$5\r\nhb_ok\r\n" and [event[0] for event in kit.events] == ["tries"]
+    until(kit.loop, lambda: heard(broken) == b"")
+    assert heard(stranger) is None and kit.counters.counts["reports_skipped"] == 1
+    front.close()
+    for sock in (stranger, broken, good):
+        sock.close()
+
+
+@pytest.mark.parametrize("spoke, lasts", [(False, 11_000), (True, 121_000)])
+def test_a_silent_caller_is_let_go_in_time(kit, spoke, lasts):
+    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    sock = caller(front)
+    until(kit.loop, lambda: front._callers)
+    (held,) = front._callers.values()
+    held.spoke, held.heard_at = spoke, kit.loop.now() - (lasts - 2000) * MS
+    front._sweep()
+    assert front._callers
+    held.heard_at = kit.loop.now() - lasts * MS
+    front._sweep()
+    assert not front._callers
+    front.close()
+    sock.close()
+
+
+def test_a_listener_short_of_descriptors_looks_away_and_comes_back(kit, monkeypatch):
+    taken, troubles = [], []
+    listener = Listener(kit.loop, ("127.0.0.1", 0), taken.append, troubles.append, 20 * MS)
+    accept, calls = listener._sock.accept, []
+
+    class Short:
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def accept(self):
+            calls.append(1)
+            if len(calls) == 1:
+                raise OSError(24, "EMFILE")
+            return accept()
+
+    real, listener._sock = listener._sock, Short()
+    sock = socket.create_connection(listener.at)
+    until(kit.loop, lambda: taken)
+    assert troubles == ["EMFILE"] and len(calls) <= 4
+    listener._sock = real
+    listener.close()
+    for each in (sock, *taken):
+        each.close()
+
+
+# Connections
+
+class End:
+    def __init__(self):
+        self.got, self.gone = bytearray(), []
+
+    def on_data(self, data):
+        self.got += data
+
+    def on_close(self, why):
+        self.gone.append(why)
+
+
+def pair(kit, most_waiting):
+    ours, theirs = connected()
+    end = End()
+    return Connection(kit.loop, kit.pool, ours, end, most_waiting), end, theirs
+
+
+def connected():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        one = socket.create_connection(server.getsockname())
+        return one, server.accept()[0]
+
+
+def test_what_a_slow_reader_leaves_waits_in_order_up_to_a_bound(kit):
+    connection, end, theirs = pair(kit, 8 << 20)
+    theirs.setblocking(False)
+    sent, got = b"".join(b"%07d" % i for i in range(900_000)), bytearray()
+    connection.write(sent)
+    until(kit.loop, lambda: got.extend(heard(theirs) or b"") or len(got) == len(sent))
+    assert bytes(got) == sent and not end.gone
+    connection.write(b"x" * (9 << 20))
+    connection.close("again")
+    assert end.gone == ["the other side does not read"] and kit.pool.out == 0
+    theirs.close()
+
+
+# Orders
+
+class Calls:
+    """In place of the HTTP client: what would be sent, and outcomes by hand."""
+
+    def __init__(self):
+        self.bodies, self.busy = [], False
+
+    def call(self, method, path, body, within):
+        self.bodies.append([(o["verb"], o.get("cluster", o.get("endpoint", o.get("stamp"))))
+                            for o in json.loads(body)["ops"]])
+        self.busy = True
+
+
+def orders(kit):
+    made = Orders(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), ["look", "buy"])
+    made._client = Calls()
+    made.hold(False)
+    return made
+
+
+def end(made, outcome):
+    made._client.busy = False
+    made.on_answer(200, outcome) if isinstance(outcome, bytes) else made.on_broken("silent")
+
+
+def ordered(made, *tables):
+    for table in tables:
+        made.line(table, 0, 1.0)
+    made.mark(tables[-1], True)
+    made.close_round()
+
+
+@pytest.mark.parametrize("outcome", [None, b"{", b"[]", b"\xff\x00", b'{"ok_count":true}', b'{"ok_count":9}', b'{"ok_count":-1}', b'{"error":"limit"}'])
+def test_a_call_of_unknown_outcome_is_sent_again_whole_before_anything_newer(kit, outcome):
+    made = orders(kit)
+    ordered(made, 1, 2)
+    ordered(made, 3)
+    end(made, outcome)
+    assert len(made._client.bodies) == 1  # not at once: no spin
+    until(kit.loop, lambda: len(made._client.bodies) == 2)
+    end(made, b'{"ok_count":3}')
+    first = [("put", 1), ("put", 2), ("fence", 2)]
+    assert made._client.bodies == [first, first, [("put", 3), ("fence", 3)]]
+
+
+@pytest.mark.parametrize("taken, left", [(0, [("put", 2), ("fence", 2)]), (1, [("fence", 2)]), (2, [("put", 3), ("fence", 3)])])
+def test_only_the_order_that_failed_is_dropped(kit, taken, left):
+    made = orders(kit)
+    ordered(made, 1, 2)
+    ordered(made, 3)
+    end(made, b'{"ok_count":%d}' % taken)
+    assert made._client.bodies[-1] == left and kit.counters.counts["orders_dropped"] == 1
+
+
+def test_a_call_that_the_relay_can_never_read_does_not_stop_the_queue(kit):
+    made = orders(kit)
+    ordered(made, 1)
+    ordered(made, 2)
+    for number in range(1, 6):
+        until(kit.loop, lambda: len(made._client.bodies) == number)
+        end(made, b'{"error":"malformed"}')
+    assert made._client.bodies[-1] == [("put", 2), ("fence", 2)]
+
+
+def test_every_order_has_its_words_and_a_long_round_is_several_calls(kit):
+    made = orders(kit)
+    made.clear(4)
+    made.take_out(1, True)
+    made.take_out(1, False)
+    made.level(-1, 0, 1.0, 1)
+    made.level(4, 2, 0.5, 1)
+    made.close_round()
+    assert [json.loads(order[0]) for order in made._queue[0]] == [
+        {"verb": "wipe", "cluster": 4}, {"verb": "eject", "endpoint": "s-2"}, {"verb": "uneject", "endpoint": "s-2"}, {"verb": "gate", "cluster": "*", "gate": 1.0, "again": 1},
+        {"verb": "gate", "cluster": 4, "gate": 0.5, "again": 1, "for": ["buy"]}]
+    ordered(made, *range(2500))
+    sizes = [sum(len(order[0]) + 1 for order in call) + 10 for call in made._queue]
+    assert len(sizes) > 3 and max(sizes) <= 60_000
+    ordered(made, *range(2500))
+    assert made.full()
+
+
+def test_orders_wait_while_the_news_is_away_and_go_with_a_slice_that_is_lost(kit):
+    made = orders(kit)
+    made.hold(True)
+    made.given(1)
+    ordered(made, 1, 2)
+    made.taken_back(1)
+    assert not made._client.bodies
+    made.hold(False)
+    assert made._client.bodies == [[("put", 2), ("fence", 2)]]
+
+
+@pytest.mark.parametrize("lines, agrees", [({}, True), ({0: 1.0}, True), ({1: 1.0}, False), ({0: 1.0, 1: 1.0}, False)])
+def test_what_the_store_tells_is_held_against_what_was_ordered(kit, lines, agrees):
+    made = orders(kit)
+    made.given(1)
+    ordered(made, 1)  # may have been carried out, or not
+    assert made.agrees(1, lines) is agrees
+
+
+# News
+
+def relayed(kit, *known):
+    relay = Party(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
+    made = orders(kit)
+    told = News(kit.loop, kit.pool, kit.counters, relay.at, names(), 9, 9, made, kit.events.append)
+    until(kit.loop, lambda: kit.counters.counts["news_started"])
+    relay.visitors[-1].tell(*known, {})
+    until(kit.loop, lambda: told._picture is None)
+    return relay, told, made
+
+
+STANDING = (attach(1), attach(2), news("owner", shard=3, set=True), news("entry", shard=3, endpoint="s-1", w=1.0),
+            news("owner", shard=4, set=True), news("entry", shard=4, endpoint="s-1", w=1.0))
+
+
+def again(kit, relay, *lines):
+    kit.events.clear()
+    relay.visitors[-1].connection.close("broken off")
+    until(kit.loop, lambda: kit.counters.counts["news_started"] == 2)
+    relay.visitors[-1].tell(*lines)
+
+
+def test_news_become_events_and_nobody_writes_there(kit):
+    relay, told, _ = relayed(kit, *STANDING)
+    asked = relay.visitors[-1].bytes_in
+    for line in (b"{\n", b"[]\n", b'{"type":"moon","object":{}}\n', news("attach", node=99, locality="a", w=1, cold=True),
+                 news("entry", shard=8, endpoint="s-1", w=1.0), news("done", node=1, nonce=7, latency=2.5),
+                 news("done", node=1, nonce=7, latency=9.5), news("owner", shard=3, set=False), news("detach", node=2)):
+        relay.visitors[-1].tell(line)
+    until(kit.loop, lambda: kit.events[-1:] == [("left", 2)])
+    assert kit.events == [
+        ("joined", 1, 0, 2.0, True), ("joined", 2, 0, 2.0, True), ("tenure", 3, True), ("line", 3, 0, 1.0),
+        ("tenure", 4, True), ("line", 4, 0, 1.0), ("applied", 1, 7, 2_500_000), ("tenure", 3, False), ("left", 2)]
+    assert kit.counters.counts["news_skipped"] == 5 and relay.visitors[-1].bytes_in == asked
+    told.close()
+    relay.close()
+
+
+@pytest.mark.parametrize("end", [{}, None])
+def test_after_a_break_only_what_changed_is_told(kit, end):
+    """Also where no sign of life ends what stands: it is over when the burst is."""
+    relay, told, made = relayed(kit, *STANDING)
+    again(kit, relay, attach(1), attach(5), *STANDING[2:4], *([end] if end is not None else []))
+    until(kit.loop, lambda: told._picture is None)
+    assert kit.events == [("joined", 5, 0, 2.0, True), ("left", 2), ("tenure", 4, False), ("joined", 1, 0, 2.0, False)]
+    told.close()
+    relay.close()
+
+
+def test_a_slice_that_passed_through_other_hands_is_taken_up_anew(kit):
+    relay, told, made = relayed(kit, *STANDING)
+    made.hold(True)
+    ordered(made, 3, 4)
+    again(kit, relay, *STANDING[:3], news("entry", shard=3, endpoint="s-2", w=1.0), *STANDING[4:], {})
+    until(kit.loop, lambda: told._picture is None)
+    assert kit.events[:3] == [("tenure", 3, False), ("tenure", 3, True), ("line", 3, 1, 1.0)]
+    assert made._client.bodies == [[("put", 4), ("fence", 4)]]
+    told.close()
+    relay.close()
+
+
+@pytest.mark.parametrize("answered, asked", [([1, 2], []), ([1], [[("fence", 6)]])])
+def test_answers_lost_with_the_news_are_asked_for_again(kit, answered, asked):
+    relay, told, made = relayed(kit, *STANDING)
+    ordered(made, 6)
+    end(made, b'{"ok_count":2}')
+    relay.visitors[-1].tell(*(news("done", node=proxy, nonce=6, latency=1.0) for proxy in answered))
+    until(kit.loop, lambda: [event[0] for event in kit.events].count("applied") == len(answered))
+    again(kit, relay, *STANDING, {})
+    until(kit.loop, lambda: told._picture is None)
+    assert made._client.bodies[1:] == asked
+    told.close()
+    relay.close()
+
+
+def test_a_stream_that_falls_silent_is_dialled_again(kit, monkeypatch):
+    monkeypatch.setattr("kestrelplank.net.news.SILENCE", 50 * MS)
+    relay, told, _ = relayed(kit, *STANDING)
+    until(kit.loop, lambda: len(relay.visitors) > 1)
+    assert kit.counters.counts["news_broken"] >= 1 and not any(event[0] == "left" for event in kit.events)
+    told.close()
+    relay.close()
+
+
+# Discovery
+
+def discovering(kit, watch, known=None):
+    """`watch` holds what each watch in turn is told; asked for the whole list, the agent has version 5."""
+    def answer(visitor, path, body):
+        if "follow" in path:
+            visitor.begin()
+            visitor.tell(*watch.pop(0) if watch else ())
+        else:
+            visitor.reply(node_list(5, instance("s-1"), reset=True))
+    agent = Party(kit, answer)
+    made = Discovery(kit.loop, kit.pool, kit.counters, agent.at, names(), kit.events.append)
+    made.start(known)
+    return agent, made
+
+
+def test_the_watch_goes_on_from_the_newest_list(kit):
+    started = instance("s-2", "terminating", 1000.5)
+    agent, made = discovering(kit, [[node_list(5, started), b"\n", b"{]\n"]],
+                              node_list(4, instance("s-1"), {"instanceId": 7}, instance("s-1", "asleep"), reset=True))
+    until(kit.loop, lambda: kit.counters.counts["lists_skipped"])
+    watched = next(path for _, path, _ in agent.requests if "follow" in path)
+    assert watched == "/v1/endpoints?follow=1&since=4" and kit.counters.counts["entries_skipped"] == 2
+    boot = kit.loop.from_unix_ms(1000.5)
+    assert kit.events == [("roster", "cached", [(0, "up", 0, 1, 1.0, None)]),
+                          ("roster", "delta", [(1, "draining", 0, 1, 1.0, boot)])]
+    made.fetch()
+    until(kit.loop, lambda: kit.events[-1] == ("roster", "full", [(0, "up", 0, 1, 1.0, None)]))
+    made.close()
+    agent.close()
+
+
+def test_a_watch_that_lies_behind_what_the_agent_has_is_replaced(kit):
+    """It counts as told what the agent wrote to a connection that has silently died."""
+    agent, made = discovering(kit, [[node_list(4, reset=True)], [node_list(5, instance("s-1", "terminating"))]])
+    until(kit.loop, lambda: kit.events[-1:] == [("roster", "delta", [(0, "draining", 0, 1, 1.0, None)])])
+    assert kit.counters.counts["watches_behind"] == 1
+    made.close()
+    agent.close()
+
+
+def test_a_list_that_does_not_come_is_told_as_failed(kit):
+    agent = Party(kit)
+    made = Discovery(kit.loop, kit.pool, kit.counters, agent.at, names(), kit.events.append)
+    made.fetch()
+    until(kit.loop, lambda: kit.events == [("roster", "failed", [])])
+    made.close()
+    agent.close()
+
+
+# Probes and peers
+
+@pytest.mark.parametrize("status, body, verdict, load", [
+    (200, b"inflight=7,util=0.5,moon=2", "ok", {"inflight": 7.0, "util": 0.5}), (503, b"", "full", {}),
+    (200, b"util=much", "ok", {}), (404, b"", "failed", {}), (None, b"", "broken", {})])
+def test_a_probe_tells_what_the_node_answered(kit, status, body, verdict, load):
+    node = Party(kit, lambda visitor, path, _: visitor.reply(body, status) if status else
+                 visitor.connection.close("broken off"))
+    probes = Probes(kit.loop, kit.pool, kit.counters, {0: node.at}, True, 250 * MS, True, kit.events.append)
+    probes.probe(0)
+    until(kit.loop, lambda: kit.events)
+    assert kit.events[0][:3] == ("probed", 0, verdict) and kit.events[0][4] == load
+    probes.probe(0)
+    until(kit.loop, lambda: len(kit.events) == 2)
+    assert len(node.visitors) == (1 if status else 2) and node.requests[0][1] == "/status/load"
+    probes.probe(1)
+    assert kit.counters.counts["probes_not_sent"] == 1
+    probes.close()
+    node.close()
+
+
+def test_datagrams_go_to_one_peer_or_to_all_and_strangers_are_not_heard(kit):
+    others = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    for sock in others:
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(5)
+    at = ["%s:%d" % sock.getsockname() for sock in others]
+    peers = Peers(kit.loop, kit.counters, "127.0.0.1:0", at[:2], at[2], kit.events.append)
+    peers.tell(1, b"one")
+    peers.tell(None, b"all")
+    peers.tell(7, b"nobody")
+    peers.tell(0, b"x" * 257)
+    assert others[1].recv(300) == b"one" and others[2].recv(300) == b"all"
+    others[2].sendto(b"stranger", peers._sock.getsockname())
+    others[0].sendto(b"x" * 257, peers._sock.getsockname())
+    others[1].sendto(b"peer", peers._sock.getsockname())
+    until(kit.loop, lambda: kit.events)
+    assert kit.events == [("peer", 1, b"peer")] and kit.counters.counts["datagrams_skipped"] == 2
+    peers.close()
+    for sock in others:
+        sock.close()
+
+
+# The conductor
+
+class Rounds:
+    def __init__(self):
+        self.held = []
+
+    def round(self, now, events, out):
+        self.held.append(events)
+        out.line(0, 0, 1.0)
+
+
+def test_a_round_gathers_what_came_and_waits_while_orders_pile_up(kit):
+    made = orders(kit)
+    conductor = Conductor(kit.loop, kit.counters, 5 * MS, made, Discovery(
+        kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), kit.events.append), Probes(
+        kit.loop, kit.pool, kit.counters, {}, False, MS, False, kit.events.append), None)
+    conductor._policy = Rounds()
+    for number in range(9):
+        conductor.on_event(("left", number))
+    until(kit.loop, lambda: conductor._policy.held)
+    assert [len(events) for events in conductor._policy.held] == [9] and made._client.bodies == [[("put", 0)]]
+    made._waiting += 1 << 20
+    conductor.on_event(("left", 1))
+    until(kit.loop, lambda: kit.counters.counts["rounds_held_up"])
+    assert len(conductor._policy.held) == 1
+    made._waiting -= 1 << 20
+    until(kit.loop, lambda: len(conductor._policy.held) == 2)
