--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -105,10 +105,14 @@
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders,
                 on_event)
-    front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
+    try:
+        front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
+    except OSError as err:
+        print(f"kestrelplank: can't listen at {config['listen']}: {err.strerror}", file=sys.stderr)
+        return 1
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
                              signal.SIGUSR1: counters.report})
-    counters.info("started", listen=config["listen"])
+    counters.info("started", listen="%s:%d" % front.at)
     gc.freeze()  # what start-up made stays, and need not be looked through again
     loop.run()
     for part in (front, news, orders, discovery, probes, peers, signals, loop):
--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -5,7 +5,8 @@
 configuration.
 """
 
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 NS_PER_MS = 1_000_000
 MOST_NAMES = 65_536  # of nodes or zones held: against a party that never names the same one twice
--- a/kestrelplank/net/loop.py
+++ b/kestrelplank/net/loop.py
@@ -7,10 +7,11 @@
 from socket import socket
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+FEW = 128  # timers that are held without looking whether they are still wanted
 
 
 class Timer:
-    """One call at a time to come; cancelled, it is forgotten when it falls due."""
+    """One call at a time to come; cancelled, it is forgotten when it falls due, or when many are."""
 
     __slots__ = ("due", "callback")
 
@@ -26,6 +27,7 @@
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[int, int, Timer]] = []
         self._given, self._running, self._on_defect = 0, False, on_defect
+        self._sweep_at = FEW
         # Unix time is read once, so that a clock that is set while we run shifts nothing we were told.
         self._unix = time.time_ns() - time.monotonic_ns()
 
@@ -36,6 +38,10 @@
         return round(at * 1_000_000) - self._unix
 
     def at(self, due: int, callback: Callable[[], None]) -> Timer:
+        if len(self._timers) >= self._sweep_at:  # against deadlines that are set and met faster than they fall due
+            self._timers = [entry for entry in self._timers if entry[2].callback is not None]
+            heapq.heapify(self._timers)
+            self._sweep_at = max(FEW, 2 * len(self._timers))
         timer = Timer(due, callback)
         self._given += 1
         heapq.heappush(self._timers, (due, self._given, timer))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -241,7 +241,7 @@
     ordered(made, 1)
     ordered(made, 2)
     for number in range(1, 6):
-        until(kit.loop, lambda: len(made._client.bodies) == number)
+        until(kit.loop, lambda number=number: len(made._client.bodies) == number)
         end(made, b'{"error":"malformed"}')
     assert made._client.bodies[-1] == [("put", 2), ("fence", 2)]
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,197 @@
+import gc
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tracemalloc
+from random import Random
+
+import pytest
+from parties import MS, Kit, Party, attach, instance, news, node_list, until
+from test_net import names, orders
+
+from kestrelplank.net import resp
+from kestrelplank.net.discovery import Discovery
+from kestrelplank.net.front import Front
+from kestrelplank.net.news import News
+
+SETTINGS = {
+    "Areas": ["a"], "Categories": [{"Name": "look", "Target": 750.0, "Effect": "pure", "Importance": 1.0}],
+    "Specifics": {"Shards": 4, "DataPlaneSize": 3, "MostWaiting": 9000.0, "EgressPerS": 6000.0, "Envelope": 8.0,
+                  "ReportEvery": 1000.0, "BaseMode": 1}, "Rules": {"StopSendingWithin": 1500.0}, "Tick": 4.0}
+STANDING = [attach(1, False), news("owner", shard=2, set=True), news("entry", shard=2, endpoint="s-1", w=1.0), {}]
+
+
+@pytest.fixture
+def kit():
+    made = Kit()
+    yield made
+    made.loop.close()
+
+
+class Program:
+    """The real program; what it writes is read until its listening address stands there."""
+
+    def __init__(self, path, **config):
+        config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": SETTINGS, **config}
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen([sys.executable, "-m", "kestrelplank"], stderr=subprocess.PIPE,
+                                        env=os.environ | {"NODE_CONFIG": str(path)}, text=True)
+        line = ""
+        while "event=started" not in line:
+            line = self.process.stderr.readline()
+            assert line, "the program ended before it listened"
+        host, port = line.split("listen=")[1].split()[0].split(":")
+        self.collector = socket.create_connection((host, int(port)), timeout=20)
+
+    def hb(self):
+        self.collector.sendall(resp.encode(b"hb"))
+        return self.collector.recv(100)
+
+    def end(self, number):
+        self.process.send_signal(number)
+        said = self.process.communicate(timeout=20)[1]
+        self.collector.close()
+        return self.process.returncode, said
+
+
+def closed_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return "127.0.0.1:%d" % server.getsockname()[1]
+
+
+@pytest.mark.parametrize("change, says", [
+    (None, "NODE_CONFIG is not set"), ("gone", "can't be read"), ("{", "is not JSON"), ("[]", "expected an object"),
+    ({"listen": None}, "field listen"), ({"discovery": "here"}, "field discovery"), ({"hub": {}}, "field hub"),
+    ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
+    ({"settings": {"Tick": "soon"}}, "settings.Tick")])
+def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path, change, says):
+    good = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "hub": {"address": "127.0.0.1:1"}, "seed": "1f",
+            "settings": SETTINGS}
+    path = tmp_path / "config.json"
+    if change != "gone" and change is not None:
+        path.write_text(change if isinstance(change, str) else json.dumps(good | change))
+    env = os.environ | {"NODE_CONFIG": "" if change is None else str(path)}
+    done = subprocess.run([sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True,
+                          timeout=20, check=False)
+    assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_without_relay_and_discovery_it_answers_all_the_same(tmp_path):
+    program = Program(tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()})
+    assert program.hb() == b"*1\r\n$5\r\nhb_ok\r\n"
+    code, said = program.end(signal.SIGTERM)
+    assert code == 0 and "event=counters" in said and "hb_answered=1" in said
+
+
+def test_a_drain_reaches_the_relay_whatever_the_relay_does_and_after_a_kill(kit, tmp_path):
+    lost = []
+
+    def relay_does(visitor, path, body):
+        if path == "/api/stream":
+            visitor.begin()
+            visitor.tell(*STANDING)
+        elif len(lost) < 3:  # silent, broken off, unreadable
+            lost.append(body)
+            [lambda: None, lambda: visitor.connection.close("broken off"), lambda: visitor.reply(b"\xff{")][len(lost) - 1]()
+        else:
+            calls.append(json.loads(body)["ops"])
+            visitor.reply({"ok_count": len(calls[-1])})
+
+    def agent_does(visitor, path, body):
+        if "follow" in path:
+            visitor.begin()
+            visitor.tell(node_list(2, instance("s-1", "terminating")))
+            watches.append(visitor)
+
+    calls, watches = [], []
+    relay, agent = Party(kit, relay_does), Party(kit, agent_does)
+    known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
+    for number in (signal.SIGKILL, signal.SIGTERM):
+        program = Program(tmp_path / "c.json", discovery=agent.at, hub={"address": relay.at}, known=known)
+        calls.clear()
+        until(kit.loop, lambda: any(order["verb"] == "eject" for call in calls for order in call))
+        orders = [order for call in calls for order in call]
+        assert {"verb": "put", "cluster": 2, "endpoint": "s-2", "w": 1.0} in orders
+        assert {"verb": "eject", "endpoint": "s-1"} in orders
+        program.process.send_signal(signal.SIGUSR1)
+        until(kit.loop, lambda read=program.process.stderr.readline: "event=counters" in read())
+        code, _ = program.end(number)
+        assert code == (0 if number == signal.SIGTERM else -signal.SIGKILL)
+    assert len(lost) == 3 and lost[0] == lost[1] == lost[2]
+    relay.close()
+    agent.close()
+
+
+def cycles(kit, front, relay, number):
+    """So many callers that come and go in every way, and as many breaks of the news."""
+    for turn in range(number):
+        sock = socket.create_connection(front.at)
+        sock.send([b"", b"*2\r\n$1000\r\nx", b"junk\r\n\r\n", resp.encode(b"hb")][turn % 4])
+        before = kit.counters.counts["news_started"]
+        relay.visitors[-1].connection.close("broken off")
+        del relay.visitors[:-1], relay.requests[:]
+        until(kit.loop, lambda before=before: kit.counters.counts["news_started"] > before)
+        relay.visitors[-1].tell(*STANDING)
+        sock.close()
+        until(kit.loop, lambda: not front._callers)
+    kit.events.clear()
+    end = kit.loop.now() + 300 * MS  # the longest deadline of a dial: its timer leaves the heap by then
+    until(kit.loop, lambda: kit.loop.now() > end)
+    gc.collect()
+    wanted = sum(timer.callback is not None for due, _, timer in kit.loop._timers if due > end + 50 * MS)
+    return len(os.listdir("/proc/self/fd")), wanted, kit.pool.out
+
+
+def test_deadlines_that_are_met_do_not_fill_the_heap(kit):
+    for _ in range(10_000):
+        kit.loop.at(kit.loop.now() + 10_000 * MS, kit.events.clear).cancel()
+    assert len(kit.loop._timers) <= 128
+
+
+def test_connects_and_breaks_leave_nothing_behind(kit):
+    relay = Party(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
+    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    told = News(kit.loop, kit.pool, kit.counters, relay.at, names(), 9, 9, orders(kit), kit.events.append)
+    until(kit.loop, lambda: relay.requests)
+    before = cycles(kit, front, relay, 8)
+    tracemalloc.start()
+    cycles(kit, front, relay, 8)
+    held = tracemalloc.get_traced_memory()[0]
+    after = cycles(kit, front, relay, 60)
+    grown = tracemalloc.get_traced_memory()[0] - held
+    tracemalloc.stop()
+    # Of the timers, those of the news and of the front stay; all others were met or given up.
+    assert after[0] == before[0] and after[1] <= 4 and after[2] == 0 and grown < 50_000
+    front.close()
+    told.close()
+    relay.close()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_bytes_of_any_party_raise_anything(kit, seed):
+    random, front = Random(seed), Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    dead = closed_port()
+    told = News(kit.loop, kit.pool, kit.counters, dead, names(), 9, 9, orders(kit), kit.events.append)
+    told.start()
+    listed = Discovery(kit.loop, kit.pool, kit.counters, dead, names(), kit.events.append)
+    listed.start(None)
+    values = [None, True, -1, 0, 1, 2.5, 1e400, 10**30, "s-1", "a", "", [], {}, [{}], "x" * 99, float("nan")]
+    fields = ["node", "locality", "w", "cold", "nonce", "latency", "shard", "set", "endpoint", "instanceId", "zone", "cell", "lifecycle", "weight", "startedAtMs"]
+    for _ in range(400):
+        thing = {field: random.choice(values) for field in random.sample(fields, 9)}
+        thing = json.dumps(random.choice([
+            {"type": random.choice(["attach", "detach", "done", "owner", "entry", None, 5]), "object": thing},
+            {"generation": random.choice(values), "reset": random.choice(values), "instances": [thing]}, thing, [thing]])).encode()
+        if random.random() < 0.3:
+            thing = thing[:random.randrange(len(thing))] + random.randbytes(2)
+        told.take(thing)
+        listed._line(thing)
+        listed.on_answer(200, thing)
+        front.take([random.choice([b"upstream_stats", b"range_stats", b"hb", b"\xff"]),
+                    *(random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"]) for _ in range(8))])
+    assert kit.counters.counts["news_skipped"] > 100 and kit.counters.counts["reports_skipped"] > 100
+    for part in (front, told, listed):
+        part.close()
