Deadlines wait for what came during a stall; a log nobody reads holds nothing up

A process that is stopped and resumed gets an empty answer from the selector though something came (an interrupted wait is cut short when its time is over), so deadlines fell on answers that had arrived: loop.py turn asks again before timers are called. A proxy that attaches twice has left in between. Peers' addresses are checked with the configuration.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -39,9 +39,11 @@
     if not isinstance(found, dict):
         raise Malformed(f"{path}: expected an object")
     found["hub"] = found["hub"].get("address") if isinstance(found.get("hub"), dict) else None
-    for name in ("listen", "discovery", "hub"):
+    peers = [found.get("peer_listen"), *(found.get("peers") or ()), found.get("peers_all")]
+    needed = [(name, found.get(name)) for name in ("listen", "discovery", "hub")]
+    for name, value in needed + [("peers", peer) for peer in peers if peer is not None]:
         try:
-            address(text(found.get(name)))
+            address(text(value))
         except ValueError as err:
             raise Malformed(f"{path}, field {name}: {err}") from None
     if "settings" not in found:
@@ -96,20 +98,19 @@
     discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_event)
     probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
                     found["load_by"] != "none", on_event)
-    peers = None
-    if found["may_tell"] and config.get("peer_listen"):
-        peers = Peers(loop, counters, config["peer_listen"], config.get("peers") or [],
-                      config.get("peers_all") or "", on_event)
-    conductor = Conductor(loop, counters, found["tick"], orders, discovery, probes, peers)
-    conductor.start(config["seed"], found)
-    discovery.start(config.get("known"))
-    news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders,
-                on_event)
     try:
         front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
+        peers = None
+        if found["may_tell"] and config.get("peer_listen"):
+            peers = Peers(loop, counters, config["peer_listen"], config.get("peers") or [],
+                          config.get("peers_all") or "", on_event)
     except OSError as err:
-        print(f"kestrelplank: can't listen at {config['listen']}: {err.strerror}", file=sys.stderr)
+        print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
+    conductor = Conductor(loop, counters, found["tick"], orders, discovery, probes, peers)
+    conductor.start(config["seed"], found)
+    discovery.start(config.get("known"))
+    news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
                              signal.SIGUSR1: counters.report})
     counters.info("started", listen="%s:%d" % front.at)
--- a/kestrelplank/net/counters.py
+++ b/kestrelplank/net/counters.py
@@ -1,6 +1,7 @@
 """Counts of what is taken in, sent and answered, and a log that one party's trouble can't flood."""
 
-import sys
+import os
+import select
 from collections import Counter
 from collections.abc import Callable
 
@@ -10,12 +11,30 @@
 MOST_LINES = 5  # of one kind in a span; the rest is only counted
 
 
+class Output:
+    """Standard error for a program that must neither wait for whoever reads its log nor end with it: a line
+    that can't be written at once is lost."""
+
+    def __init__(self, fd: int) -> None:
+        self._fd = fd
+
+    def write(self, text: str) -> None:
+        try:
+            if select.select((), (self._fd,), (), 0)[1]:
+                os.write(self._fd, text.encode()[:select.PIPE_BUF])
+        except OSError:
+            pass
+
+    def flush(self) -> None:
+        """Nothing is held back."""
+
+
 def logger(name: str) -> structlog.BoundLogger:
     structlog.configure(
         processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.add_log_level,
                     structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
         wrapper_class=structlog.make_filtering_bound_logger(20),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+        logger_factory=structlog.WriteLoggerFactory(Output(2)))
     return structlog.get_logger(conductor=name)
 
 
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -73,7 +73,7 @@
                 return
             if newest > self._version:
                 self._counters.add("watches_behind")
-                self._stream.again("lies behind")
+                self._stream.drop("lies behind")
 
     def on_broken(self, why: str) -> None:
         self._counters.trouble("lists_broken", why)
--- a/kestrelplank/net/loop.py
+++ b/kestrelplank/net/loop.py
@@ -66,19 +66,23 @@
 
     def turn(self) -> None:
         """One pass. What has arrived is read before any deadline is held against it: after a stall of ours an
-        answer that came in time must not count as missing."""
+        answer that came in time must not count as missing. So the selector is asked again before timers are
+        called; stopped and resumed while it waits, it says that nothing came."""
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
-        wait = max(0, self._timers[0][0] - self.now()) / 1e9 if self._timers else None
-        ready = self._selector.select(wait)
+        self._read(max(0, self._timers[0][0] - self.now()) / 1e9 if self._timers else None)
         now = self.now()
-        for key, events in ready:
-            self._call(key.data, events)  # whoever was closed earlier in this pass ignores it
+        if self._timers and self._timers[0][0] <= now:
+            self._read(0)
         while self._timers and self._timers[0][0] <= now:
             callback = heapq.heappop(self._timers)[2].callback
             if callback is not None:
                 self._call(callback)
 
+    def _read(self, wait: float | None) -> None:
+        for key, events in self._selector.select(wait):
+            self._call(key.data, events)  # whoever was closed earlier in this pass ignores it
+
     def _call(self, callback: Callable, *arguments: int) -> None:
         # Against a defect of our own: one message that trips it must not take the conductor down.
         try:
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -154,6 +154,8 @@
                 return
             if picture:
                 picture.proxies[proxy] = ()
+            elif proxy in self._joined:  # its earlier stream has ended, with all that was on its way there
+                self._tell("left", proxy)
             self._joined[proxy] = -1
             self._tell("joined", proxy, zone, rate, fresh)
         elif kind == "detach":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,6 +11,7 @@
 from kestrelplank.net.connection import Connection, Listener
 from kestrelplank.net.discovery import Discovery
 from kestrelplank.net.front import Front, report
+from kestrelplank.net.http import Client
 from kestrelplank.net.news import News
 from kestrelplank.net.orders import Orders
 from kestrelplank.net.peers import Peers
@@ -181,6 +182,59 @@
     theirs.close()
 
 
+# HTTP
+
+class Asker:
+    def __init__(self):
+        self.outcomes = []
+
+    def on_answer(self, status, body):
+        self.outcomes.append((status, body))
+
+    def on_broken(self, why):
+        self.outcomes.append(why.split(":")[0])
+
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
+
+
+@pytest.mark.parametrize("answer, outcome, kept", [
+    (GOOD, (200, b"yes"), True),
+    (b"HTTP/1.1 503 no\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", (503, b"no"), True),
+    (GOOD.replace(b"\r\n\r", b"\r\nConnection: close\r\n\r"), (200, b"yes"), False),
+    (b"RELAY 9\r\n\r\n", "unreadable", False), (b"\x00\xff\x00", "unreadable", False),
+    (b"HTTP/1.1 200 OK\r\n" + b"X" * 40_000, "too large", False),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b"x" * 900, "too large", False),
+    (GOOD[:-1], "silent", False), (b"", "silent", False), (None, "ended", False)])
+@pytest.mark.parametrize("piece", [1, 100_000])
+def test_a_call_ends_in_one_outcome_however_the_answer_comes(kit, answer, outcome, kept, piece):
+    def does(visitor, path, body):
+        if answer is None:
+            visitor.connection.close("broken off")
+        for at in range(0, len(answer or b""), piece):
+            visitor.connection.write(answer[at:at + piece])
+    party, asker = Party(kit, does), Asker()
+    client = Client(kit.loop, kit.pool, party.at, asker, 250 * MS, 500)
+    for number in (1, 2):
+        client.call("GET", "/", b"", 100 * MS)
+        until(kit.loop, lambda number=number: len(asker.outcomes) == number)
+    assert asker.outcomes == [outcome] * 2 and len(party.visitors) == (1 if kept else 2)
+    client.close()
+    party.close()
+
+
+def test_a_connection_that_never_comes_up_is_given_up(kit):
+    with socket.socket() as full:  # takes one connection that nobody accepts, and leaves the next unanswered
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        first, asker = socket.create_connection(full.getsockname()), Asker()
+        client = Client(kit.loop, kit.pool, "%s:%d" % full.getsockname(), asker, 100 * MS, 500)
+        client.call("GET", "/", b"", 5000 * MS)
+        until(kit.loop, lambda: asker.outcomes)
+        assert asker.outcomes == ["does not come up"]
+        first.close()
+
+
 # Orders
 
 class Calls:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,6 +13,7 @@
 from test_net import names, orders
 
 from kestrelplank.net import resp
+from kestrelplank.net.counters import Output
 from kestrelplank.net.discovery import Discovery
 from kestrelplank.net.front import Front
 from kestrelplank.net.news import News
@@ -65,7 +66,7 @@
 @pytest.mark.parametrize("change, says", [
     (None, "NODE_CONFIG is not set"), ("gone", "can't be read"), ("{", "is not JSON"), ("[]", "expected an object"),
     ({"listen": None}, "field listen"), ({"discovery": "here"}, "field discovery"), ({"hub": {}}, "field hub"),
-    ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
+    ({"peers": ["there"]}, "field peers"), ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
     ({"settings": {"Tick": "soon"}}, "settings.Tick")])
 def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path, change, says):
     good = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "hub": {"address": "127.0.0.1:1"}, "seed": "1f",
@@ -195,3 +196,30 @@
     assert kit.counters.counts["news_skipped"] > 100 and kit.counters.counts["reports_skipped"] > 100
     for part in (front, told, listed):
         part.close()
+
+
+@pytest.mark.parametrize("says_nothing", [0, 1])
+def test_what_came_during_a_stall_is_read_before_deadlines_are_held_against_it(kit, monkeypatch, says_nothing):
+    """Stopped and resumed, the selector's wait returns nothing though something came."""
+    ours, theirs = socket.socketpair()
+    kit.loop.watch(ours, 1, lambda events: kit.events.append(ours.recv(9)))
+    kit.loop.at(kit.loop.now(), lambda: kit.events.append("deadline"))
+    theirs.send(b"answer")
+    select, waits = kit.loop._selector.select, []
+    monkeypatch.setattr(kit.loop._selector, "select",
+                        lambda wait: waits.append(wait) or ([] if len(waits) <= says_nothing else select(wait)))
+    kit.loop.turn()
+    assert kit.events == [b"answer", "deadline"]
+    ours.close()
+    theirs.close()
+
+
+def test_a_log_that_nobody_reads_or_that_is_gone_holds_nothing_up():
+    read, write = os.pipe()
+    out = Output(write)
+    for _ in range(3000):
+        out.write("x" * 99 + "\n")
+    os.close(read)
+    out.write("gone\n")
+    os.close(write)
+    out.write("closed\n")
