--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# What the program needs is built into .venv, as deploy/balancer.toml does it; tests and lint have .venv-dev.
+PYTHON ?= python3
+CONFIG ?= deploy/example-config.json
+
+.PHONY: build test lint run
+
+build:
+	cmp -s requirements.txt .venv/built-from || ($(PYTHON) -m venv .venv && \
+	  .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built-from)
+
+.venv-dev/built-from: requirements.txt pyproject.toml
+	$(PYTHON) -m venv .venv-dev
+	.venv-dev/bin/pip -q install -r requirements.txt -e '.[test,lint]'
+	cp requirements.txt $@
+
+test: .venv-dev/built-from
+	.venv-dev/bin/python -m pytest -q
+
+lint: .venv-dev/built-from
+	.venv-dev/bin/ruff check .
+
+run: build
+	NODE_CONFIG=$(CONFIG) exec .venv/bin/python -m kestrelplank
--- a/kestrelplank/net/front.py
+++ b/kestrelplank/net/front.py
@@ -13,7 +13,7 @@
 LOADS = {"inflight": "inflight", "queue": "queued", "util": "util", "latency_ms": "service_ms",
          "qps": "acked_per_s", "eps": "aborted_per_s"}
 HB, HB_OK = b"hb", resp.encode(b"hb_ok")
-MOST_CALLERS = 256  # connections held: far more than there are zones, far less than there are descriptors
+MOST_CALLERS = 64  # connections held: each may hold a message's bytes, and there are few zones
 MOST_UNREAD = 1 << 16
 SWEEP = 2000 * NS_PER_MS  # how often silent callers are looked for, and how long listening pauses when short
 SILENT, IDLE = 10_000 * NS_PER_MS, 120_000 * NS_PER_MS  # kept without a first message; since the last one
--- a/kestrelplank/net/resp.py
+++ b/kestrelplank/net/resp.py
@@ -5,7 +5,7 @@
 from kestrelplank.decode import Malformed
 
 MOST_BYTES = 1 << 20  # of one message
-LEAST_PART = 6  # bytes of the shortest bulk string: so a count alone cannot make us hold more than a message
+MOST_PARTS = 1024  # of one message: many small parts take far more memory than their bytes
 MOST_DIGITS = 8
 
 
@@ -39,12 +39,12 @@
                 if number is None:
                     break
                 if self._left:
-                    self._bytes += number + LEAST_PART
+                    self._bytes += number
                     if self._bytes > MOST_BYTES:
                         raise Malformed("a message is too large")
                     self._size = number
                     continue
-                if number * LEAST_PART > MOST_BYTES:
+                if number > MOST_PARTS:
                     raise Malformed(f"a message of {number} parts")
                 self._left, self._bytes = number, 0
             if not self._left and self._parts:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n", b"*1\r\n:5\r\n", b"*99999999999\r\n", b"*999999\r\n",
+    b"GET / HTTP/1.1\r\n\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n", b"*1\r\n:5\r\n", b"*99999999999\r\n", b"*1025\r\n",
     b"*1\r\n$1048577\r\n", b"*2\r\n$700000\r\n" + b"x" * 700_000 + b"\r\n$700000\r\n", b"*1\r\n$2\r\nabc\r\n", b"\x00" * 40, b"*1x\r\n", b"*" + b"1" * 30])
 def test_garbage_and_too_much_are_refused_before_anything_is_kept(data):
     with pytest.raises(Malformed):
@@ -119,6 +119,20 @@
     sock.close()
 
 
+def test_of_too_many_callers_strangers_go_first(kit, monkeypatch):
+    monkeypatch.setattr("kestrelplank.net.front.MOST_CALLERS", 2)
+    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    good, stranger = caller(front), caller(front)
+    good.send(resp.encode(b"hb"))
+    until(kit.loop, lambda: heard(good))
+    another = caller(front)
+    until(kit.loop, lambda: heard(stranger) == b"")
+    assert heard(good) is None and len(front._callers) == 2
+    front.close()
+    for sock in (good, stranger, another):
+        sock.close()
+
+
 def test_a_listener_short_of_descriptors_looks_away_and_comes_back(kit, monkeypatch):
     taken, troubles = [], []
     listener = Listener(kit.loop, ("127.0.0.1", 0), taken.append, troubles.append, 20 * MS)
