A slice is given with its lines, also when the bytes come in pieces; addresses are numbers

A name in place of an address would have been looked up, with the whole program waiting; it is refused (connection.py address).

--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -16,7 +16,14 @@
 
 
 def address(text: str) -> tuple[str, int]:
+    """Numbers only: a name would be looked up, and the whole program would wait for it."""
     host, _, port = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        raise ValueError(f"expected an IPv4 address and a port, got {text!r}") from None
+    if not (port.isascii() and port.isdigit() and int(port) < 1 << 16):
+        raise ValueError(f"expected an IPv4 address and a port, got {text!r}")
     return host, int(port)
 
 
@@ -92,15 +99,11 @@
 
     def __init__(self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Owner, most_waiting: int,
                  within: int) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            super().__init__(loop, pool, sock, owner, most_waiting)
-            self._up = False
-            self._deadline = loop.at(loop.now() + within, lambda: self.close("does not come up"))
-            loop.change(sock, WRITE, self._ready)
-            failed = sock.connect_ex(to)
-        except OSError as err:
-            failed = err.errno
+        super().__init__(loop, pool, socket.socket(socket.AF_INET, socket.SOCK_STREAM), owner, most_waiting)
+        self._up = False
+        self._deadline = loop.at(loop.now() + within, lambda: self.close("does not come up"))
+        loop.change(self._sock, WRITE, self._ready)
+        failed = self._sock.connect_ex(to)
         if failed not in (0, errno.EINPROGRESS):
             # Told from the loop, as the owner does not hold this object yet.
             loop.at(loop.now(), lambda: self.close(errno.errorcode.get(failed, str(failed))))
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -22,7 +22,7 @@
 DIAL = 250 * NS_PER_MS
 PAUSES = 10 * NS_PER_MS, 250 * NS_PER_MS
 MOST_LINE = 1 << 20
-QUIET = 150 * NS_PER_MS  # after a line of what stands: nothing marks its end, and it comes in one burst
+QUIET = 150 * NS_PER_MS  # ends what stands, or a slice's lines: nothing else marks it, and they come in one burst
 
 
 class Picture:
@@ -42,15 +42,20 @@
         self._joined: dict[int, int] = {}  # proxy to the last mark it was told to have applied
         self._held: dict[int, bool] = {}  # slices in our charge
         self._picture: Picture | None = None
-        self._timer = None
+        self._giving: list[tuple] = []  # a slice given, and its lines so far
+        self._timer = self._given = None
         self._stream = Stream(loop, pool, to, lambda: PATH, self.take, self.start, self.end, DIAL, SILENCE,
                               PAUSES, MOST_LINE)
 
     def close(self) -> None:
-        if self._timer:
-            self._timer.cancel()
+        self._cancel()
         self._stream.close()
 
+    def _cancel(self) -> None:
+        for timer in (self._timer, self._given):
+            if timer:
+                timer.cancel()
+
     # The stream's callbacks.
 
     def start(self) -> None:
@@ -60,9 +65,9 @@
 
     def end(self, why: str) -> None:
         self._counters.trouble("news_broken", why)
+        self._tell_given()
         self._picture = None
-        if self._timer:
-            self._timer.cancel()
+        self._cancel()
         self._orders.hold(True)
 
     def take(self, line: bytes) -> None:
@@ -72,8 +77,11 @@
             message = msgspec.json.decode(line)
             if not isinstance(message, dict):
                 raise Malformed(f"expected an object, got {line[:60]!r}")
+            kind, fields = message.get("type"), message.get("object")
+            if kind != "entry":
+                self._tell_given()
             if message:
-                self._take(message.get("type"), message.get("object"))
+                self._take(kind, fields)
             else:
                 self._whole()
         except (Malformed, msgspec.DecodeError) as err:
@@ -92,6 +100,7 @@
         picture, self._picture = self._picture, None
         if picture is None:
             return
+        self._tell_given()
         for proxy in [proxy for proxy in self._joined if proxy not in picture.proxies]:
             del self._joined[proxy]
             self._tell("left", proxy)
@@ -104,6 +113,7 @@
                 self._give(number)
                 for node, weight in lines.items():
                     self._line(number, node, weight)
+                self._tell_given()
         known = [event for event in picture.proxies.values() if event]
         for event in known:
             # It may have lost its stream and dialled again while we heard nothing, and have missed orders that
@@ -119,9 +129,19 @@
         self._on_event((word, *fields))
 
     def _give(self, number: int) -> None:
+        """Told when its lines have come: bytes may come in pieces, and the module would find lines for a slice
+        that looks bare."""
         self._held[number] = True
         self._orders.given(number)
-        self._tell("tenure", number, True)
+        self._giving = [("tenure", number, True)]
+        self._given = self._loop.at(self._loop.now() + QUIET, self._tell_given)
+
+    def _tell_given(self) -> None:
+        if self._giving:
+            self._given.cancel()
+            giving, self._giving = self._giving, []
+            for event in giving:
+                self._tell(*event)
 
     def _take_back(self, number: int) -> None:
         self._held.pop(number, None)
@@ -130,7 +150,10 @@
 
     def _line(self, number: int, node: int, weight: float) -> None:
         self._orders.stands(number, node, weight)
-        self._tell("line", number, node, weight)
+        if self._giving and self._giving[0][1] == number:
+            self._giving.append(("line", number, node, weight))
+        else:
+            self._tell("line", number, node, weight)
 
     def _below(self, value: Any, most: int) -> int:
         if whole(value) >= most:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -390,6 +390,23 @@
     relay.close()
 
 
+@pytest.mark.parametrize("after", [None, news("entry", shard=3, endpoint="s-1", w=1.0), news("owner", shard=4, set=True)])
+def test_a_slice_is_given_with_its_lines_however_late_they_come(kit, after):
+    """Also where nothing follows: then it is bare."""
+    relay, told, _ = relayed(kit)
+    relay.visitors[-1].tell(news("owner", shard=3, set=True))
+    until(kit.loop, lambda: told._giving)
+    for _ in range(5):
+        kit.loop.at(kit.loop.now() + MS, lambda: None)
+        kit.loop.turn()
+    assert not kit.events
+    relay.visitors[-1].tell(*[after] if after else [])
+    until(kit.loop, lambda: kit.events and not (after and after["type"] == "entry" and told._giving))
+    assert kit.events[:2] == [("tenure", 3, True)] + [("line", 3, 0, 1.0)] * bool(after and after["type"] == "entry")
+    told.close()
+    relay.close()
+
+
 @pytest.mark.parametrize("end", [{}, None])
 def test_after_a_break_only_what_changed_is_told(kit, end):
     """Also where no sign of life ends what stands: it is over when the burst is."""
