--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 
 build:
 	cmp -s requirements.txt .venv/built-from || ($(PYTHON) -m venv .venv && \
-	  .venv/bin/pip -q install -r requirements.txt && \
-	  .venv/bin/python -m compileall -q kestrelplank && cp requirements.txt .venv/built-from)
+	  .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built-from)
+	.venv/bin/python -m compileall -q kestrelplank
 
 .venv-dev/built-from: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv-dev
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -163,7 +163,8 @@
 
     def _resume(self) -> None:
         self._timer = None
-        self._counters.add("calls_resent")
+        if not self._held:
+            self._counters.add("calls_resent")
         self._next()
 
     def _taken(self, number: int) -> None:
