Marks are counted from another number at each start

The module counts marks from 0 in every life; an answer to a mark of the former life that arrives late could have been taken for a new one and proved orders that had not arrived. Found by reading, not seen. orders.py mark, marked; tested.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -18,7 +18,7 @@
 from kestrelplank.net.front import Front
 from kestrelplank.net.loop import READ, Loop
 from kestrelplank.net.news import News
-from kestrelplank.net.orders import Orders
+from kestrelplank.net.orders import MARKS, Orders
 from kestrelplank.net.peers import Peers
 from kestrelplank.net.probes import Probes
 
@@ -94,7 +94,7 @@
     def on_event(event: tuple) -> None:
         conductor.on_event(event)
 
-    orders = Orders(loop, pool, counters, config["hub"], ids, op_types)
+    orders = Orders(loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS)
     discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_event)
     probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
                     found["load_by"] != "none", on_event)
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -186,7 +186,8 @@
             if self._joined.pop(proxy, None) is not None:
                 self._tell("left", proxy)
         elif kind == "done":
-            proxy, mark = self._below(fields.get("node"), self._proxies), whole(fields.get("nonce"))
+            proxy = self._below(fields.get("node"), self._proxies)
+            mark = self._orders.marked(whole(fields.get("nonce")))
             # A call that was sent again puts its mark into two messages; the second answer would count twice.
             if self._joined.get(proxy, mark) != mark:
                 self._joined[proxy] = mark
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -25,6 +25,7 @@
 MOST_WAITING = 1 << 18  # bytes; see `full`
 MOST_TRIES = 5  # of a call that the relay calls malformed: a defect of ours must not stop the queue
 MOST_ANSWER = 1 << 14
+MARKS = 65_536
 PATH = "/api/batches"
 
 
@@ -37,8 +38,13 @@
 
 
 class Orders:
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, op_types: list[str]) -> None:
+    """Marks go out counted from `first_mark`, which is another at each start: an answer to a mark of a former
+    life then means none of ours, as the module counts from 0 each time."""
+
+    def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, op_types: list[str],
+                 first_mark: int) -> None:
         self._loop, self._counters, self._ids, self._op_types = loop, counters, ids, op_types
+        self._first_mark = first_mark
         self._client = Client(loop, pool, to, self, DIAL, MOST_ANSWER)
         # An order is (encoded, table, node, weight): what it changes, as far as the store keeps that.
         self._round: list[tuple] = []  # what the present round has ordered
@@ -74,7 +80,12 @@
 
     def mark(self, number: int, everyone: bool) -> None:
         self._marks = [number]
-        self._order({"verb": "fence", "stamp": number, "set": int(everyone)})
+        stamp = (number + self._first_mark) % MARKS
+        self._order({"verb": "fence", "stamp": stamp, "set": int(everyone)})
+
+    def marked(self, stamp: int) -> int:
+        """The mark that the module knows by that stamp."""
+        return (stamp - self._first_mark) % MARKS
 
     def _order(self, order: dict, table: int = ALL_TABLES, node: int | None = None, weight: float = 0.0) -> None:
         self._counters.add("orders_in")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -126,7 +126,7 @@
     def on_event(event):
         conductor.on_event(event)
 
-    orders = Orders(kit.loop, kit.pool, kit.counters, relay.at, ids, ["look"])
+    orders = Orders(kit.loop, kit.pool, kit.counters, relay.at, ids, ["look"], 65_530)
     discovery = Discovery(kit.loop, kit.pool, kit.counters, agent.at, ids, on_event)
     probes = Probes(kit.loop, kit.pool, kit.counters, {}, False, MS, False, on_event)
     conductor = Conductor(kit.loop, kit.counters, found["tick"], orders, discovery, probes, None)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -263,8 +263,8 @@
         self.busy = True
 
 
-def orders(kit):
-    made = Orders(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), ["look", "buy"])
+def orders(kit, first_mark=0):
+    made = Orders(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), ["look", "buy"], first_mark)
     made._client = Calls()
     made.hold(False)
     return made
@@ -304,6 +304,14 @@
     assert made._client.bodies[-1] == left and kit.counters.counts["orders_dropped"] == 1
 
 
+@pytest.mark.parametrize("first, number, stamp", [(0, 5, 5), (65_000, 5, 65_005), (65_000, 600, 64)])
+def test_marks_are_told_apart_from_those_of_a_former_life(kit, first, number, stamp):
+    made = orders(kit, first)
+    made.mark(number, True)
+    made.close_round()
+    assert made._client.bodies == [[("fence", stamp)]] and made.marked(stamp) == number
+
+
 def test_a_call_that_the_relay_can_never_read_does_not_stop_the_queue(kit):
     made = orders(kit)
     ordered(made, 1)
