Text that is no UTF-8 and JSON nested too deep are malformed, not defects

Found with a probe of the library: msgspec raises UnicodeDecodeError and RecursionError for these, which nothing caught. An answer of the relay's with a broken character inside a string left the call neither answered nor sent again until the next round; lines of news and lists with it ended up in defects. One reader, decode.py parsed, now serves both adapters; a configuration with a wrong kind of list is one plain line too. The tests fail on the former text.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -5,11 +5,10 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from kestrelplank.decode import Ids, Malformed, settings, text
+from kestrelplank.decode import Ids, Malformed, listed, parsed, settings, text
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.conductor import Conductor
 from kestrelplank.net.connection import address
@@ -31,27 +30,30 @@
         raise Malformed("NODE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            found = msgspec.json.decode(file.read())
+            found = parsed(file.read())
     except OSError as err:
         raise Malformed(f"{path} can't be read: {err.strerror}") from None
-    except msgspec.DecodeError as err:
-        raise Malformed(f"{path} is not JSON: {err}") from None
+    except Malformed as err:
+        raise Malformed(f"{path}: {err}") from None
     if not isinstance(found, dict):
         raise Malformed(f"{path}: expected an object")
     found["hub"] = found["hub"].get("address") if isinstance(found.get("hub"), dict) else None
-    peers = [found.get("peer_listen"), *(found.get("peers") or ()), found.get("peers_all")]
-    needed = [(name, found.get(name)) for name in ("listen", "discovery", "hub")]
-    for name, value in needed + [("peers", peer) for peer in peers if peer is not None]:
+    if "settings" not in found:
+        raise Malformed(f"{path}, field settings: missing")
+
+    def check(name: str, reader: Callable[[Any], Any], value: Any) -> Any:
         try:
-            address(text(value))
+            return reader(value)
         except ValueError as err:
             raise Malformed(f"{path}, field {name}: {err}") from None
-    if "settings" not in found:
-        raise Malformed(f"{path}, field settings: missing")
-    try:
-        found["seed"] = int(text(found.get("seed")), 16)
-    except ValueError as err:
-        raise Malformed(f"{path}, field seed: {err}") from None
+
+    for name in ("listen", "discovery", "hub"):
+        check(name, lambda value: address(text(value)), found.get(name))
+    found["peers"] = check("peers", listed, found.get("peers") or [])
+    for name, value in [("peers", peer) for peer in found["peers"]] + [
+            (name, found[name]) for name in ("peer_listen", "peers_all") if found.get(name)]:
+        check(name, lambda value: address(text(value)), value)
+    found["seed"] = check("seed", lambda value: int(text(value), 16), found.get("seed"))
     return found
 
 
@@ -102,8 +104,8 @@
         front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
         peers = None
         if found["may_tell"] and config.get("peer_listen"):
-            peers = Peers(loop, counters, config["peer_listen"], config.get("peers") or [],
-                          config.get("peers_all") or "", on_event)
+            peers = Peers(loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "",
+                          on_event)
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 NS_PER_MS = 1_000_000
 MOST_NAMES = 65_536  # of nodes or zones held: against a party that never names the same one twice
 LARGEST = 1e300  # what cannot be reckoned with further; no comparison holds for what is not a number
@@ -51,6 +53,15 @@
         return self.op_types[value]
 
 
+def parsed(data: bytes) -> Any:
+    """JSON as plain values. The library has other words for text that is no UTF-8 and for what is nested too
+    deep, either of which a party may send."""
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(f"not JSON: {err}") from None
+
+
 def number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not abs(value) < LARGEST:
         raise Malformed(f"expected a number, got {value!r}")
@@ -79,6 +90,12 @@
     return value
 
 
+def listed(value: Any) -> list:
+    if not isinstance(value, list):
+        raise Malformed(f"expected a list, got {value!r}")
+    return value
+
+
 def flag(value: Any) -> bool:
     if not isinstance(value, bool):
         raise Malformed(f"expected true or false, got {value!r}")
@@ -107,10 +124,10 @@
         except Malformed as err:
             raise Malformed(f"{where}.{path}: {err}") from None
 
-    for zone in conf.get("Areas") or ():
+    for zone in read("Areas", listed, ()):
         ids.zone(zone)
     op_types = []
-    for place, kind in enumerate(conf.get("Categories") or ()):
+    for place, kind in enumerate(read("Categories", listed, ())):
         if not isinstance(kind, dict):
             raise Malformed(f"{where}.Categories: entry {place}: expected an object, got {kind!r}")
         ids.op_types[text(kind.get("Name"))] = place
--- a/kestrelplank/drill/host.py
+++ b/kestrelplank/drill/host.py
@@ -3,9 +3,7 @@
 import sys
 from typing import Any
 
-import msgspec
-
-from kestrelplank.decode import Ids, Malformed, settings, time, whole
+from kestrelplank.decode import Ids, Malformed, parsed, settings, time, whole
 from kestrelplank.drill import wire
 from kestrelplank.policy import Conductor
 
@@ -29,10 +27,7 @@
         return None
 
     def _read(self, raw: bytes) -> list[bytes] | None:
-        try:
-            message = msgspec.json.decode(raw)
-        except msgspec.DecodeError as err:
-            raise Malformed(f"not JSON: {err}") from None
+        message = parsed(raw)
         if not isinstance(message, list) or not message or not isinstance(message[0], str):
             raise Malformed(f"expected an array that begins with a name, got {raw[:60]!r}")
         name = message[0]
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -7,9 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, number, text, whole, word
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, number, parsed, text, whole, word
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.http import Client, Stream
@@ -67,8 +65,9 @@
             self._line(body)
         else:
             try:
-                newest = whole(msgspec.json.decode(body, type=dict).get("generation"))
-            except (Malformed, msgspec.DecodeError) as err:
+                message = parsed(body)
+                newest = whole(message.get("generation") if isinstance(message, dict) else message)
+            except Malformed as err:
                 self._counters.trouble("lists_skipped", err)
                 return
             if newest > self._version:
@@ -92,8 +91,8 @@
         if not line.strip():
             return
         try:
-            self._take(msgspec.json.decode(line), None)
-        except (Malformed, msgspec.DecodeError) as err:
+            self._take(parsed(line), None)
+        except Malformed as err:
             self._counters.trouble("lists_skipped", err)
 
     def _take(self, message: Any, how: str | None) -> None:
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -8,9 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, text, time, whole
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, parsed, text, time, whole
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.http import Stream
@@ -74,7 +72,7 @@
         if not line.strip():
             return
         try:
-            message = msgspec.json.decode(line)
+            message = parsed(line)
             if not isinstance(message, dict):
                 raise Malformed(f"expected an object, got {line[:60]!r}")
             kind, fields = message.get("type"), message.get("object")
@@ -84,7 +82,7 @@
                 self._take(kind, fields)
             else:
                 self._whole()
-        except (Malformed, msgspec.DecodeError) as err:
+        except Malformed as err:
             self._counters.trouble("news_skipped", err)
 
     def _listen(self) -> None:
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from kestrelplank.decode import NS_PER_MS, Ids
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, parsed
 from kestrelplank.interface import ALL_TABLES
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
@@ -201,8 +201,8 @@
 
     def on_answer(self, status: int, body: bytes) -> None:
         try:
-            answer = msgspec.json.decode(body)
-        except msgspec.DecodeError:
+            answer = parsed(body)
+        except Malformed:
             answer = None
         taken = answer.get("ok_count") if isinstance(answer, dict) else None
         call = self._queue[0]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -282,7 +282,7 @@
     made.close_round()
 
 
-@pytest.mark.parametrize("outcome", [None, b"{", b"[]", b"\xff\x00", b'{"ok_count":true}', b'{"ok_count":9}', b'{"ok_count":-1}', b'{"error":"limit"}'])
+@pytest.mark.parametrize("outcome", [None, b"{", b"[]", b'{"ok_count":3,"\xff":1}', b"[" * 3000, b"\xff\x00", b'{"ok_count":true}', b'{"ok_count":9}', b'{"ok_count":-1}', b'{"error":"limit"}'])
 def test_a_call_of_unknown_outcome_is_sent_again_whole_before_anything_newer(kit, outcome):
     made = orders(kit)
     ordered(made, 1, 2)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -64,9 +64,10 @@
 
 
 @pytest.mark.parametrize("change, says", [
-    (None, "NODE_CONFIG is not set"), ("gone", "can't be read"), ("{", "is not JSON"), ("[]", "expected an object"),
+    (None, "NODE_CONFIG is not set"), ("gone", "can't be read"), ("{", "not JSON"), ("[]", "expected an object"),
     ({"listen": None}, "field listen"), ({"discovery": "here"}, "field discovery"), ({"hub": {}}, "field hub"),
-    ({"peers": ["there"]}, "field peers"), ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
+    ({"peers": ["there"]}, "field peers"), ({"peers": 5}, "field peers"), ({"peer_listen": 5}, "field peer_listen"),
+    ({"settings": {"Areas": 5}}, "settings.Areas"), ({"settings": {"Categories": {}}}, "settings.Categories"), ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
     ({"settings": {"Tick": "soon"}}, "settings.Tick")])
 def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path, change, says):
     good = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "hub": {"address": "127.0.0.1:1"}, "seed": "1f",
@@ -179,6 +180,7 @@
     told.start()
     listed = Discovery(kit.loop, kit.pool, kit.counters, dead, names(), kit.events.append)
     listed.start(None)
+    made = orders(kit)
     values = [None, True, -1, 0, 1, 2.5, 1e400, 10**30, "s-1", "a", "", [], {}, [{}], "x" * 99, float("nan")]
     fields = ["node", "locality", "w", "cold", "nonce", "latency", "shard", "set", "endpoint", "instanceId", "zone", "cell", "lifecycle", "weight", "startedAtMs"]
     for _ in range(400):
@@ -187,10 +189,14 @@
             {"type": random.choice(["attach", "detach", "done", "owner", "entry", None, 5]), "object": thing},
             {"generation": random.choice(values), "reset": random.choice(values), "instances": [thing]}, thing, [thing]])).encode()
         if random.random() < 0.3:
-            thing = thing[:random.randrange(len(thing))] + random.randbytes(2)
+            at = random.randrange(len(thing))
+            thing = thing[:at] + random.choice([random.randbytes(2), b"\xff" + thing[at:], b"[" * 2000])
         told.take(thing)
         listed._line(thing)
         listed.on_answer(200, thing)
+        made.line(0, 0, 1.0)
+        made.close_round()
+        made.on_answer(200, thing)
         front.take([random.choice([b"upstream_stats", b"range_stats", b"hb", b"\xff"]),
                     *(random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"]) for _ in range(8))])
     assert kit.counters.counts["news_skipped"] > 100 and kit.counters.counts["reports_skipped"] > 100
