A broken line of news or of the node list ends its stream, and all is told anew

A line that can't be read was skipped and counted; a change that it told, a drain say, was lost for good, since the next line goes on from it (news.py take, discovery.py _line). Pauses before dialling again now grow while streams do not last, or a party that always sends garbage would be dialled a hundred times a second.

--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -49,30 +49,29 @@
 
     def fetch(self) -> None:
         self._asked = True
+        self._ask()
+
+    def _ask(self) -> None:
         if not self._whole.busy:
             self._whole.call("GET", PATH, b"", ANSWERS_WITHIN)
 
     def _poll(self) -> None:
-        if not self._whole.busy:
-            self._whole.call("GET", PATH, b"", ANSWERS_WITHIN)
+        self._ask()
         self._timer = self._loop.at(self._loop.now() + POLL, self._poll)
 
     def on_answer(self, status: int, body: bytes) -> None:
-        if status != 200:
-            self.on_broken(f"status {status}")
-        elif self._asked:
-            self._asked = False
-            self._line(body)
-        else:
-            try:
-                message = parsed(body)
-                newest = whole(message.get("generation") if isinstance(message, dict) else message)
-            except Malformed as err:
-                self._counters.trouble("lists_skipped", err)
-                return
-            if newest > self._version:
+        try:
+            if status != 200:
+                raise Malformed(f"status {status}")
+            message = parsed(body)
+            if self._asked:
+                self._take(message, None)
+                self._asked = False
+            elif whole(message.get("generation") if isinstance(message, dict) else message) > self._version:
                 self._counters.add("watches_behind")
                 self._stream.drop("lies behind")
+        except Malformed as err:
+            self.on_broken(str(err))
 
     def on_broken(self, why: str) -> None:
         self._counters.trouble("lists_broken", why)
@@ -92,8 +91,9 @@
             return
         try:
             self._take(parsed(line), None)
-        except Malformed as err:
+        except Malformed as err:  # the next would go on from changes that are lost: they must be told anew
             self._counters.trouble("lists_skipped", err)
+            self._stream.drop("unreadable")
 
     def _take(self, message: Any, how: str | None) -> None:
         instances = message.get("instances") if isinstance(message, dict) else None
--- a/kestrelplank/net/http.py
+++ b/kestrelplank/net/http.py
@@ -145,7 +145,7 @@
 
 class Stream(Party):
     """A GET whose answer does not end: its lines as they come, and an end when it breaks or says nothing for
-    `silence`. It is dialled again after a pause that grows while no line comes, until it is closed."""
+    `silence`. It is dialled again after a pause, which grows while streams do not last, until it is closed."""
 
     def __init__(self, loop: Loop, pool: Pool, to: str, path: Callable[[], str],
                  on_line: Callable[[bytes], None], on_start: Callable[[], None], on_end: Callable[[str], None],
@@ -153,7 +153,7 @@
         super().__init__(loop, pool, to, dial)
         self._path, self._on_line, self._on_start, self._on_end = path, on_line, on_start, on_end
         self._silence, self._pauses, self._most_line = silence, pauses, most_line
-        self._pause, self._closed, self._heard_at = pauses[0], False, 0
+        self._pause, self._closed, self._heard_at, self._opened_at = pauses[0], False, 0, loop.now()
         self._start()
 
     def close(self) -> None:
@@ -183,19 +183,23 @@
             return
         lines, self._lines = self._lines, []
         for line in lines:
-            self._pause = self._pauses[0]
+            if self._connection is None:  # the owner has given up the stream that the rest came on
+                return
             self._on_line(line)
         if self._complete:
             self.drop("ended by the answer")
 
     def _ended(self, why: str) -> None:
         if not self._closed:
-            self._timer = self._loop.at(self._loop.now() + self._pause, self._start)
+            now = self._loop.now()
+            if now - self._opened_at > self._silence:
+                self._pause = self._pauses[0]
+            self._timer = self._loop.at(now + self._pause, self._start)
             self._pause = min(2 * self._pause, self._pauses[1])
             self._on_end(why)
 
     def on_open(self) -> None:
-        self._heard_at = self._loop.now()
+        self._heard_at = self._opened_at = self._loop.now()
         self._listen()
         self._connection.write(f"GET {self._path()} HTTP/1.1\r\nHost: {self.to}\r\n\r\n".encode())
 
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -73,11 +73,14 @@
             return
         try:
             message = parsed(line)
-            if not isinstance(message, dict):
-                raise Malformed(f"expected an object, got {line[:60]!r}")
             kind, fields = message.get("type"), message.get("object")
-            if kind != "entry":
-                self._tell_given()
+        except (Malformed, AttributeError) as err:  # whatever it told is lost: what stands must be told anew
+            self._counters.trouble("news_unreadable", err)
+            self._stream.drop("unreadable")
+            return
+        if kind != "entry":
+            self._tell_given()
+        try:
             if message:
                 self._take(kind, fields)
             else:
