Read once more: one reader for objects, dead parts out, and a slice number of any length

Dead or derivable: Timer.due, an on_open that plain connections never get, a list that held one mark, Conductor.start and its empty policy, a probe counted as sent while one was out. Found beside it: a slice number of thousands of digits raised past the reader of reports and counted as a defect (front.py report); it is skipped now, with a test. No order on the wire changes.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from kestrelplank.decode import Ids, Malformed, listed, parsed, settings, text
+from kestrelplank.decode import Ids, Malformed, listed, mapping, parsed, settings, text
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.conductor import Conductor
 from kestrelplank.net.connection import address
@@ -20,6 +20,7 @@
 from kestrelplank.net.orders import MARKS, Orders
 from kestrelplank.net.peers import Peers
 from kestrelplank.net.probes import Probes
+from kestrelplank.policy import Conductor as Policy
 
 BUFFER, BUFFERS = 1 << 16, 4
 
@@ -30,13 +31,11 @@
         raise Malformed("NODE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            found = parsed(file.read())
+            found = mapping(parsed(file.read()))
     except OSError as err:
         raise Malformed(f"{path} can't be read: {err.strerror}") from None
     except Malformed as err:
         raise Malformed(f"{path}: {err}") from None
-    if not isinstance(found, dict):
-        raise Malformed(f"{path}: expected an object")
     found["hub"] = found["hub"].get("address") if isinstance(found.get("hub"), dict) else None
     if "settings" not in found:
         raise Malformed(f"{path}, field settings: missing")
@@ -47,11 +46,10 @@
         except ValueError as err:
             raise Malformed(f"{path}, field {name}: {err}") from None
 
-    for name in ("listen", "discovery", "hub"):
-        check(name, lambda value: address(text(value)), found.get(name))
     found["peers"] = check("peers", listed, found.get("peers") or [])
-    for name, value in [("peers", peer) for peer in found["peers"]] + [
-            (name, found[name]) for name in ("peer_listen", "peers_all") if found.get(name)]:
+    addresses = [(name, found.get(name)) for name in ("listen", "discovery", "hub")]
+    addresses += [(name, found[name]) for name in ("peer_listen", "peers_all") if found.get(name)]
+    for name, value in addresses + [("peers", peer) for peer in found["peers"]]:
         check(name, lambda value: address(text(value)), value)
     found["seed"] = check("seed", lambda value: int(text(value), 16), found.get("seed"))
     return found
@@ -109,8 +107,8 @@
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
-    conductor = Conductor(loop, counters, found["tick"], orders, discovery, probes, peers)
-    conductor.start(config["seed"], found)
+    conductor = Conductor(loop, counters, Policy(loop.now(), config["seed"], found), found["tick"], orders,
+                          discovery, probes, peers)
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -96,6 +96,12 @@
     return value
 
 
+def mapping(value: Any) -> dict:
+    if not isinstance(value, dict):
+        raise Malformed(f"expected an object, got {value!r}")
+    return value
+
+
 def flag(value: Any) -> bool:
     if not isinstance(value, bool):
         raise Malformed(f"expected true or false, got {value!r}")
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, number, text, time, whole, word
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, mapping, number, text, time, whole, word
 from kestrelplank.interface import ALL_TABLES
 
 EVERY_TABLE = 65535
@@ -27,9 +27,7 @@
 def load(value: Any) -> dict[str, float]:
     if value is None:
         return {}
-    if not isinstance(value, dict):
-        raise Malformed(f"expected an object, got {value!r}")
-    return {LOADS[name]: number(v) for name, v in value.items() if name in LOADS and v is not None}
+    return {LOADS[name]: number(v) for name, v in mapping(value).items() if name in LOADS and v is not None}
 
 
 def entries(value: Any, ids: Ids) -> list[tuple]:
--- a/kestrelplank/net/conductor.py
+++ b/kestrelplank/net/conductor.py
@@ -1,7 +1,5 @@
 """Gathers what all parties tell, gives it to the decision module once a round, and passes its orders on."""
 
-from typing import Any
-
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.discovery import Discovery
 from kestrelplank.net.loop import Loop
@@ -18,20 +16,16 @@
     """The writer that the module orders through, and the events of its next round. A round is held `gather`
     after the first event, so that its cost follows the time and not the reads."""
 
-    def __init__(self, loop: Loop, counters: Counters, gather: int, orders: Orders, discovery: Discovery,
-                 probes: Probes, peers: Peers | None) -> None:
-        self._loop, self._counters, self._gather = loop, counters, gather
+    def __init__(self, loop: Loop, counters: Counters, policy: Policy, gather: int, orders: Orders,
+                 discovery: Discovery, probes: Probes, peers: Peers | None) -> None:
+        self._loop, self._counters, self._policy, self._gather = loop, counters, policy, gather
         self._orders, self._discovery, self._probes, self._peers = orders, discovery, probes, peers
-        self._policy: Policy | None = None
         self._events: list[tuple] = []
         self._due = False
         self.line, self.clear, self.take_out = orders.line, orders.clear, orders.take_out
         self.level, self.mark = orders.level, orders.mark
         self.probe, self.fetch = probes.probe, discovery.fetch
 
-    def start(self, seed: int, settings: dict[str, Any]) -> None:
-        self._policy = Policy(self._loop.now(), seed, settings)
-
     def on_event(self, event: tuple) -> None:
         if len(self._events) >= MOST_EVENTS and event[0] in REPORTS:
             self._counters.add("reports_dropped")
--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -10,11 +10,14 @@
 
 
 class Owner(Protocol):
-    def on_open(self) -> None: ...
     def on_data(self, data: memoryview) -> None: ...
     def on_close(self, why: str) -> None: ...
 
 
+class Dialler(Owner, Protocol):
+    def on_open(self) -> None: ...
+
+
 def address(text: str) -> tuple[str, int]:
     """Numbers only: a name would be looked up, and the whole program would wait for it."""
     host, _, port = text.rpartition(":")
@@ -97,7 +100,7 @@
 class Dialled(Connection):
     """A connection that we open ourselves: nothing is read or written before it is up, or `within` is over."""
 
-    def __init__(self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Owner, most_waiting: int,
+    def __init__(self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Dialler, most_waiting: int,
                  within: int) -> None:
         super().__init__(loop, pool, socket.socket(socket.AF_INET, socket.SOCK_STREAM), owner, most_waiting)
         self._up = False
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -7,16 +7,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, number, parsed, text, whole, word
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, listed, mapping, parsed, time, whole, word
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
-from kestrelplank.net.http import Client, Stream
+from kestrelplank.net.http import DIAL, Client, Stream
 from kestrelplank.net.loop import Loop
 
 PATH = "/v1/endpoints"
 CONDITION = word({"in_service": "up", "terminating": "draining", "terminated": "removed"})
 SILENCE = 2600 * NS_PER_MS  # an empty line comes every 2 s
-DIAL = 250 * NS_PER_MS
 PAUSES = 20 * NS_PER_MS, 500 * NS_PER_MS
 MOST_LIST = 1 << 23
 POLL = 400 * NS_PER_MS  # the shortest grace leaves a second for an order to be made and to arrive
@@ -37,14 +36,13 @@
         """What was known last comes first, and then what the agent says has changed since."""
         if known is not None:
             try:
-                self._take(known, "cached")
+                self._take(mapping(known), "cached")
             except Malformed as err:
                 self._counters.trouble("lists_skipped", err)
         self._stream = Stream(self._loop, self._pool, self._at,
                               lambda: f"{PATH}?follow=1&since={self._version}", self._line, lambda: None,
                               lambda why: self._counters.trouble("discovery_broken", why), DIAL, SILENCE, PAUSES,
                               MOST_LIST)
-
         self._poll()
 
     def fetch(self) -> None:
@@ -63,11 +61,11 @@
         try:
             if status != 200:
                 raise Malformed(f"status {status}")
-            message = parsed(body)
+            message = mapping(parsed(body))
             if self._asked:
                 self._take(message, None)
                 self._asked = False
-            elif whole(message.get("generation") if isinstance(message, dict) else message) > self._version:
+            elif whole(message.get("generation")) > self._version:
                 self._counters.add("watches_behind")
                 self._stream.drop("lies behind")
         except Malformed as err:
@@ -90,37 +88,32 @@
         if not line.strip():
             return
         try:
-            self._take(parsed(line), None)
+            self._take(mapping(parsed(line)), None)
         except Malformed as err:  # the next would go on from changes that are lost: they must be told anew
             self._counters.trouble("lists_skipped", err)
             self._stream.drop("unreadable")
 
-    def _take(self, message: Any, how: str | None) -> None:
-        instances = message.get("instances") if isinstance(message, dict) else None
-        if not isinstance(instances, list):
-            raise Malformed(f"expected a list of instances, got {str(message)[:60]!r}")
-        version = whole(message.get("generation"))
+    def _take(self, message: dict, how: str | None) -> None:
+        instances, version = listed(message.get("instances")), whole(message.get("generation"))
         how = how or ("full" if flag(message.get("reset")) else "delta")
         entries = []
         for instance in instances:
             try:
-                entries.append(self._entry(instance))
+                entries.append(self._entry(mapping(instance)))
             except Malformed as err:  # the others still stand
                 self._counters.trouble("entries_skipped", err)
         self._version = version
         self._counters.add("lists_in")
         self._on_event(("roster", how, entries))
 
-    def _entry(self, instance: Any) -> tuple:
-        if not isinstance(instance, dict):
-            raise Malformed(f"expected an object, got {instance!r}")
+    def _entry(self, instance: dict) -> tuple:
         condition = CONDITION(instance.get("lifecycle"))
         zone, cell = instance.get("zone"), instance.get("cell")
         weight, started = instance.get("weight"), instance.get("startedAtMs")
         entry = (self._ids.node(instance.get("instanceId")), condition,
                  None if zone is None else self._ids.zone(zone), None if cell is None else whole(cell),
                  1.0 if weight is None else count(weight),
-                 self._loop.from_unix_ms(number(started)) if started else None)
+                 self._loop.from_unix(time(started)) if started else None)
         if isinstance(instance.get("hostPort"), str):
-            self.addresses[entry[0]] = text(instance["hostPort"])
+            self.addresses[entry[0]] = instance["hostPort"]
         return entry
--- a/kestrelplank/net/front.py
+++ b/kestrelplank/net/front.py
@@ -15,6 +15,7 @@
 HB, HB_OK = b"hb", resp.encode(b"hb_ok")
 MOST_CALLERS = 64  # connections held: each may hold a message's bytes, and there are few zones
 MOST_UNREAD = 1 << 16
+MOST_DIGITS = 8  # of a slice's number: thousands of them are more than the language makes a number of
 SWEEP = 2000 * NS_PER_MS  # how often silent callers are looked for, and how long listening pauses when short
 SILENT, IDLE = 10_000 * NS_PER_MS, 120_000 * NS_PER_MS  # kept without a first message; since the last one
 
@@ -58,9 +59,10 @@
         return ("tries", known("endpoint", ids.nodes), known("locality", ids.zones), tries, failed, mean_time,
                 time(read("interval")), load(metrics))
     if kind == "range_stats":
-        if not fields.get("shard", "").isdecimal() or not int(fields["shard"]) < slices:
-            raise Malformed(f"{kind}, field shard: {fields.get('shard')!r} is not known")
-        return ("heat", int(fields["shard"]), known("route", ids.op_types), read("total"), read("errors"),
+        shard = fields.get("shard", "")
+        if not (shard.isdecimal() and len(shard) <= MOST_DIGITS and int(shard) < slices):
+            raise Malformed(f"{kind}, field shard: {shard[:40]!r} is not known")
+        return ("heat", int(shard), known("route", ids.op_types), read("total"), read("errors"),
                 time(read("interval")))
     if kind == "telemetry":
         return None
@@ -75,9 +77,6 @@
         self.heard_at, self.spoke = now, False
         self.connection = Connection(front.loop, front.pool, sock, self, MOST_UNREAD)
 
-    def on_open(self) -> None:
-        pass
-
     def on_data(self, data: memoryview) -> None:
         try:
             for message in self._parser.feed(data):
--- a/kestrelplank/net/loop.py
+++ b/kestrelplank/net/loop.py
@@ -13,10 +13,10 @@
 class Timer:
     """One call at a time to come; cancelled, it is forgotten when it falls due, or when many are."""
 
-    __slots__ = ("due", "callback")
+    __slots__ = ("callback",)
 
-    def __init__(self, due: int, callback: Callable[[], None]) -> None:
-        self.due, self.callback = due, callback
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback = callback
 
     def cancel(self) -> None:
         self.callback = None
@@ -34,15 +34,15 @@
     def now(self) -> int:
         return time.monotonic_ns()
 
-    def from_unix_ms(self, at: float) -> int:
-        return round(at * 1_000_000) - self._unix
+    def from_unix(self, at: int) -> int:
+        return at - self._unix
 
     def at(self, due: int, callback: Callable[[], None]) -> Timer:
         if len(self._timers) >= self._sweep_at:  # against deadlines that are set and met faster than they fall due
             self._timers = [entry for entry in self._timers if entry[2].callback is not None]
             heapq.heapify(self._timers)
             self._sweep_at = max(FEW, 2 * len(self._timers))
-        timer = Timer(due, callback)
+        timer = Timer(callback)
         self._given += 1
         heapq.heappush(self._timers, (due, self._given, timer))
         return timer
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -8,16 +8,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, parsed, text, time, whole
+from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, mapping, parsed, text, time, whole
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
-from kestrelplank.net.http import Stream
+from kestrelplank.net.http import DIAL, Stream
 from kestrelplank.net.loop import Loop
 from kestrelplank.net.orders import Orders
 
 PATH = "/api/stream"
 SILENCE = 1600 * NS_PER_MS  # a sign of life comes each second
-DIAL = 250 * NS_PER_MS
 PAUSES = 10 * NS_PER_MS, 250 * NS_PER_MS
 MOST_LINE = 1 << 20
 QUIET = 150 * NS_PER_MS  # ends what stands, or a slice's lines: nothing else marks it, and they come in one burst
@@ -72,17 +71,17 @@
         if not line.strip():
             return
         try:
-            message = parsed(line)
-            kind, fields = message.get("type"), message.get("object")
-        except (Malformed, AttributeError) as err:  # whatever it told is lost: what stands must be told anew
+            message = mapping(parsed(line))
+        except Malformed as err:  # whatever it told is lost: what stands must be told anew
             self._counters.trouble("news_unreadable", err)
             self._stream.drop("unreadable")
             return
+        kind = message.get("type")
         if kind != "entry":
             self._tell_given()
         try:
             if message:
-                self._take(kind, fields)
+                self._take(kind, mapping(message.get("object")))
             else:
                 self._whole()
         except Malformed as err:
@@ -161,9 +160,7 @@
             raise Malformed(f"{value} is not below {most}")
         return value
 
-    def _take(self, kind: Any, fields: Any) -> None:
-        if not isinstance(fields, dict):
-            raise Malformed(f"{kind}: expected an object, got {fields!r}")
+    def _take(self, kind: Any, fields: dict) -> None:
         if kind in ("done", "detach") or kind == "owner" and fields.get("set") is False:
             self._whole()  # these are never part of what stands
         picture = self._picture
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -13,14 +13,13 @@
 from kestrelplank.interface import ALL_TABLES
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.counters import Counters
-from kestrelplank.net.http import Client
+from kestrelplank.net.http import DIAL, Client
 from kestrelplank.net.loop import Loop
 
 MOST_BYTES = 60_000  # of one call
 HEAD, TAIL = b'{"ops":[', b"]}"
 ANSWERS_WITHIN = 50 * NS_PER_MS  # the relay's own word; after that no answer comes any more
 SLACK = 30 * NS_PER_MS  # for the way there and back, and for our own lateness
-DIAL = 250 * NS_PER_MS
 PAUSES = 20 * NS_PER_MS, 200 * NS_PER_MS  # before the same call again: at first, at the most
 MOST_WAITING = 1 << 18  # bytes; see `full`
 MOST_TRIES = 5  # of a call that the relay calls malformed: a defect of ours must not stop the queue
@@ -51,7 +50,7 @@
         self._queue: deque[list[tuple]] = deque()  # calls to be made, the first of them may be out
         self._store: dict[int, dict[int, float]] = {}  # lines of our slices, as told and as answered for
         self._waiting, self._pause, self._tries, self._held = 0, PAUSES[0], 0, True
-        self._marks: list[int] = []  # the last one ordered, if any
+        self._last_mark: int | None = None
         self._outdated: set[int] = set()  # slices lost or given while the call that may order for them is out
         self._timer = None
 
@@ -79,7 +78,7 @@
         self._order(order, table, None, 1.0)
 
     def mark(self, number: int, everyone: bool) -> None:
-        self._marks = [number]
+        self._last_mark = number
         stamp = (number + self._first_mark) % MARKS
         self._order({"verb": "fence", "stamp": stamp, "set": int(everyone)})
 
@@ -136,9 +135,10 @@
     def ask_again(self, told: list[int]) -> None:
         """For the answers to the last mark that were lost with the news, by what each proxy was told to have
         applied: the module would wait for them and order nothing more."""
-        if self._marks and not self._queue and any(mark != self._marks[0] for mark in told):
+        last = self._last_mark
+        if last is not None and not self._queue and any(mark != last for mark in told):
             self._counters.add("marks_asked_again")
-            self.mark(self._marks[0], True)
+            self.mark(last, True)
             self.close_round()
 
     def _forget(self, number: int) -> None:
--- a/kestrelplank/net/probes.py
+++ b/kestrelplank/net/probes.py
@@ -24,6 +24,7 @@
 
     def ask(self) -> None:
         if not self.client.busy:
+            self._probes.counters.add("probes_sent")
             self._asked_at = self._probes.loop.now()
             self.client.call("GET", self._probes.path, b"", ANSWERS_WITHIN)
 
@@ -69,7 +70,6 @@
         self._checks[node] = check  # the last in the order of use
         if len(self._checks) > MOST_NODES:
             self._checks.pop(next(iter(self._checks))).client.close()
-        self.counters.add("probes_sent")
         check.ask()
 
     def close(self) -> None:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -4,10 +4,12 @@
 
 import httptools
 
+from kestrelplank.decode import Ids, text
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.connection import Connection, Listener
 from kestrelplank.net.counters import Counters, logger
 from kestrelplank.net.loop import Loop
+from kestrelplank.net.orders import Orders
 
 MS = 1_000_000
 
@@ -33,6 +35,34 @@
         self.events = []
 
 
+def names():
+    ids = Ids(text)
+    for name in ("s-1", "s-2"):
+        ids.node(name)
+    ids.zone("a")
+    ids.op_types["look"] = 0
+    return ids
+
+
+class Calls:
+    """In place of the HTTP client: what would be sent, and outcomes by hand."""
+
+    def __init__(self):
+        self.bodies, self.busy = [], False
+
+    def call(self, method, path, body, within):
+        self.bodies.append([(o["verb"], o.get("cluster", o.get("endpoint", o.get("stamp"))))
+                            for o in json.loads(body)["ops"]])
+        self.busy = True
+
+
+def orders(kit, first_mark=0):
+    made = Orders(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), ["look", "buy"], first_mark)
+    made._client = Calls()
+    made.hold(False)
+    return made
+
+
 class Visitor:
     """One connection to a party; its requests, taken apart."""
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,6 +12,7 @@
 from kestrelplank.net.news import News
 from kestrelplank.net.orders import Orders
 from kestrelplank.net.probes import Probes
+from kestrelplank.policy import Conductor as Policy
 
 NODES, PROXIES, SLICES = [f"s-{n}" for n in range(6)], 4, 12
 CONF = {"Areas": ["a"], "Categories": [{"Name": "look"}], "Tick": 4.0,
@@ -112,12 +113,12 @@
     kit = Kit()
     relay, random = Relay(kit, seed), Random(seed)
     states = {name: "in_service" for name in NODES}
-    versions = [(1, node_list(1, *(instance(name) for name in NODES), reset=True))]
+    known, version = node_list(1, *(instance(name) for name in NODES), reset=True), 1
 
     def agent_does(visitor, path, body):
         if "follow" in path:
             visitor.begin()
-        whole = node_list(versions[-1][0], *(instance(name, states[name]) for name in NODES), reset=True)
+        whole = node_list(version, *(instance(name, states[name]) for name in NODES), reset=True)
         visitor.tell(whole) if "follow" in path else visitor.reply(whole)
 
     agent, ids = Party(kit, agent_does), Ids(text)
@@ -129,28 +130,27 @@
     orders = Orders(kit.loop, kit.pool, kit.counters, relay.at, ids, ["look"], 65_530)
     discovery = Discovery(kit.loop, kit.pool, kit.counters, agent.at, ids, on_event)
     probes = Probes(kit.loop, kit.pool, kit.counters, {}, False, MS, False, on_event)
-    conductor = Conductor(kit.loop, kit.counters, found["tick"], orders, discovery, probes, None)
-    conductor.start(seed, found)
-    discovery.start(versions[0][1])
+    policy = Policy(kit.loop.now(), seed, found)
+    conductor = Conductor(kit.loop, kit.counters, policy, found["tick"], orders, discovery, probes, None)
+    discovery.start(known)
     told = News(kit.loop, kit.pool, kit.counters, relay.at, ids, PROXIES, SLICES, orders, on_event)
     end = kit.loop.now() + 2500 * MS
     due = kit.loop.now()
 
     def chaos():
-        nonlocal due
+        nonlocal due, version
         while kit.loop.now() >= due:
             due += 40 * MS
             relay.trouble()
             if random.random() < 0.05:
                 states[random.choice(NODES[:3])] = "terminating"
-                versions.append((versions[-1][0] + 1, None))
+                version += 1
         return kit.loop.now() >= end
 
     until(kit.loop, chaos)
     relay.calm = True
     for proxy in sorted(set(range(PROXIES)) - relay.joined):
         relay.join(proxy)
-    policy = conductor._policy
 
     def agree():
         sent = {number: {ids.node_ids[node]: weight for node, weight in kept.sent.items()}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,9 +3,9 @@
 import struct
 
 import pytest
-from parties import MS, Kit, Party, attach, instance, news, node_list, until
+from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
 
-from kestrelplank.decode import Ids, Malformed, text
+from kestrelplank.decode import Malformed
 from kestrelplank.net import resp
 from kestrelplank.net.conductor import Conductor
 from kestrelplank.net.connection import Connection, Listener
@@ -13,7 +13,6 @@
 from kestrelplank.net.front import Front, report
 from kestrelplank.net.http import Client
 from kestrelplank.net.news import News
-from kestrelplank.net.orders import Orders
 from kestrelplank.net.peers import Peers
 from kestrelplank.net.probes import Probes
 
@@ -28,15 +27,6 @@
     made.loop.close()
 
 
-def names():
-    ids = Ids(text)
-    for name in ("s-1", "s-2"):
-        ids.node(name)
-    ids.zone("a")
-    ids.op_types["look"] = 0
-    return ids
-
-
 # RESP2
 
 @pytest.mark.parametrize("piece", [1, 2, 7, 10_000])
@@ -72,6 +62,12 @@
         report(message, names(), 9)
 
 
+@pytest.mark.parametrize("shard", [b"9", b"-1", b"1_0", b"", b"9" * 5000])
+def test_usage_of_a_slice_that_there_is_not_is_skipped(shard):
+    with pytest.raises(Malformed):
+        report([b"range_stats", b"shard", shard, b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"5"], names(), 9)
+
+
 def caller(front):
     sock = socket.create_connection(front.at)
     sock.setblocking(False)
@@ -251,25 +247,6 @@
 
 # Orders
 
-class Calls:
-    """In place of the HTTP client: what would be sent, and outcomes by hand."""
-
-    def __init__(self):
-        self.bodies, self.busy = [], False
-
-    def call(self, method, path, body, within):
-        self.bodies.append([(o["verb"], o.get("cluster", o.get("endpoint", o.get("stamp"))))
-                            for o in json.loads(body)["ops"]])
-        self.busy = True
-
-
-def orders(kit, first_mark=0):
-    made = Orders(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), ["look", "buy"], first_mark)
-    made._client = Calls()
-    made.hold(False)
-    return made
-
-
 def end(made, outcome):
     made._client.busy = False
     made.on_answer(200, outcome) if isinstance(outcome, bytes) else made.on_broken("silent")
@@ -522,7 +499,7 @@
     until(kit.loop, lambda: kit.counters.counts["lists_in"] == 3)
     watched = [path for _, path, _ in agent.requests if "follow" in path]
     assert watched == [f"/v1/endpoints?follow=1&since={version}" for version in (4, 5)]
-    boot = kit.loop.from_unix_ms(1000.5)
+    boot = kit.loop.from_unix(1_000_500_000)
     assert kit.counters.counts["entries_skipped"] == 2 and kit.events == [
         ("roster", "cached", [(0, "up", 0, 1, 1.0, None)]), ("roster", "delta", [(1, "draining", 0, 1, 1.0, boot)]),
         ("roster", "delta", [(1, "up", 0, 1, 1.0, None)])]
@@ -606,17 +583,17 @@
 
 def test_a_round_gathers_what_came_and_waits_while_orders_pile_up(kit):
     made = orders(kit)
-    conductor = Conductor(kit.loop, kit.counters, 5 * MS, made, Discovery(
+    policy = Rounds()
+    conductor = Conductor(kit.loop, kit.counters, policy, 5 * MS, made, Discovery(
         kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), kit.events.append), Probes(
         kit.loop, kit.pool, kit.counters, {}, False, MS, False, kit.events.append), None)
-    conductor._policy = Rounds()
     for number in range(9):
         conductor.on_event(("left", number))
-    until(kit.loop, lambda: conductor._policy.held)
-    assert [len(events) for events in conductor._policy.held] == [9] and made._client.bodies == [[("put", 0)]]
+    until(kit.loop, lambda: policy.held)
+    assert [len(events) for events in policy.held] == [9] and made._client.bodies == [[("put", 0)]]
     made._waiting += 1 << 20
     conductor.on_event(("left", 1))
     until(kit.loop, lambda: kit.counters.counts["rounds_held_up"])
-    assert len(conductor._policy.held) == 1
+    assert len(policy.held) == 1
     made._waiting -= 1 << 20
-    until(kit.loop, lambda: len(conductor._policy.held) == 2)
+    until(kit.loop, lambda: len(policy.held) == 2)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,8 +9,7 @@
 from random import Random
 
 import pytest
-from parties import MS, Kit, Party, attach, instance, news, node_list, until
-from test_net import names, orders
+from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
 
 from kestrelplank.net import resp
 from kestrelplank.net.counters import Output
@@ -106,9 +105,8 @@
         if "follow" in path:
             visitor.begin()
             visitor.tell(node_list(2, instance("s-1", "terminating")))
-            watches.append(visitor)
 
-    calls, watches = [], []
+    calls = []
     relay, agent = Party(kit, relay_does), Party(kit, agent_does)
     known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
     for number in (signal.SIGKILL, signal.SIGTERM):
