SIGHUP: the configuration is read anew; discovery, news and orders move to its addresses

Now __main__ reads the file anew (a bad one is one line, the old stays), and discovery, news and orders move: a stream is dropped and dialled at the new address after 10 to 20 ms; a call that was sent ends first where it went (at most 80 ms), as sent to both it could be carried out after a newer one; one of unknown outcome goes first, whole, to the new relay. Found by reading: an answer that came while the news was away changed what 'agrees' compares with (orders._taken), though the relay may have begun its picture before that call: the slice would have been given anew with lines that no longer stand. The answer now waits until what stands has been told.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -25,8 +25,9 @@
 BUFFER, BUFFERS = 1 << 16, 4
 
 
-def configuration(path: str | None) -> dict[str, Any]:
-    """The configuration as it stands, its addresses looked at; Malformed says what can't be used."""
+def configuration(ids: Ids) -> dict[str, Any]:
+    """The configuration as it stands, its addresses and settings read; Malformed says what can't be used."""
+    path = os.environ.get("NODE_CONFIG")
     if not path:
         raise Malformed("NODE_CONFIG is not set")
     try:
@@ -52,6 +53,7 @@
     for name, value in addresses + [("peers", peer) for peer in found["peers"]]:
         check(name, lambda value: address(text(value)), value)
     found["seed"] = check("seed", lambda value: int(text(value), 16), found.get("seed"))
+    found["settings"] = settings(found["settings"], ids, "settings")
     return found
 
 
@@ -82,8 +84,9 @@
 
 def main() -> int:
     try:
-        config, ids = configuration(os.environ.get("NODE_CONFIG")), Ids(text)
-        found = settings(config["settings"], ids, "settings")
+        ids = Ids(text)
+        config = configuration(ids)
+        found = config["settings"]
     except Malformed as err:
         print(f"kestrelplank: {err}", file=sys.stderr)
         return 2
@@ -94,6 +97,17 @@
     def on_event(event: tuple) -> None:
         conductor.on_event(event)
 
+    def reload() -> None:
+        try:
+            new = configuration(Ids(text))
+        except Malformed as err:
+            counters.trouble("reloads_refused", err)
+            return
+        counters.add("reloads")
+        counters.info("reloaded", discovery=new["discovery"], hub=new["hub"])
+        for part, to in ((orders, new["hub"]), (news, new["hub"]), (discovery, new["discovery"])):
+            part.move(to)
+
     orders = Orders(loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS)
     discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_event)
     probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
@@ -111,7 +125,7 @@
                           discovery, probes, peers)
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
-    signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop,
+    signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop, signal.SIGHUP: reload,
                              signal.SIGUSR1: counters.report})
     counters.info("started", listen="%s:%d" % front.at)
     gc.freeze()  # what start-up made stays, and need not be looked through again
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -45,6 +45,10 @@
                               MOST_LIST)
         self._poll()
 
+    def move(self, at: str) -> None:
+        self._whole.move(at)
+        self._stream.move(at)
+
     def fetch(self) -> None:
         self._asked = True
         self._ask()
--- a/kestrelplank/net/http.py
+++ b/kestrelplank/net/http.py
@@ -27,7 +27,7 @@
 
     def _dial_up(self) -> None:
         self._parser, self._status, self._headers = httptools.HttpResponseParser(self), 0, 0
-        self._complete, self._keep = False, True
+        self._complete, self._keep, self._dialled = False, True, self.to
         try:
             self._connection = Dialled(self._loop, self._pool, address(self.to), self, MOST_UNSENT, self._dial)
         except OSError as err:  # short of descriptors: told from the loop, as whoever called is not done yet
@@ -100,6 +100,14 @@
         elif self._up:
             self._send()
 
+    def move(self, to: str) -> None:
+        """Calls go there from now on. One that was sent may be carried out where it went, so it ends first;
+        sent to both, it could come after a newer one."""
+        if to != self.to:
+            self.to = to
+            if not (self.busy and self._up):
+                self.drop("moved")
+
     def close(self) -> None:
         self.busy = False  # nobody wants to hear of it any more
         self.drop("we end")
@@ -120,7 +128,7 @@
             self._forget()
             self._status, self._headers, self._complete, self.busy = 0, 0, False, False
             self._cancel()
-            if not self._keep:
+            if not self._keep or self._dialled != self.to:
                 self.drop("ended by the answer")
             self._asker.on_answer(status, body)
 
@@ -158,6 +166,12 @@
         self._pause, self._closed, self._heard_at, self._opened_at = pauses[0], False, 0, loop.now()
         self._start()
 
+    def move(self, to: str) -> None:
+        """The party is at another address: it is dialled there as after a break, soon."""
+        if to != self.to:
+            self.to, self._pause = to, self._pauses[0]
+            self.drop("moved")
+
     def close(self) -> None:
         self._closed = True
         self.drop("we end")
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -44,6 +44,9 @@
         self._stream = Stream(loop, pool, to, lambda: PATH, self.take, self.start, self.end, DIAL, SILENCE,
                               PAUSES, MOST_LINE)
 
+    def move(self, to: str) -> None:
+        self._stream.move(to)
+
     def close(self) -> None:
         self._cancel()
         self._stream.close()
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -53,6 +53,10 @@
         self._last_mark: int | None = None
         self._outdated: set[int] = set()  # slices lost or given while the call that may order for them is out
         self._timer = None
+        self._answer: tuple[int, bytes] | None = None  # came while the news was away
+
+    def move(self, to: str) -> None:
+        self._client.move(to)
 
     def full(self) -> bool:
         """No further round should be held while so much waits: against a relay that is away for long while
@@ -108,6 +112,9 @@
 
     def hold(self, held: bool) -> None:
         self._held = held
+        if not held and self._answer:
+            answer, self._answer = self._answer, None
+            self._end(*answer)
         self._next()
 
     def given(self, number: int) -> None:
@@ -144,7 +151,7 @@
     def _forget(self, number: int) -> None:
         """Drops what waits for a slice; of the call that is out, when it turns out to be sent again."""
         for call in self._queue:
-            if call is self._queue[0] and self._client.busy:
+            if call is self._queue[0] and (self._client.busy or self._answer):
                 self._outdated.add(number)
             else:
                 self._shed(call, {number})
@@ -200,6 +207,14 @@
         del self._queue[0][:number]
 
     def on_answer(self, status: int, body: bytes) -> None:
+        """One that comes while the news is away waits: what stands may be told as before that call or as after
+        it, and `agrees` must allow for both."""
+        if self._held:
+            self._answer = status, body
+        else:
+            self._end(status, body)
+
+    def _end(self, status: int, body: bytes) -> None:
         try:
             answer = parsed(body)
         except Malformed:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -245,6 +245,28 @@
         first.close()
 
 
+@pytest.mark.parametrize("outcome", [GOOD, "silent", "ended"])
+def test_a_call_that_is_out_ends_where_it_went_and_the_next_goes_to_the_new_address(kit, outcome):
+    old, new = Party(kit), Party(kit, lambda visitor, path, body: visitor.connection.write(GOOD))
+    asker = Asker()
+    client = Client(kit.loop, kit.pool, old.at, asker, 250 * MS, 500)
+    client.call("GET", "/", b"", (50 if outcome == "silent" else 20_000) * MS)
+    until(kit.loop, lambda: old.requests)
+    client.move(new.at)
+    if outcome == GOOD:
+        old.visitors[0].connection.write(GOOD)
+    elif outcome == "ended":
+        old.visitors[0].connection.close("over")
+    until(kit.loop, lambda: asker.outcomes)
+    client.call("GET", "/", b"", 20_000 * MS)
+    until(kit.loop, lambda: len(asker.outcomes) == 2)
+    assert asker.outcomes == [(200, b"yes") if outcome == GOOD else outcome, (200, b"yes")]
+    assert len(old.requests) == len(old.visitors) == len(new.requests) == 1
+    client.close()
+    old.close()
+    new.close()
+
+
 # Orders
 
 def end(made, outcome):
@@ -349,6 +371,18 @@
     assert made.agrees(1, lines) is agrees
 
 
+@pytest.mark.parametrize("lines", [{}, {0: 1.0}])
+def test_an_answer_that_comes_while_the_news_is_away_waits_for_what_stands(kit, lines):
+    made = orders(kit)
+    made.given(1)
+    ordered(made, 1)
+    made.hold(True)
+    end(made, b'{"ok_count":2}')
+    assert made.agrees(1, lines)
+    made.hold(False)
+    assert made.agrees(1, {0: 1.0}) and not made.agrees(1, {}) and not made._queue
+
+
 # News
 
 def relayed(kit, *known):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -125,6 +125,53 @@
     agent.close()
 
 
+def test_a_new_configuration_moves_all_parties_and_a_bad_one_changes_nothing(kit, tmp_path):
+    def relay_does(visitor, path, body):
+        if path == "/api/stream":
+            visitor.begin()
+            visitor.tell(*STANDING)
+        else:
+            visitor.reply({"ok_count": len(json.loads(body)["ops"])})
+
+    def agent_does(visitor, path, body):
+        if "follow" in path:
+            visitor.begin()
+            visitor.tell(node_list(1 + agents.index(visitor.party), instance("s-1", "in_service" if visitor.party is agents[0] else "terminating")))
+
+    relays, agents = ([Party(kit, does) for _ in range(2)] for does in (relay_does, agent_does))
+    places = [{"discovery": agent.at, "hub": {"address": relay.at}} for agent, relay in zip(agents, relays)]
+    known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
+    program = Program(path := tmp_path / "c.json", known=known, **places[0])
+    good = json.loads(path.read_text())
+
+    def reload(written):
+        (tmp_path / "next").write_text(written)
+        os.replace(tmp_path / "next", path)
+        program.process.send_signal(signal.SIGHUP)
+
+    def settled(place):
+        return lambda: all([v.gone for v in party.visitors].count(None) == number for parties, number in ((relays, 2), (agents, 2))
+                           for party, number in ((parties[place], number), (parties[1 - place], 0)))
+
+    until(kit.loop, settled(0))
+    held = len(os.listdir(f"/proc/{program.process.pid}/fd"))
+    for bad in ("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})):
+        reload(bad)
+        assert "event=reloads_refused" in program.process.stderr.readline()
+    assert settled(0)()
+    for turn in range(6):
+        reload(json.dumps(good | places[1 - turn % 2]))  # also while the last move is under way
+    until(kit.loop, settled(0))
+    reload(json.dumps(good | places[1]))
+    until(kit.loop, lambda: any(b'"eject","endpoint":"s-1"' in body for _, _, body in relays[1].requests))
+    until(kit.loop, settled(1))
+    assert len(os.listdir(f"/proc/{program.process.pid}/fd")) == held and program.hb()
+    code, said = program.end(signal.SIGTERM)
+    assert code == 0 and "reloads_refused=3" in said and "defects" not in said
+    for party in (*relays, *agents):
+        party.close()
+
+
 def cycles(kit, front, relay, number):
     """So many callers that come and go in every way, and as many breaks of the news."""
     for turn in range(number):
