Admission by joining: reject and close for whoever can't or doesn't; figures of reports bounded

At fault, net/front: SILENT was 10 s, hb counted as having spoken, telemetry was not looked at, any report was taken from anybody, and room was made only at 64 callers. Now a caller joins by telemetry with a zone that exists; before that it may only ask hb; it has one second and 4 KiB; all else is told reject and closed at once. Beyond 64 strangers the oldest goes, never a collector; short of descriptors strangers make room instead of listening pausing for 2 s; 16 are accepted between reads. Reports: time() took negative figures, count() took and 1e30, errors above total, an interval of 0, a missing rtt (a node without busy time looked idle), doubled names and another zone's locality; all are skipped now, the connection stays.

--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -13,6 +13,7 @@
 NS_PER_MS = 1_000_000
 MOST_NAMES = 65_536  # of nodes or zones held: against a party that never names the same one twice
 LARGEST = 1e300  # what cannot be reckoned with further; no comparison holds for what is not a number
+MOST_TOLD = 1e9  # that one report may count, or last in ms: far above any, and sums of it stay sound
 EFFECTS = {"pure": "retryable", "token": "deduplicated", "side_effect": "once-only"}
 PICKS = {"random": "random", "rotate": "rotate", "p2c": "two"}
 LEVELS = {"fraction": "share", "per_second": "rate", "none": ""}
@@ -80,8 +81,14 @@
     return value
 
 
+def told(value: Any) -> float:
+    if count(value) > MOST_TOLD:
+        raise Malformed(f"expected a figure of one report, got {value!r}")
+    return value
+
+
 def time(value: Any) -> int:
-    return round(number(value) * NS_PER_MS)
+    return round(count(value) * NS_PER_MS)
 
 
 def text(value: Any) -> str:
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -6,7 +6,20 @@
 
 import msgspec
 
-from kestrelplank.decode import NS_PER_MS, Ids, Malformed, count, flag, mapping, number, text, time, whole, word
+from kestrelplank.decode import (
+    NS_PER_MS,
+    Ids,
+    Malformed,
+    count,
+    flag,
+    mapping,
+    number,
+    text,
+    time,
+    told,
+    whole,
+    word,
+)
 from kestrelplank.interface import ALL_TABLES
 
 EVERY_TABLE = 65535
@@ -27,7 +40,7 @@
 def load(value: Any) -> dict[str, float]:
     if value is None:
         return {}
-    return {LOADS[name]: number(v) for name, v in mapping(value).items() if name in LOADS and v is not None}
+    return {LOADS[name]: told(v) for name, v in mapping(value).items() if name in LOADS and v is not None}
 
 
 def entries(value: Any, ids: Ids) -> list[tuple]:
@@ -62,13 +75,13 @@
     "LOST_STREAM": ("left", (("Proxy", whole, False, 0),)),
     "INSTALLED": ("applied", (("Proxy", whole, False, 0), ("Version", whole, False, 1),
                               ("WaitTime", time, True, 2))),
-    "ROUNDUP": ("tries", (("N", count, False, 2), ("Bad", count, False, 3), ("WaitTime", time, True, 4),
+    "ROUNDUP": ("tries", (("N", told, False, 2), ("Bad", told, False, 3), ("WaitTime", time, True, 4),
                           ("Window", time, False, 5), ("FailureDomain", "zone", True, 1),
                           ("Node", "node", False, 0), ("Stats", load, True, 6))),
     "WEIGHT_SEEN": ("heat", (("Window", time, False, 4), ("Cls", "op_type", False, 1), ("SetId", whole, False, 0),
-                             ("Bad", count, False, 3), ("N", count, False, 2))),
-    "DEMAND": ("demand", (("N", count, False, 2), ("Cls", "op_type", False, 1), ("Proxy", whole, False, 0),
-                          ("Bad", count, False, 3), ("Window", time, False, 4))),
+                             ("Bad", told, False, 3), ("N", told, False, 2))),
+    "DEMAND": ("demand", (("N", told, False, 2), ("Cls", "op_type", False, 1), ("Proxy", whole, False, 0),
+                          ("Bad", told, False, 3), ("Window", time, False, 4))),
     "ECHO": ("probed", (("Node", "node", False, 0), ("Verdict", word(VERDICTS), False, 1),
                         ("WaitTime", time, True, 2), ("Stats", load, True, 3))),
     "DATAGRAM": ("peer", (("Sender", whole, False, 0), ("Body", body, True, 1))),
--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -8,6 +8,9 @@
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.loop import READ, WRITE, Loop
 
+BACKLOG = 1024  # hundreds may connect while a round is held; who finds it full asks again after seconds only
+AT_ONCE = 16
+
 
 class Owner(Protocol):
     def on_data(self, data: memoryview) -> None: ...
@@ -36,14 +39,14 @@
 
     def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner, most_waiting: int) -> None:
         self._loop, self._pool, self._sock, self._owner = loop, pool, sock, owner
-        self._waiting, self._most_waiting, self._open = bytearray(), most_waiting, True
+        self._waiting, self._most_waiting, self.open = bytearray(), most_waiting, True
         self._writing = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.watch(sock, READ, self._ready)
 
     def write(self, data: bytes) -> None:
-        if not self._open:
+        if not self.open:
             return
         if len(self._waiting) + len(data) > self._most_waiting:
             self.close("the other side does not read")
@@ -52,17 +55,17 @@
         self._flush()
 
     def close(self, why: str) -> None:
-        if not self._open:
+        if not self.open:
             return
-        self._open = False
+        self.open = False
         self._loop.forget(self._sock)
         self._sock.close()
         self._owner.on_close(why)
 
     def _ready(self, events: int) -> None:
-        if events & WRITE and self._open:
+        if events & WRITE and self.open:
             self._flush()
-        if events & READ and self._open:
+        if events & READ and self.open:
             self._read()
 
     def _flush(self) -> None:
@@ -131,12 +134,14 @@
 
 
 class Listener:
-    """Accepts; short of descriptors it looks away for `pause`, as the socket stays ready and would spin."""
+    """Accepts a few at a time, so that who came earlier is read between. Short of descriptors it asks its owner,
+    who hears of any trouble, for room; without that it looks away for `pause`, as the socket stays ready and
+    would spin."""
 
     def __init__(self, loop: Loop, at: tuple[str, int], on_accept: Callable[[socket.socket], None],
-                 on_trouble: Callable[[str], None], pause: int) -> None:
+                 on_trouble: Callable[[str], bool | None], pause: int) -> None:
         self._loop, self._on_accept, self._on_trouble, self._pause = loop, on_accept, on_trouble, pause
-        self._sock = socket.create_server(at, backlog=128)
+        self._sock = socket.create_server(at, backlog=BACKLOG)
         self._sock.setblocking(False)
         self.at = self._sock.getsockname()
         self._resume = None
@@ -147,14 +152,14 @@
         self._watched = True
 
     def _ready(self, events: int) -> None:
-        while self._watched:
+        for _ in range(AT_ONCE):
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
                 return
             except OSError as err:
-                self._on_trouble(errno.errorcode.get(err.errno, str(err)))
-                if err.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                room = self._on_trouble(errno.errorcode.get(err.errno, str(err)))
+                if not room and err.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self._loop.forget(self._sock)
                     self._watched = False
                     self._resume = self._loop.at(self._loop.now() + self._pause, self._watch)
--- a/kestrelplank/net/resp.py
+++ b/kestrelplank/net/resp.py
@@ -18,7 +18,8 @@
     checked before anything is kept for it; bytes that break the form raise Malformed, and the rest of the
     stream can't be trusted then."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = MOST_BYTES) -> None:
+        self.most = most  # bytes of one message
         self._held, self._at = bytearray(), 0
         self._parts: list[bytes] = []
         self._left, self._size, self._bytes = 0, -1, 0
@@ -40,7 +41,7 @@
                     break
                 if self._left:
                     self._bytes += number
-                    if self._bytes > MOST_BYTES:
+                    if self._bytes > self.most:
                         raise Malformed("a message is too large")
                     self._size = number
                     continue
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,5 @@
 import json
 import socket
-import struct
 
 import pytest
 from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
@@ -18,6 +17,9 @@
 
 REPORT = (b"upstream_stats", b"locality", b"a", b"endpoint", b"s-1", b"total", b"9", b"errors", b"3", b"rtt",
           b"41.5", b"interval", b"1000.0", b"metrics", b"inflight:7,util:0.5,moon:1")
+HEAT = (b"range_stats", b"shard", b"8", b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"500")
+JOIN = resp.encode(b"telemetry", b"locality", b"a")
+HB, HB_OK = resp.encode(b"hb"), b"*1\r\n$5\r\nhb_ok\r\n"
 
 
 @pytest.fixture
@@ -47,25 +49,25 @@
 # Reports
 
 def test_a_report_becomes_an_event_in_our_units():
-    assert report(list(REPORT), names(), 9) == ("tries", 0, 0, 9.0, 3.0, 41_500_000, 1_000_000_000,
-                                                {"inflight": 7.0, "util": 0.5})
-    heat = [b"range_stats", b"shard", b"8", b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"500"]
-    assert report(heat, names(), 9) == ("heat", 8, 0, 4.0, 1.0, 500_000_000)
-
-
-@pytest.mark.parametrize("place, value", [
-    (2, b"mars"), (4, b"s-9"), (6, b"nan"), (6, b"-1"), (8, b"inf"), (10, b"soon"), (12, b"1e999"), (5, b"sum"), (2, b"\xff"), (0, b"downstream")])
-def test_a_report_that_cannot_be_used_is_skipped(place, value):
-    message = list(REPORT)
+    assert report(list(REPORT), names(), 9, 0) == ("tries", 0, 0, 9.0, 3.0, 41_500_000, 1_000_000_000,
+                                                   {"inflight": 7.0, "util": 0.5})
+    assert report(list(HEAT), names(), 9, 0) == ("heat", 8, 0, 4.0, 1.0, 500_000_000)
+    assert report([*REPORT[:7], b"errors", b"9", *REPORT[11:13]], names(), 9, 0)[5] is None
+
+
+@pytest.mark.parametrize("message, place, value", [
+    (REPORT, 2, b"mars"), (REPORT, 2, b"b"), (REPORT, 4, b"s-9"), (REPORT, 6, b"nan"), (REPORT, 6, b"-1"), (REPORT, 6, b"38654705664"), (REPORT, 6, b"1_0"),
+    (REPORT, 6, b" 9"), (REPORT, 6, b"2"), (REPORT, 8, b"inf"), (REPORT, 8, b"10"), (REPORT, 9, b"rt"), (REPORT, 10, b"soon"), (REPORT, 10, b"-41"), (REPORT, 10, b"1e30"),
+    (REPORT, 12, b"1e999"), (REPORT, 12, b"0"), (REPORT, 12, b"-5"), (REPORT, 11, b"total"), (REPORT, 5, b"sum"), (REPORT, 2, b"\xff"), (REPORT, 0, b"downstream"), (REPORT, 14, b"util:1e30"),
+    (REPORT, 14, b"util:-1"), (REPORT, 14, b"util"), (REPORT, 14, b"util:0.5:1"), (HEAT, 2, b"9"), (HEAT, 2, b"-1"), (HEAT, 2, b"1_0"), (HEAT, 2, b""), (HEAT, 2, b"9" * 5000), (HEAT, 4, b"sing"),
+    (HEAT, 6, b"0"), (HEAT, 8, b"5"), (HEAT, 10, b"0"), (HEAT, 9, b"route")])
+def test_a_report_that_cannot_be_used_is_skipped(message, place, value):
+    message = list(message)
     message[place] = value
+    ids = names()
+    ids.zone("b")
     with pytest.raises(Malformed):
-        report(message, names(), 9)
-
-
-@pytest.mark.parametrize("shard", [b"9", b"-1", b"1_0", b"", b"9" * 5000])
-def test_usage_of_a_slice_that_there_is_not_is_skipped(shard):
-    with pytest.raises(Malformed):
-        report([b"range_stats", b"shard", shard, b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"5"], names(), 9)
+        report(message, ids, 9, 0)
 
 
 def caller(front):
@@ -81,51 +83,96 @@
         return None
 
 
-def test_the_front_answers_hb_and_outlives_garbage_resets_and_strangers(kit):
-    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
-    stranger, broken, rude, good = (caller(front) for _ in range(4))
-    broken.send(b"\r\n\r\n")
-    rude.send(resp.encode(*REPORT)[:30])
-    rude.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    rude.close()
-    good.send(resp.encode(b"nonsense") + resp.encode(*REPORT) + resp.encode(b"hb"))
-    got = []
-    until(kit.loop, lambda: got.append(heard(good)) or got[-1])
-    assert got[-1] == b"*1\r\n$5\r\nhb_ok\r\n" and [event[0] for event in kit.events] == ["tries"]
-    until(kit.loop, lambda: heard(broken) == b"")
-    assert heard(stranger) is None and kit.counters.counts["reports_skipped"] == 1
-    front.close()
-    for sock in (stranger, broken, good):
-        sock.close()
+@pytest.fixture
+def front(kit):
+    made = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    yield made
+    made.close()
 
 
-@pytest.mark.parametrize("spoke, lasts", [(False, 11_000), (True, 121_000)])
-def test_a_silent_caller_is_let_go_in_time(kit, spoke, lasts):
-    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+@pytest.fixture
+def collector(kit, front):
     sock = caller(front)
-    until(kit.loop, lambda: front._callers)
-    (held,) = front._callers.values()
-    held.spoke, held.heard_at = spoke, kit.loop.now() - (lasts - 2000) * MS
-    front._sweep()
-    assert front._callers
-    held.heard_at = kit.loop.now() - lasts * MS
-    front._sweep()
-    assert not front._callers
-    front.close()
+    sock.send(JOIN)
+    until(kit.loop, lambda: front._collectors)
+    yield sock
+    sock.close()
+
+
+def test_a_report_that_is_spoilt_costs_neither_its_neighbours_nor_the_connection(kit, front, collector):
+    collector.send(resp.encode(b"nonsense") + resp.encode(*REPORT) + resp.encode(*REPORT[:9]) + resp.encode(*REPORT) + HB)
+    got = []
+    until(kit.loop, lambda: got.append(heard(collector)) or got[-1])
+    assert got[-1] == HB_OK and [event[0] for event in kit.events] == ["tries"] * 2 and kit.counters.counts["reports_skipped"] == 2
+
+
+@pytest.mark.parametrize("said, events", [
+    (b"GET / HTTP/1.1\r\n\r\n", 0), (b"*2\r\n$2000000000\r\n", 0), (b"*1\r\n$4097\r\n", 0), (b"\xfa\xdf\xf4\xf6" * 9, 0),
+    (resp.encode(b"telemetry", b"locality", b"nowhere"), 0), (resp.encode(b"telemetry"), 0), (resp.encode(b"attach", b"node", b"1"), 0),
+    (resp.encode(b"put", b"cluster", b"1"), 0), (HB + resp.encode(*REPORT) + JOIN, 0), (JOIN + resp.encode(*REPORT) + b"junk\r\n", 1)])
+def test_who_cannot_join_or_breaks_the_form_is_let_go_at_once(kit, front, said, events):
+    sock, got = caller(front), bytearray()
+    sock.send(said)
+    end = kit.loop.now() + 900 * MS
+    until(kit.loop, lambda: b"reject" in got.__iadd__(heard(sock) or b""))
+    assert kit.loop.now() < end and not front._strangers and not front._collectors and len(kit.events) == events
     sock.close()
 
 
-def test_of_too_many_callers_strangers_go_first(kit, monkeypatch):
-    monkeypatch.setattr("kestrelplank.net.front.MOST_CALLERS", 2)
-    front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
-    good, stranger = caller(front), caller(front)
-    good.send(resp.encode(b"hb"))
-    until(kit.loop, lambda: heard(good))
-    another = caller(front)
-    until(kit.loop, lambda: heard(stranger) == b"")
-    assert heard(good) is None and len(front._callers) == 2
-    front.close()
-    for sock in (good, stranger, another):
+@pytest.mark.parametrize("said", [b"", HB, JOIN[:-5], JOIN[:9]])
+def test_who_has_not_joined_in_time_is_let_go_and_who_has_stays(kit, front, collector, said):
+    sock, got = caller(front), bytearray()
+    sock.send(said)
+    came = kit.loop.now()
+
+    def let_go():
+        if said == HB and kit.loop.now() - came < 500 * MS:  # nor does asking for signs of life keep it
+            sock.send(HB)
+        got.extend(heard(sock) or b"")
+        return b"reject" in got
+
+    until(kit.loop, let_go)
+    assert 900 * MS < kit.loop.now() - came < 2900 * MS and (HB_OK in got) is (said == HB)
+    assert heard(collector) is None and list(front._collectors) and not front._strangers
+    sock.close()
+
+
+def test_hundreds_at_once_all_hear_and_push_out_no_collector(kit, front, collector):
+    crowd = [caller(front) for _ in range(300)]
+    late = caller(front)
+    late.send(JOIN)
+    most, gone = 0, set()
+
+    def all_heard():
+        nonlocal most
+        most = max(most, len(front._strangers))
+        gone.update(sock for sock in crowd if sock not in gone and heard(sock))
+        return len(gone) == 300
+
+    until(kit.loop, all_heard)
+    assert most <= 64 and heard(collector) is heard(late) is None and len(front._collectors) == 2
+    for sock in (*crowd, late):
+        sock.close()
+
+
+def test_of_too_many_collectors_of_a_zone_the_longest_silent_goes(kit, front, collector):
+    others = []
+    for number in range(1, 5):
+        collector.send(resp.encode(*REPORT))
+        until(kit.loop, lambda number=number: len(kit.events) == number)
+        others.append(caller(front))
+        others[-1].send(JOIN)
+        until(kit.loop, lambda number=number: kit.counters.counts["accepted"] == 1 + number and not front._strangers)
+    assert len(front._collectors) == 4 and b"reject" in heard(others[0]) and heard(collector) is None
+    for sock in others:
+        sock.close()
+
+
+def test_short_of_descriptors_strangers_make_room(kit, front):
+    strangers = [caller(front) for _ in range(2)]
+    until(kit.loop, lambda: len(front._strangers) == 2)
+    assert front._short("EMFILE") and len(front._strangers) == 1 and front._short("EMFILE") and not front._short("EMFILE")
+    for sock in strangers:
         sock.close()
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -183,7 +183,7 @@
         until(kit.loop, lambda before=before: kit.counters.counts["news_started"] > before)
         relay.visitors[-1].tell(*STANDING)
         sock.close()
-        until(kit.loop, lambda: not front._callers)
+        until(kit.loop, lambda: not front._strangers)
     kit.events.clear()
     end = kit.loop.now() + 300 * MS  # the longest deadline of a dial: its timer leaves the heap by then
     until(kit.loop, lambda: kit.loop.now() > end)
@@ -244,7 +244,7 @@
         made.close_round()
         made.on_answer(200, thing)
         front.take([random.choice([b"upstream_stats", b"range_stats", b"hb", b"\xff"]),
-                    *(random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"]) for _ in range(8))])
+                    *(random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"]) for _ in range(8))], 0)
     assert kit.counters.counts["news_skipped"] + kit.counters.counts["news_unreadable"] > 100 and kit.counters.counts["reports_skipped"] > 100
     for part in (front, told, listed):
         part.close()
