Moves that follow chance are left out; a split slice gets another line for the one it loses

A node meets about 30 ops in five reports, so a load 20% above the mean is within chance (18%). At fault in policy.py: turn's band, which takes chance for load; evacuate, which left a split slice on its other line, so the pass split it again; the fold, half a handover each time a slice cools whether its node needs it or not.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -3,8 +3,6 @@
 Make one `Conductor(now, seed, settings)` an instance and call `conductor.round(now, events, out)` once a
 round with all that came in; it writes its orders into `out`. The events, their fields and the writer are
 described in `kestrelplank/interface.py`. Times are whole nanoseconds.
-
-Read it in order: the records, Channel, Health, Levels, and Conductor, which joins them.
 """
 
 from collections import deque
@@ -16,7 +14,7 @@
 BEAT = S // 10  # how often a conductor looks at what is due, also when nothing comes in
 TURN = 2 * S  # the greedy pass runs this often
 REPORTS = 5  # loads are averages over this many reports, and a move settles for as many
-BAND = 0.20  # how far above the mean a node's load may lie before its slices cost anything
+BAND, CHANCE = 0.20, 3  # slices cost nothing up to this far above the mean, or so many deviations of chance
 STRAINED, RELAXED = 0.35, 0.25  # median answer over target latency: shed above, relent below
 FADE = 0.98  # a report period, of the most that a node was seen to ack
 SLOWEST, FASTEST, DAMPED = 0.1, 2.0, 0.5  # bounds and power of a node's speed against the median
@@ -395,10 +393,10 @@
         usual = sum(kept.heat(self.period) for kept in self.slices.values()) / len(self.slices) or 1.0
         for kept in movers:
             kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
-            if not kept.want:  # else its other line serves it, and the pass splits it again if need be
-                heat = kept.heat(self.period) if len(kept.past) == REPORTS else usual
-                fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
-                new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
+            heat = (kept.heat(self.period) if len(kept.past) == REPORTS else usual) / (1 + len(kept.want))
+            fits = [index for index in worth if index not in kept.want and loads[index] + heat <= most[index]]
+            if fits or not kept.want:  # else its other line serves it
+                new = min(fits or worth, key=lambda index: (loads[index] + heat) / worth[index])
                 loads[new] += heat
                 kept.want[new] = 1.0
 
@@ -410,7 +408,8 @@
             return
         place = {index: loads[index] / worth[index] for index in worth}
         mean = sum(place.values()) / len(place)
-        top = mean * (1 + BAND)
+        ops = max(1.0, sum(map(loads.get, worth)) / len(worth) * REPORTS * self.period / S)
+        top = mean * (1 + max(BAND, CHANCE / ops ** 0.5))
         heats = {kept.number: kept.heat(self.period) for kept in self.slices.values()}
 
         def fitting(heat, nodes, limit):  # the least-loaded that stays under the limit with the heat
@@ -436,21 +435,21 @@
                 give(kept, heats[kept.number], index)
                 place[source] -= heats[kept.number] / worth[source]
 
-        # A slice hotter than the band pins its node, and moving it moves the trouble: it gets another full
-        # line, until it cools; sooner and more where proxies pick the idler of two, which evens out what no
-        # table foresees. Guards against hot keys, tides, slow nodes. Harm: more caches warm to the same keys.
+        # A slice hotter than the band pins its node, and moving it moves the trouble: it gets another line,
+        # more where proxies pick the idler of two; cooled, it leaves a node above the band. Harm: caches to warm.
         for kept in self.slices.values():
             heat, owner = heats[kept.number], kept.owner()
             if owner not in worth or self.exclusive:
                 continue
-            hot = heat / (mean * worth[owner]) if mean else 0
-            parts = len(kept.want)
+            hot, parts = heat / (mean * worth[owner]) if mean else 0, len(kept.want)
+            full = max(kept.want, key=lambda index: place.get(index, 0))
             if parts < self.most_lines and hot > self.split * (2 * parts - 1) and place[owner] > top:
                 new = fitting(heat / (parts + 1), [index for index in worth if index not in kept.want], top)
                 if new is not None:
                     give(kept, heat / (parts + 1), new)
-            elif parts > 1 and hot < self.split / 2:
-                kept.want = {owner: kept.want[owner]}
+            elif parts > 1 and hot < self.split / 2 and place.get(full, 0) > top:
+                del kept.want[full]
+                place[full] -= heat / parts / worth[full]
 
         held = [(place[kept.owner()], heats[kept.number], kept) for kept in self.slices.values()
                 if place.get(kept.owner(), 0) > top and len(kept.want) == 1]
