Nodes that only the store names are gone within the grace; nodes long gone are forgotten

At fault: policy.evacuate let such a node stand until moves_from (five reports after a take-over) and never withdrew it. Now it counts as removed a third of the grace after the store named it, once a list was heard in this life; where only draining binds, or with no list, the old wait stays. discovery tells the module when the agent has nothing newer than what was known. Growth: Ids, Discovery.addresses, probes' connections and policy.nodes kept every id ever named, and MOST_NAMES would in the end have refused new ones.

--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -24,13 +24,15 @@
 
 
 class Ids:
-    """Small indices for one instance's nodes, zones and op types, given out in order of appearance. What a
-    node is called on the wire, a number or a text, is for the reader to check."""
+    """Small indices for one instance's nodes, zones and op types, given out in order of appearance, and never
+    twice: what is still under way for a node that was forgotten must not meet another. What a node is called on
+    the wire, a number or a text, is for the reader to check."""
 
     def __init__(self, read_node: Callable[[Any], Any]) -> None:
         self._read_node = read_node
         self.nodes: dict[Any, int] = {}
-        self.node_ids: list[Any] = []
+        self.node_ids: dict[int, Any] = {}
+        self._given = 0
         self.zones: dict[str, int] = {}
         self.op_types: dict[str, int] = {}
 
@@ -39,10 +41,14 @@
         if index is None:
             if len(self.node_ids) >= MOST_NAMES:
                 raise Malformed(f"more than {MOST_NAMES} nodes have been named")
-            index = self.nodes[value] = len(self.node_ids)
-            self.node_ids.append(value)
+            index = self.nodes[value] = self._given
+            self.node_ids[index] = value
+            self._given += 1
         return index
 
+    def forget(self, index: int) -> None:
+        del self.nodes[self.node_ids.pop(index)]
+
     def zone(self, value: Any) -> int:
         if text(value) not in self.zones and len(self.zones) >= MOST_NAMES:
             raise Malformed(f"more than {MOST_NAMES} zones have been named")
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -151,5 +151,8 @@
     def timer(self, at: int, name: str) -> None:
         self._put("SET_ALARM", at / NS_PER_MS, name)
 
+    def forget(self, node: int) -> None:
+        self._ids.forget(node)
+
     def note(self, text: str) -> None:
         self._put("TRACE", text)
--- a/kestrelplank/interface.py
+++ b/kestrelplank/interface.py
@@ -61,5 +61,8 @@
     def timer(self, at: int, name: str) -> None:
         """Ask for a `timer` event at a clock time."""
 
+    def forget(self, node: int) -> None:
+        """The module holds nothing of a node any more; under its name another may come, with another index."""
+
     def note(self, text: str) -> None:
         """Leave a line in the log."""
--- a/kestrelplank/net/conductor.py
+++ b/kestrelplank/net/conductor.py
@@ -64,5 +64,9 @@
     def timer(self, at: int, name: str) -> None:
         self._loop.at(at, lambda: self.on_event(("timer", name)))
 
+    def forget(self, node: int) -> None:
+        for part in (self._orders, self._discovery, self._probes):
+            part.forget(node)
+
     def note(self, text: str) -> None:
         self._counters.info("note", text=text[:200])
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -31,6 +31,7 @@
         self._version, self.addresses = 0, {}
         self._pool, self._at, self._stream = pool, at, None
         self._whole, self._asked, self._timer = Client(loop, pool, at, self, DIAL, MOST_LIST), False, None
+        self._listed = False  # anything but what was known
 
     def start(self, known: Any) -> None:
         """What was known last comes first, and then what the agent says has changed since."""
@@ -49,6 +50,9 @@
         self._whole.move(at)
         self._stream.move(at)
 
+    def forget(self, node: int) -> None:
+        self.addresses.pop(node, None)
+
     def fetch(self) -> None:
         self._asked = True
         self._ask()
@@ -66,10 +70,13 @@
             if status != 200:
                 raise Malformed(f"status {status}")
             message = mapping(parsed(body))
+            ahead = whole(message.get("generation")) - self._version
             if self._asked:
                 self._take(message, None)
                 self._asked = False
-            elif whole(message.get("generation")) > self._version:
+            elif not ahead and not self._listed:  # the watch has nothing to say: what was known is the list
+                self._take(message | {"reset": False, "instances": []}, None)
+            elif ahead > 0:
                 self._counters.add("watches_behind")
                 self._stream.drop("lies behind")
         except Malformed as err:
@@ -106,7 +113,7 @@
                 entries.append(self._entry(mapping(instance)))
             except Malformed as err:  # the others still stand
                 self._counters.trouble("entries_skipped", err)
-        self._version = version
+        self._version, self._listed = version, how != "cached"
         self._counters.add("lists_in")
         self._on_event(("roster", how, entries))
 
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -108,6 +108,9 @@
             self._waiting += len(order[0])
         self._next()
 
+    def forget(self, node: int) -> None:
+        self._ids.forget(node)
+
     # What the news tells.
 
     def hold(self, held: bool) -> None:
--- a/kestrelplank/net/probes.py
+++ b/kestrelplank/net/probes.py
@@ -72,6 +72,11 @@
             self._checks.pop(next(iter(self._checks))).client.close()
         check.ask()
 
+    def forget(self, node: int) -> None:
+        check = self._checks.pop(node, None)
+        if check:
+            check.client.close()
+
     def close(self) -> None:
         for check in self._checks.values():
             check.client.close()
--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -1,8 +1,7 @@
 """All decisions of kestrelplank.
 
-Make one `Conductor(now, seed, settings)` an instance and call `conductor.round(now, events, out)` once a
-round with all that came in; it writes its orders into `out`. The events, their fields and the writer are
-described in `kestrelplank/interface.py`. Times are whole nanoseconds.
+Make a `Conductor(now, seed, settings)` an instance and call `conductor.round(now, events, out)` once a round
+with all that came in; it orders through `out`. `kestrelplank/interface.py` has both. Times are whole ns.
 """
 
 from collections import deque
@@ -30,10 +29,10 @@
 class Node:
     """All that is known of one node."""
 
-    def __init__(self, index):
+    def __init__(self, index, now):
         self.index, self.zone, self.weight, self.boot = index, None, 1.0, None
         self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
-        self.out, self.since = False, 0  # to be withdrawn from the proxies, since when; ordered unless stale
+        self.out, self.since = False, now  # to be withdrawn from proxies, since when; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
         self.untold = False  # a proxy has joined that may hold another
         # Of the running report period, and the same of those before: tries, failures, busy seconds; these as
@@ -64,8 +63,7 @@
         return [sum(part) for part in zip(*recent)] if recent else [0.0] * 8
 
     def time(self, last):
-        """Mean time of its answers as seen from its own zone: so a slow way between zones is not taken for a
-        strained fleet. None without answers."""
+        """Mean time of its answers as seen from its own zone, as a slow way between zones is no strain."""
         tries, failed, busy = self.sums(last)[3:6]
         return busy / tries if tries > failed else None
 
@@ -87,8 +85,7 @@
 
 class Channel:
     """Keeps the queue short (rule 5). Messages leave in order, so any proxy's answer proves that all older
-    ones have left; what is not proved counts as waiting, so that a slow channel holds orders back. Proxies
-    that stand still or left hold back no more than their part of the last reply."""
+    ones have left; what is not proved counts as waiting. Who stands still holds back its part of the last."""
 
     def __init__(self, envelope, most_waiting, most_messages, messages_span):
         self.envelope, self.most_waiting = envelope, most_waiting
@@ -136,10 +133,8 @@
 
 class Health:
     """Bars a node whose share of failures over two reports lies far above the fleet's median. Guards against
-    nodes that hang, are silent or fail fast before the list tells. The median keeps trouble of the whole
-    fleet from looking like theirs, and at most a seventh is barred: the work of a lost zone would sink the
-    rest. A full node answers slowly; barring it, or one under strain, throws its work on the next. Harm:
-    nodes that fail half of their ops keep them, as do most of a group that fails together."""
+    nodes that hang, are silent or fail fast before the list tells. At most a seventh is barred, and no full
+    node, which answers slowly: that work would sink the rest. Harm: who fails half of its ops keeps them."""
 
     def judge(self, now, nodes, strained):
         up = [node for node in nodes if node.state in ("up", "dropped")]
@@ -160,9 +155,8 @@
 
 class Levels:
     """Sheds the op types of least value first while the median node answers too slowly, down to what live
-    nodes were seen to ack. Guards against overload, where work that ends in a time-out crowds out work that
-    could be answered. Clients come again when rejected, which is no demand: that is told from before any
-    rejection, or from what is let in. Harm: it rejects what might have been served, so it relents early."""
+    nodes were seen to ack. Guards against overload, where work that times out crowds out the rest. Demand is
+    told from before any rejection, or from what is let in. Harm: it rejects what might have been served."""
 
     def __init__(self, levels, op_types):
         self.active = levels == "share"
@@ -204,7 +198,7 @@
         self.random, self.nodes, self.slices = Random(seed), {}, {}
         self.channel = Channel(settings["envelope"], settings["most_waiting"], settings["most_messages"],
                                settings["messages_span"])
-        self.subscribe, self.ask_at = settings["subscribe"], now
+        self.subscribe, self.ask_at, self.listed = settings["subscribe"], now, False
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
         self.cold_from, self.warm_up = settings["cold_from"], settings["warm_up"]
@@ -239,23 +233,39 @@
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             out.timer(self.next_beat, "beat")
-            for node in self.nodes.values():  # once a beat, as proxies come back in swarms
-                node.stale, node.untold = node.stale or node.untold, False
+            self.tidy(now, out)
         if self.slices:  # else nobody would get or prove it
             self.flush(now, out)
 
+    def tidy(self, now, out):
+        """Nodes long gone, in no table and met by nobody, are let in, for who may come under that name later,
+        and forgotten. Guards against growth where new ids come all day. Harm: a bar is forgotten too."""
+        named = {index for kept in self.slices.values() for index in (*kept.want, *kept.sent)}
+        for index, node in list(self.nodes.items()):
+            node.stale, node.untold = node.stale or node.untold, False  # here, as proxies come back in swarms
+            idle = index not in named and now - node.since > BAR_MOST and not node.sums()[0]
+            if idle and node.state in ("removed", "dropped"):
+                node.state, node.stripped = "unlisted", True
+            elif idle and node.state == "unlisted" and not (node.out or node.stale and self.slices):
+                del self.nodes[index]
+                out.forget(index)
+            elif index in named and node.state == "unlisted" and now - node.since > self.grace // 3 and (
+                    self.listed and not self.only_draining or now >= self.moves_from):
+                node.state = "removed"  # only the store names it, and the list would by now
+
     # What comes in.
 
     def on_roster(self, now, how, entries):
         if how == "failed":
             self.ask_at = now + S // 2 + int(self.random.random() * S)
             return
+        self.listed = self.listed or how != "cached"
         if how != "delta":
             for node in self.nodes.values():
                 if node.state != "unlisted":
                     node.state = self.removed(node)
         for index, condition, zone, cell, weight, boot in entries:
-            node = self.node(index)
+            node = self.node(index, now)
             if node.state == "unlisted" and how == "delta":
                 node.fresh = True
             # An older list may come again: only a later start counts, and no drain is taken back without one.
@@ -281,7 +291,7 @@
     def on_line(self, now, number, index, weight):
         kept = self.slices.get(number)
         if kept and weight > 0:
-            node = self.node(index)  # a withdrawal told before the proxies had this table may not hold
+            node = self.node(index, now)  # a withdrawal told before the proxies had this table may not hold
             node.untold = node.untold or node.out
             kept.want[index] = kept.sent[index] = weight
 
@@ -314,8 +324,8 @@
 
     # What is known.
 
-    def node(self, index):
-        return self.nodes.setdefault(index, Node(index))
+    def node(self, index, now):
+        return self.nodes.setdefault(index, Node(index, now))
 
     def close_period(self, now):
         self.closes_at += self.period
@@ -336,10 +346,8 @@
     def survey(self, now):
         """The weight that each live node surely is worth by now, the ops a second that each node counts for,
         and the most that each may be given. A node counts for what its reports show, or for what comes for
-        the slices it holds if that is more: a move weighs on both ends until its reports are in, and a node
-        whose answers end late does not look idle. Tries alone do not show slowness: the listed weight is
-        scaled by what an op uses of the node, or by the time of its answers where nodes do not tell, against
-        the median: damped, as a queue slows any node."""
+        its slices if that is more: a move weighs on both ends until its reports are in. The listed weight is
+        scaled by what an op uses of the node, or by the time of its answers, against the median, damped."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
         times = {index: self.nodes[index].weight * util / acked for index, (*_, util, acked) in sums.items()
@@ -354,9 +362,8 @@
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
         up, worth, most = [node for node in self.nodes.values() if node.live(now)], {}, {}
-        # What pushes a cold node over (rule 4) is told by what the fleet acks: never more than it can do. All
-        # conductors count alike, each by its own slices, so their parts add up. After a start or a take-over
-        # heat is not known, and a cold node gets nothing unless nothing else lives.
+        # What pushes a cold node over (rule 4) is told by what the fleet acks. All conductors count alike, so
+        # their parts add up; while heat is not known, a cold node gets nothing unless nothing else lives.
         weight = sum(node.weight for node in up)
         acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
         known = up and now >= self.moves_from
@@ -371,15 +378,12 @@
     # What is decided.
 
     def evacuate(self, now):
-        """Slices on nodes that drain, are gone, barred or restarted cost infinity: all move at once, each to
-        the least-loaded live node. A node that only the store names is gone once the list should have it."""
-        flee = set()
+        """Slices on nodes that drain, are gone, barred or restarted cost infinity: all move at once."""
         for index, node in self.nodes.items():
             if node.state == "up" and not node.stripped:
                 node.stripped = not any(index in kept.want or index in kept.sent
                                         for kept in self.slices.values())
-            if node.shut(now) or (node.state == "unlisted" and now >= self.moves_from):
-                flee.add(index)
+        flee = {index for index, node in self.nodes.items() if node.shut(now)}
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
         if not movers:
             return
@@ -422,8 +426,7 @@
             loads[target] += heat
             place[target] += heat / worth[target]
 
-        # Each fresh node gains the hottest slice that keeps it under the mean, from the node that has most,
-        # outside the cap. Guards against a fleet that grows, or comes back, faster than the cap fills it.
+        # Each fresh node gains the hottest slice that keeps it under the mean, from the fullest, uncapped.
         for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
             source = max(place, key=place.get)
@@ -436,7 +439,7 @@
                 place[source] -= heats[kept.number] / worth[source]
 
         # A slice hotter than the band pins its node, and moving it moves the trouble: it gets another line,
-        # more where proxies pick the idler of two; cooled, it leaves a node above the band. Harm: caches to warm.
+        # more where proxies pick the idler of two; cooled, it leaves a node above the band. Harm: caches.
         for kept in self.slices.values():
             heat, owner = heats[kept.number], kept.owner()
             if owner not in worth or self.exclusive:
@@ -473,8 +476,7 @@
         """Publishes what changed, what binds first: nodes let in again, new lines of slices that have a shut
         line, then withdrawals that leave no slice bare. A bare slice has longer than a drain late in its
         grace, or than a cold node, which proxies load knowingly from the next message on (rules 1, 3, 4):
-        these go first. Lines to shut nodes go later, first where nodes wait for that to be let in. Guards
-        against waves that fill the channel; harm: tables name shut nodes, of which who joins must be told."""
+        these go first. Lines to shut nodes go later, first where nodes wait to be let in."""
         shut = {node.index: node for node in self.nodes.values() if node.out}
         bound = {index for index, node in shut.items() if node.bound()}
         waits = {index for index, node in shut.items() if node.state == "up"}
@@ -525,8 +527,7 @@
         return len(new)
 
     def hand_over(self, now, kept, out):
-        """The old line goes first; the new one comes when every proxy has proved that and all writes in hand
-        must be over. Guards against writes of a slice at two nodes (rule 2). Harm: it has none meanwhile."""
+        """The old line goes; the new one comes once all proved that and all writes are over (rule 2)."""
         if kept.sent:
             out.line(kept.number, next(iter(kept.sent)), 0)
             kept.sent, kept.closing, kept.opens_at = {}, self.channel.mark, None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,7 @@
+import gc
 import json
 import socket
+import tracemalloc
 
 import pytest
 from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
@@ -12,6 +14,7 @@
 from kestrelplank.net.front import Front, report
 from kestrelplank.net.http import Client
 from kestrelplank.net.news import News
+from kestrelplank.net.orders import Orders
 from kestrelplank.net.peers import Peers
 from kestrelplank.net.probes import Probes
 
@@ -590,6 +593,37 @@
     agent.close()
 
 
+def test_a_node_that_is_forgotten_leaves_nothing_and_its_index_is_not_used_again(kit):
+    agent, made = discovering(kit, [])
+    probes = Probes(kit.loop, kit.pool, kit.counters, made.addresses, True, 250 * MS, True, kit.events.append)
+    conductor = Conductor(kit.loop, kit.counters, Rounds(), MS, Orders(kit.loop, kit.pool, kit.counters, agent.at, made._ids, [], 0), made, probes, None)
+    before = None
+    for number in range(3000):
+        made._take(node_list(number, instance(f"n-{number}")), None)
+        probes.probe(index := made._ids.nodes[f"n-{number}"])
+        conductor.forget(index)
+        kit.events.clear()
+        if number == 1000:
+            gc.collect()
+            tracemalloc.start()
+            before = tracemalloc.get_traced_memory()[0]
+    gc.collect()
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert index == 3001 and list(made._ids.nodes) == ["s-1", "s-2"] and not made.addresses and not probes._checks and grown < 100_000
+    made.close()
+    agent.close()
+
+
+def test_what_was_known_is_told_to_be_the_list_where_nothing_has_changed(kit):
+    agent, made = discovering(kit, [], node_list(5, instance("s-1"), reset=True))
+    until(kit.loop, lambda: [event[1:] for event in kit.events[1:]] == [("delta", [])])
+    made.on_answer(200, json.dumps(node_list(5, instance("s-1"), reset=True)).encode())
+    assert len(kit.events) == 2
+    made.close()
+    agent.close()
+
+
 def test_a_watch_that_lies_behind_what_the_agent_has_is_replaced(kit):
     """It counts as told what the agent wrote to a connection that has silently died."""
     agent, made = discovering(kit, [[node_list(4, reset=True)], [node_list(5, instance("s-1", "terminating"))]])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kestrelplank.policy import Channel, Conductor, Levels, Node, Slice
+from kestrelplank.policy import GONE, Channel, Conductor, Levels, Node, Slice
 
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
@@ -20,7 +20,7 @@
 def fleet(states, tables):
     conductor = Conductor(0, 1, SETTINGS)
     for index, state in enumerate(states):
-        conductor.node(index).state = state
+        conductor.node(index, 0).state = state
     for number, lines in tables.items():
         kept = conductor.slices[number] = Slice(number)
         kept.want.update(lines)
@@ -99,12 +99,17 @@
     assert conductor.nodes[0].state == state and conductor.slices[3].owner() == owner
 
 
-@pytest.mark.parametrize("now, owner", [(0, 0), (9 * S, 1)])
-def test_a_node_that_only_the_store_knows_is_gone_after_a_while(now, owner):
-    conductor = fleet(["unlisted", "up"], {3: {0: 1.0}})
-    conductor.moves_from = 5 * S
-    conductor.evacuate(now)
-    assert conductor.slices[3].owner() == owner
+@pytest.mark.parametrize("listed, binds, after, gone", [
+    (True, False, S // 2, False), (True, False, S, True), (False, False, S, False), (True, True, S, False), (False, True, 6 * S, True)])
+def test_a_node_that_only_the_store_knows_is_gone_once_the_list_would_name_it(listed, binds, after, gone):
+    """Its slices move and proxies are kept from it within the grace; with no list, or one that drops sound nodes, later."""
+    conductor, out = fleet(["up"], {}), Orders()
+    conductor.listed, conductor.only_draining = listed, binds
+    conductor.on_tenure(0, 3, True)
+    conductor.on_line(0, 3, 7, 1.0)
+    for now in range(0, after + 1, S // 10):
+        conductor.round(now, [], out)
+    assert (conductor.slices[3].owner() == 0) is (("take_out", 7, True) in out) is gone
 
 
 @pytest.mark.parametrize("split, heat, other, parts", [(0.45, 9.0, 1.0, [0, 1]), (0.45, 1.2, 6.0, [1]),
@@ -132,6 +137,22 @@
     assert [kept.owner() for kept in conductor.slices.values()] == owners
 
 
+@pytest.mark.parametrize("state, named, held, ends", [
+    ("removed", False, True, "forgotten"), ("dropped", False, True, "forgotten"), ("removed", False, False, "forgotten"), ("draining", False, True, "draining"),
+    ("up", False, True, "up"), ("removed", True, True, "removed")])
+def test_a_node_long_gone_is_let_in_again_and_forgotten(state, named, held, ends):
+    conductor, out = fleet([state, "up"], {3: {0: 1.0} if named else {1: 1.0}} if held else {}), Orders()
+    conductor.nodes[0].out = state in GONE
+    for beat in range(600):
+        conductor.round(beat * S // 10, [], out)
+        if named:
+            conductor.slices[3].sent = {0: 1.0}  # the store is not rid of it
+    assert (conductor.nodes[0].state if 0 in conductor.nodes else "forgotten") == ends
+    assert (("forget", 0) in out) is (ends == "forgotten")
+    if state == "removed" and held:
+        assert (("take_out", 0, False) in out) is not named
+
+
 @pytest.mark.parametrize("moves_from, owner", [(9 * S, 2), (0, 1)])
 def test_a_conductor_that_knows_no_heat_yet_gives_cold_nodes_nothing(moves_from, owner):
     conductor = fleet(["removed", "up", "up"], {3: {0: 1.0}, 4: {2: 1.0}})
@@ -163,7 +184,7 @@
 
 @pytest.mark.parametrize("own, time", [(6.0, 0.5), (0.0, None)])
 def test_a_slow_way_between_zones_does_not_strain_the_fleet(own, time):
-    node = Node(0)
+    node = Node(0, 0)
     node.past.append((18.0, 0.0, 36.0, own, 0.0, own / 2, 0.0, 0.0))
     assert node.time(2) == time
 
@@ -198,7 +219,7 @@
 
 @pytest.mark.parametrize("acked, let_in, shed", [(5.0, 5.0, 0.55), (1.0, 1.0, 0.568), (5.0, 20.0, 0.8)])
 def test_what_a_node_acked_at_best_and_what_is_let_in_bound_what_is_shed(acked, let_in, shed):
-    node, levels = Node(0), Levels("share", [dict(target_latency=S, value=1)])
+    node, levels = Node(0, 0), Levels("share", [dict(target_latency=S, value=1)])
     node.state, levels.came, levels.best = "up", [50.0], 5.0 / 0.98 if acked == 5.0 else 4.92
     node.past.append((2 * let_in, 2 * (let_in - acked), 1.0, 1.0, 0.0, 1.0, 0.0, 0.0))
     levels.close([node])
