--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -397,10 +397,10 @@
         usual = sum(kept.heat(self.period) for kept in self.slices.values()) / len(self.slices) or 1.0
         for kept in movers:
             kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
-            heat = (kept.heat(self.period) if len(kept.past) == REPORTS else usual) / (1 + len(kept.want))
-            fits = [index for index in worth if index not in kept.want and loads[index] + heat <= most[index]]
-            if fits or not kept.want:  # else its other line serves it
-                new = min(fits or worth, key=lambda index: (loads[index] + heat) / worth[index])
+            if not kept.want:  # else its other line serves it, and the pass splits it again if need be
+                heat = kept.heat(self.period) if len(kept.past) == REPORTS else usual
+                fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
+                new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
                 loads[new] += heat
                 kept.want[new] = 1.0
 
