--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -344,10 +344,10 @@
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
 
     def survey(self, now):
-        """The weight that each live node surely is worth by now, the ops a second that each node counts for, the
-        most that each may be given, and who answers slowly. A node counts for what its reports show, or for what
-        comes for its slices if that is more: a move weighs on both ends until its reports are in. The listed
-        weight is scaled by an op's use of the node, or by the time of answers, against the median, damped."""
+        """The weight that each live node surely is worth by now, the ops a second that each node counts for,
+        and the most that each may be given. A node counts for what its reports show, or for what comes for
+        its slices if that is more: a move weighs on both ends until its reports are in. The listed weight is
+        scaled by what an op uses of the node, or by the time of its answers, against the median, damped."""
         seconds = self.period / S
         sums = {index: node.sums() for index, node in self.nodes.items()}
         times = {index: self.nodes[index].weight * util / acked for index, (*_, util, acked) in sums.items()
@@ -373,7 +373,7 @@
             warmth = self.warmth(node, now)
             worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
-        return worth, loads, most, {index for index in times if times[index] > 1.5 * usual}
+        return worth, loads, most
 
     # What is decided.
 
@@ -387,7 +387,7 @@
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
         if not movers:
             return
-        worth, loads, most, _ = self.survey(now)
+        worth, loads, most = self.survey(now)
         if not worth:  # better a cold or suspect node than none (rule 1)
             for node in self.nodes.values():
                 if node.state == "up":
@@ -407,18 +407,18 @@
     def turn(self, now):
         """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch. Before it,
         fresh nodes gain a slice each, and slices too hot to be moved are split."""
-        worth, loads, most, slow = self.survey(now)
+        worth, loads, most = self.survey(now)
         if now < self.moves_from or not worth:
             return
         place = {index: loads[index] / worth[index] for index in worth}
         mean = sum(place.values()) / len(place)
-        chance = CHANCE / max(1.0, sum(map(loads.get, worth)) / len(worth) * REPORTS * self.period / S) ** 0.5
-        top = {index: mean * (1 + (BAND if index in slow else max(BAND, chance))) for index in worth}
+        ops = max(1.0, sum(map(loads.get, worth)) / len(worth) * REPORTS * self.period / S)
+        top = mean * (1 + max(BAND, CHANCE / ops ** 0.5))
         heats = {kept.number: kept.heat(self.period) for kept in self.slices.values()}
 
         def fitting(heat, nodes, limit):  # the least-loaded that stays under the limit with the heat
             fits = [index for index in nodes if loads[index] + heat <= most[index]
-                    and place[index] + heat / worth[index] <= limit[index]]
+                    and place[index] + heat / worth[index] <= limit]
             return min(fits, key=lambda index: place[index] + heat / worth[index], default=None)
 
         def give(kept, heat, target):
@@ -430,8 +430,8 @@
         for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
             source = max(place, key=place.get)
-            fits = [kept for kept in self.slices.values() if kept.owner() == source
-                    and fitting(heats[kept.number], [index], {index: mean}) == index]
+            fits = [kept for kept in self.slices.values()
+                    if kept.owner() == source and fitting(heats[kept.number], [index], mean) is not None]
             if self.nodes[index].fresh and fits and place[source] > mean:
                 kept = max(fits, key=lambda kept: (heats[kept.number], -kept.number))
                 del kept.want[source]
@@ -446,16 +446,16 @@
                 continue
             hot, parts = heat / (mean * worth[owner]) if mean else 0, len(kept.want)
             full = max(kept.want, key=lambda index: place.get(index, 0))
-            if parts < self.most_lines and hot > self.split * (2 * parts - 1) and place[owner] > top[owner]:
+            if parts < self.most_lines and hot > self.split * (2 * parts - 1) and place[owner] > top:
                 new = fitting(heat / (parts + 1), [index for index in worth if index not in kept.want], top)
                 if new is not None:
                     give(kept, heat / (parts + 1), new)
-            elif parts > 1 and hot < self.split / 2 and place.get(full, 0) > top.get(full, 0):
+            elif parts > 1 and hot < self.split / 2 and place.get(full, 0) > top:
                 del kept.want[full]
                 place[full] -= heat / parts / worth[full]
 
         held = [(place[kept.owner()], heats[kept.number], kept) for kept in self.slices.values()
-                if place.get(kept.owner(), 0) > top.get(kept.owner(), 0) and len(kept.want) == 1]
+                if place.get(kept.owner(), 0) > top and len(kept.want) == 1]
         held.sort(key=lambda item: (-item[0], -item[1], item[2].number))
         left = max(1, len(self.slices) // BATCH)
         for _, heat, kept in held:
