--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 import gc
 import json
 import socket
+import struct
 import tracemalloc
 
 import pytest
@@ -172,6 +173,26 @@
         sock.close()
 
 
+@pytest.mark.parametrize("lasts, stays", [(119_000, True), (121_000, False)])
+def test_a_collector_that_says_nothing_for_long_is_let_go(kit, front, collector, lasts, stays):
+    (held,) = front._collectors.values()
+    held.heard_at = kit.loop.now() - lasts * MS
+    front._timer.cancel()
+    front._sweep()
+    assert bool(front._collectors) is stays
+
+
+def test_a_caller_that_resets_costs_nobody_else(kit, front, collector):
+    rude = caller(front)
+    rude.send(resp.encode(*REPORT)[:30])
+    until(kit.loop, lambda: kit.counters.counts["accepted"] == 2)
+    rude.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    rude.close()
+    collector.send(HB)
+    until(kit.loop, lambda: heard(collector) == HB_OK)
+    until(kit.loop, lambda: not front._strangers)
+
+
 def test_short_of_descriptors_strangers_make_room(kit, front):
     strangers = [caller(front) for _ in range(2)]
     until(kit.loop, lambda: len(front._strangers) == 2)
