Tests: whoever waits for the real program turns the loop of its stand-ins meanwhile

Need: the test of a new configuration failed on some machines every time. While it sat in a blocking readline() nobody turned the loop of its stand-ins, a call to the relay went unanswered for 80 ms, and calls_broken was the line that came first. Change: the program's log and answers are read by the same loop; lines are waited for by what they say. No test blocks any more while it also plays the other side (start, signals, counters, hb and end alike).

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,6 +15,7 @@
 from kestrelplank.net.counters import Output
 from kestrelplank.net.discovery import Discovery
 from kestrelplank.net.front import Front
+from kestrelplank.net.loop import READ
 from kestrelplank.net.news import News
 
 SETTINGS = {
@@ -32,29 +33,62 @@
 
 
 class Program:
-    """The real program; what it writes is read until its listening address stands there."""
+    """The real program. Whoever waits for it turns the loop of its stand-ins meanwhile: nothing here blocks, as a
+    call that goes unanswered for that would be trouble of our own making. Lines of its log are waited for by what
+    they say."""
 
-    def __init__(self, path, **config):
+    def __init__(self, kit, path, **config):
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": SETTINGS, **config}
         path.write_text(json.dumps(config))
+        self.loop, self.log, self.answers = kit.loop, b"", b""
         self.process = subprocess.Popen([sys.executable, "-m", "kestrelplank"], stderr=subprocess.PIPE,
-                                        env=os.environ | {"NODE_CONFIG": str(path)}, text=True)
-        line = ""
-        while "event=started" not in line:
-            line = self.process.stderr.readline()
-            assert line, "the program ended before it listened"
-        host, port = line.split("listen=")[1].split()[0].split(":")
+                                        env=os.environ | {"NODE_CONFIG": str(path)})
+        self._watch(self.process.stderr, self._read_log)
+        until(self.loop, lambda: self.lines("event=started") or self.process.poll() is not None)
+        assert self.process.poll() is None, f"the program ended before it listened: {self.log}"
+        host, port = self.lines("event=started")[0].split("listen=")[1].split()[0].split(":")
         self.collector = socket.create_connection((host, int(port)), timeout=20)
+        self._watch(self.collector, self._read_answer)
+
+    def _watch(self, file, callback):
+        os.set_blocking(file.fileno(), False)
+        self.loop.watch(file, READ, callback)
+
+    def _read_log(self, events):
+        data = self.process.stderr.read()
+        self.log += data or b""
+        if data == b"":
+            self.loop.forget(self.process.stderr)
+            self.process.stderr.close()
+
+    def _read_answer(self, events):
+        try:
+            data = self.collector.recv(100)
+        except ConnectionResetError:
+            data = b""
+        self.answers += data
+        if not data:
+            self.loop.forget(self.collector)
+            self.collector.close()
+
+    def lines(self, what):
+        """Whole lines of its log so far that say that."""
+        whole = self.log[:self.log.rfind(b"\n") + 1].decode()
+        return [line for line in whole.splitlines() if what in line]
 
     def hb(self):
-        self.collector.sendall(resp.encode(b"hb"))
-        return self.collector.recv(100)
+        self.answers = b""
+        self.collector.send(resp.encode(b"hb"))
+        until(self.loop, lambda: self.answers.endswith(b"hb_ok\r\n") or self.collector.fileno() < 0)
+        return self.answers
 
     def end(self, number):
         self.process.send_signal(number)
-        said = self.process.communicate(timeout=20)[1]
-        self.collector.close()
-        return self.process.returncode, said
+        until(self.loop, lambda: self.process.poll() is not None and self.process.stderr.closed)
+        if self.collector.fileno() >= 0:
+            self.loop.forget(self.collector)
+            self.collector.close()
+        return self.process.returncode, self.log.decode()
 
 
 def closed_port():
@@ -80,8 +114,8 @@
     assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
 
 
-def test_without_relay_and_discovery_it_answers_all_the_same(tmp_path):
-    program = Program(tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()})
+def test_without_relay_and_discovery_it_answers_all_the_same(kit, tmp_path):
+    program = Program(kit, tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()})
     assert program.hb() == b"*1\r\n$5\r\nhb_ok\r\n"
     code, said = program.end(signal.SIGTERM)
     assert code == 0 and "event=counters" in said and "hb_answered=1" in said
@@ -110,14 +144,14 @@
     relay, agent = Party(kit, relay_does), Party(kit, agent_does)
     known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
     for number in (signal.SIGKILL, signal.SIGTERM):
-        program = Program(tmp_path / "c.json", discovery=agent.at, hub={"address": relay.at}, known=known)
+        program = Program(kit, tmp_path / "c.json", discovery=agent.at, hub={"address": relay.at}, known=known)
         calls.clear()
         until(kit.loop, lambda: any(order["verb"] == "eject" for call in calls for order in call))
         orders = [order for call in calls for order in call]
         assert {"verb": "put", "cluster": 2, "endpoint": "s-2", "w": 1.0} in orders
         assert {"verb": "eject", "endpoint": "s-1"} in orders
         program.process.send_signal(signal.SIGUSR1)
-        until(kit.loop, lambda read=program.process.stderr.readline: "event=counters" in read())
+        until(kit.loop, lambda lines=program.lines: lines("event=counters"))
         code, _ = program.end(number)
         assert code == (0 if number == signal.SIGTERM else -signal.SIGKILL)
     assert len(lost) == 3 and lost[0] == lost[1] == lost[2]
@@ -141,7 +175,7 @@
     relays, agents = ([Party(kit, does) for _ in range(2)] for does in (relay_does, agent_does))
     places = [{"discovery": agent.at, "hub": {"address": relay.at}} for agent, relay in zip(agents, relays)]
     known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
-    program = Program(path := tmp_path / "c.json", known=known, **places[0])
+    program = Program(kit, path := tmp_path / "c.json", known=known, **places[0])
     good = json.loads(path.read_text())
 
     def reload(written):
@@ -155,9 +189,9 @@
 
     until(kit.loop, settled(0))
     held = len(os.listdir(f"/proc/{program.process.pid}/fd"))
-    for bad in ("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})):
+    for number, bad in enumerate(("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})), 1):
         reload(bad)
-        assert "event=reloads_refused" in program.process.stderr.readline()
+        until(kit.loop, lambda number=number: len(program.lines("event=reloads_refused")) == number)
     assert settled(0)()
     for turn in range(6):
         reload(json.dumps(good | places[1 - turn % 2]))  # also while the last move is under way
