--- a/Makefile
+++ b/Makefile
@@ -2,16 +2,16 @@
 PYTHON ?= python3
 CONFIG ?= deploy/example-config.json
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	cmp -s requirements.txt .venv/built-from || ($(PYTHON) -m venv .venv && \
 	  .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built-from)
 	.venv/bin/python -m compileall -q kestrelplank
 
-.venv-dev/built-from: requirements.txt pyproject.toml
+.venv-dev/built-from: requirements.txt constraints.txt pyproject.toml
 	$(PYTHON) -m venv .venv-dev
-	.venv-dev/bin/pip -q install -r requirements.txt -e '.[test,lint]'
+	.venv-dev/bin/pip -q install -r requirements.txt -c constraints.txt -e '.[test,lint]'
 	cp requirements.txt $@
 
 test: .venv-dev/built-from
@@ -22,3 +22,6 @@
 
 run: build
 	NODE_CONFIG=$(CONFIG) exec .venv/bin/python -m kestrelplank
+
+demo: .venv-dev/built-from
+	.venv-dev/bin/kestrelplank rehearse rehearsals/windsor-lost.ini
