--- /dev/null
+++ b/kestrelplank/lab/script.py
@@ -0,0 +1,239 @@
+"""A rehearsal's script: the site, its load over time, and faults, from an INI file. Whole and checked, or Unusable."""
+
+import re
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+from kestrelplank.config.ini import Count, Flag, Ini, Number, Section, Share, Span, Spans, Words
+from kestrelplank.lab.node import Kind
+
+MS = 1_000_000
+Some = Annotated[Count, Meta(ge=1)]
+
+
+class Site(Struct, frozen=True, kw_only=True):
+    zones: Words
+    nodes: Some = 30
+    slices: Some = 180
+    relays: Some = 60
+    conductors: Annotated[Count, Meta(ge=1, le=40)] = 2
+    length: Span = 60_000 * MS
+    settle: Span = 6_000 * MS  # ops before that are played and not counted
+    load: Share = 0.45  # work asked for over what all nodes can do
+
+
+class OpType(Struct, frozen=True, kw_only=True):
+    share: Share
+    work: Span
+    spread: Number = 0.6  # deviation over mean; drawn lognormal
+    target: Span
+    timeout: Span
+    value: Number = 1.0
+    effect: Literal["retryable", "deduplicated", "once-only"] = "once-only"
+
+
+class Clients(Struct, frozen=True, kw_only=True):
+    retries: Annotated[Count, Meta(le=7)] = 1  # by themselves, of what was rejected, or may run again
+    wait: Span = 100 * MS
+    slice_spread: Number = 0.7
+    keys: Some = 40  # of a slice; the first are the most asked for
+
+
+class Relays(Struct, frozen=True, kw_only=True):
+    pick: Literal["random", "rotate", "two"] = "random"
+    strikes: Count = 5
+    avoid: Spans = (4_000 * MS, 7_000 * MS)
+    hold: Span = 500 * MS
+    dial: Span = 250 * MS
+    redial: Spans = (200 * MS, 2_300 * MS)
+    notice: Spans = (370 * MS, 1_900 * MS)  # until a conductor's or relay's end is known where nothing was reset
+    apply_line: Span = 25_000
+
+
+class Channel(Struct, frozen=True, kw_only=True):
+    lines_per_s: Number = 7500.0
+    envelope: Count = 16
+    backlog: Span = 1_500 * MS  # of lines at that pace may wait
+    transit: Spans = (85 * MS, 330 * MS)
+
+
+class Reports(Struct, frozen=True, kw_only=True):
+    every: Annotated[Span, Meta(ge=10 * MS)] = 1_000 * MS
+    late: Spans = (530 * MS, 1_200 * MS)
+    intake_per_s: Some = 500
+    noise: Share = 0.1
+
+
+class Discovery(Struct, frozen=True, kw_only=True):
+    notice: Spans = (1_600 * MS, 4_400 * MS)  # that a process has ended
+    silent: Spans = (4_600 * MS, 11_000 * MS)  # that a machine is out of reach
+    add: Spans = (1_200 * MS, 2_500 * MS)
+    spread: Spans = (40 * MS, 390 * MS)  # among conductors
+
+
+class Network(Struct, frozen=True, kw_only=True):
+    same: Spans = (100_000, 320_000)
+    cross: Spans = (1_400_000, 2_600_000)
+
+
+class Rules(Struct, frozen=True, kw_only=True):
+    grace: Span = 1_500 * MS
+    bare: Span = 2_500 * MS
+    takeover: Spans = (1_000 * MS, 3_000 * MS)
+    rehome: Spans = (3_000 * MS, 12_000 * MS)
+    tick: Span = 4 * MS
+
+
+class Load(Struct, frozen=True, kw_only=True):
+    at: Span
+    load: Share
+
+
+class Fault(Struct, frozen=True, kw_only=True):
+    kind: Literal["stall", "slow", "silent", "fail", "mute", "lost", "drain"]
+    who: Words
+    start: Span
+    length: Span | None = None
+    end: Span | None = None
+    strength: Number | None = None  # slow: times slower; fail, mute: a share
+    pause: Span = 300 * MS  # stall: stands still for so long,
+    every: Span = 2_000 * MS  # so often
+    keeps_queue: Flag = False  # silent: what waited is still there when it comes back
+
+
+class Party(Struct, frozen=True):
+    """Whom a fault is for: nodes, relays or conductors; of a zone, by number, or a share of them drawn by chance."""
+
+    kind: str
+    zone: int | None = None
+    number: int | None = None
+    share: float = 1.0
+
+
+class Script(Struct, frozen=True, kw_only=True):
+    site: Site
+    kind: Kind
+    op_types: dict[str, OpType]
+    clients: Clients
+    relays: Relays
+    channel: Channel
+    reports: Reports
+    discovery: Discovery
+    network: Network
+    rules: Rules
+    loads: tuple[tuple[int, float], ...]  # from when on, in order
+    faults: tuple[tuple[str, Fault, int, tuple[Party, ...]], ...]  # name, fault, end, whom
+
+
+def party(word: str, site: Site) -> Party:
+    """`zone Z` (its nodes), `nodes`, `relays` or `conductors` followed by `of Z`, a share or a number."""
+    found = re.fullmatch(r"(zone|node|relay|conductor)s?(?: (?:of )?(\S+))?", word)
+    if not found:
+        raise ValueError(f"expected zone, nodes, relays or conductors, got {word!r}")
+    kind, which = found.groups()
+    kind = "node" if kind == "zone" else kind
+    most = {"node": site.nodes, "relay": site.relays, "conductor": site.conductors}[kind]
+    if which is None:
+        if word.startswith("zone"):
+            raise ValueError(f"{word!r} names no zone")
+        return Party(kind)
+    if which in site.zones:
+        return Party(kind, zone=site.zones.index(which))
+    share = re.fullmatch(r"(\d+(?:\.\d+)?)%", which)
+    if share and 0 < float(share[1]) <= 100 and not word.startswith("zone"):
+        return Party(kind, share=float(share[1]) / 100)
+    if which.isascii() and which.isdigit() and not word.startswith("zone"):
+        if int(which) >= most:
+            raise ValueError(f"there is no {kind} {which}: there are {most}, counted from 0")
+        return Party(kind, number=int(which))
+    raise ValueError(f"no zone is called {which!r}; there are {', '.join(site.zones)}")
+
+
+def fault(ini: Ini, section: Section, read: Fault, site: Site) -> tuple[str, Fault, int, tuple[Party, ...]]:
+    if (read.length is None) == (read.end is None):
+        raise ini.fail(section, None, "give either length or end")
+    end = read.end if read.end is not None else read.start + read.length
+    if end <= read.start:
+        raise ini.fail(section, "end" if read.end is not None else "length", "the fault ends before it begins")
+    if read.start >= site.length:
+        raise ini.fail(section, "start", "the rehearsal is over by then")
+    try:
+        whom = tuple(party(word, site) for word in read.who)
+    except ValueError as err:
+        raise ini.fail(section, "who", str(err)) from None
+    if not whom:
+        raise ini.fail(section, "who", "names nobody")
+    if any(one.kind != "node" for one in whom) and read.kind not in ("stall", "lost"):
+        raise ini.fail(section, "who", f"{read.kind} is for nodes alone")
+    if read.kind in ("fail", "mute") and not 0 < (read.strength or 0) <= 1:
+        raise ini.fail(section, "strength", "expected a share over 0 and up to 1")
+    if read.kind == "slow" and not (read.strength or 0) > 1:
+        raise ini.fail(section, "strength", "expected how many times slower, over 1")
+    if read.kind == "stall" and not 0 < read.pause < read.every:
+        raise ini.fail(section, "pause", "a pause is shorter than the time from one to the next")
+    return section.name, read, end, whom
+
+
+def script(ini: Ini) -> Script:
+    """The script that a file holds; Unusable says what can't be used."""
+    site = ini.one("site", Site)
+    here = ini.find("site")
+    if not site.zones or len(set(site.zones)) < len(site.zones):
+        raise ini.fail(here, "zones", "expected names of zones, each once")
+    if site.settle >= site.length:
+        raise ini.fail(here, "settle", "nothing is left of the rehearsal to be counted")
+    op_types = ini.each("op", OpType)
+    if not op_types:
+        raise ini.fail(None, None, "no section [op NAME]")
+    if abs(sum(op.share for _, op in op_types) - 1) > 1e-6:
+        raise ini.fail(op_types[-1][0], "share", "the shares of all op types do not sum to 100%")
+    for section, op in op_types:
+        if not 0 < op.target <= op.timeout:
+            raise ini.fail(section, "target", "expected above 0 and within the op timeout")
+        if not op.work:
+            raise ini.fail(section, "work", "expected some")
+    loads = [(0, site.load)]
+    for section, load in ini.each("load", Load):
+        if load.at < loads[-1][0]:
+            raise ini.fail(section, "at", "loads stand in the order of time")
+        loads.append((load.at, load.load))
+    kind = ini.one("nodes", Kind)
+    if kind.cancel not in ("waiting", "all", "none"):
+        raise ini.fail(ini.find("nodes"), "cancel", f"expected waiting, all or none, got {kind.cancel!r}")
+    if not (kind.cores and kind.slots and kind.speed):
+        raise ini.fail(ini.find("nodes"), None, "cores, slots and speed are above 0")
+    made = Script(
+        site=site, kind=kind, op_types={section.name: op for section, op in op_types},
+        clients=ini.one("clients", Clients), relays=ini.one("relays", Relays), channel=ini.one("channel", Channel),
+        reports=ini.one("reports", Reports), discovery=ini.one("discovery", Discovery),
+        network=ini.one("network", Network), rules=ini.one("rules", Rules), loads=tuple(loads),
+        faults=tuple(fault(ini, section, read, site) for section, read in ini.each("fault", Fault)))
+    ini.finish()
+    return made
+
+
+def conf(made: Script, ordinal: int) -> dict:
+    """The settings that a conductor of this site is given, in the form that both adapters read."""
+    ms = 1 / MS
+    site, kind, rules, channel = made.site, made.kind, made.rules, made.channel
+    return {
+        "Areas": list(site.zones), "Az": site.zones[ordinal % len(site.zones)], "Balancers": site.conductors,
+        "Ordinal": ordinal, "Tick": rules.tick * ms, "WeightSource": "nominal",
+        "Categories": [{"Name": name, "Target": op.target * ms, "Deadline": op.timeout * ms, "Importance": op.value,
+                        "Effect": {"retryable": "pure", "deduplicated": "token", "once-only": "side_effect"}[op.effect]}
+                       for name, op in made.op_types.items()],
+        "Specifics": {
+            "BaseMode": 1, "Blackhole": rules.bare * ms, "DataPlaneSize": site.relays, "Shards": site.slices,
+            "EgressPerS": channel.lines_per_s, "Envelope": channel.envelope, "LevelKind": "none",
+            "MostWaiting": most_waiting(made), "Pick": {"two": "p2c", "rotate": "rotate"}.get(made.relays.pick, "random"),
+            "ReportEvery": made.reports.every * ms, "Strikes": made.relays.strikes, "WarmKeys": kind.key_gain > 0,
+            "Transit": sum(channel.transit) / 2 * ms, "WorstTransit": channel.transit[1] * ms},
+        "Rules": {"ColdFrom": kind.cold_from, "FallMultiple": kind.fall_multiple, "WarmUp": kind.warm_up * ms,
+                  "StopSendingWithin": rules.grace * ms, "TipAfter": kind.tip_after * ms},
+        "Permissions": {"DialTimeout": made.relays.dial * ms, "Probes": False, "MayTell": False}}
+
+
+def most_waiting(made: Script) -> float:
+    """Lines that may wait in a conductor's channel."""
+    return made.channel.lines_per_s * made.channel.backlog / 1e9
--- /dev/null
+++ b/kestrelplank/plan/attempts.py
@@ -0,0 +1,187 @@
+"""What a relay does with one op: let it in, pick a line, wait for one, try again once and only with proof that the
+first try never ran, give up. The relay acts on the steps returned here; nothing here sends or waits.
+
+A step is one of
+
+    ("send", node)            open a try there
+    ("wait", until)           no line to pick: call `expire` at that time, and `changed` when tables change
+    ("end", verdict, why)     answer the caller now: acked, rejected (nothing has run) or aborted (it may have)
+
+An op that has ended is answered at once: holding the answer back would only stop the caller from asking again.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from kestrelplank.plan.picks import Rotation, idler, weighted
+from kestrelplank.state.tables import Tables
+
+ACKED, REJECTED, ABORTED = "acked", "rejected", "aborted"
+
+# How a try may end, as the relay saw it.
+GOOD = "acked"
+FAILED = "failed"  # the node answered with an error: it may have run
+NOT_STARTED = "not started"  # the node's own word
+REFUSED = "refused"  # no connection came up
+UNSENT = "unsent"  # reset before the first byte of the op was written
+RESET = "reset"  # after a byte was written
+CUT = "cut short"  # the answer broke off
+SILENT = "silent"  # nothing came in time
+
+# That a try never ran is proved by these alone. A time-out proves nothing: the node may be about to run it.
+PROOFS = (NOT_STARTED, REFUSED, UNSENT)
+
+
+class Avoidance:
+    """Keeps away from a node at which `strikes` of this relay's own tries in a row have failed, for a time drawn
+    from `spell` (ns, least and most). Guards against a node that fails before any conductor has heard of it. Also
+    catches a cut between this relay and the node. Harm: chance failures in a row at a sound node; so where all
+    lines are avoided none is, and with 0 strikes nothing ever is."""
+
+    def __init__(self, random: Random, strikes: int, spell: tuple[int, int]) -> None:
+        self._random, self._strikes, self._spell = random, strikes, spell
+        self._row: dict[int, int] = {}
+        self._until: dict[int, int] = {}
+
+    def ended(self, now: int, node: int, good: bool) -> None:
+        """A try at that node has ended."""
+        if good:
+            self._row.pop(node, None)
+            return
+        self._row[node] = self._row.get(node, 0) + 1
+        if self._strikes and self._row[node] >= self._strikes:
+            del self._row[node]
+            self._until[node] = now + self._random.randint(*self._spell)
+
+    def sound(self, now: int, lines: Sequence[tuple[int, float]]) -> Sequence[tuple[int, float]]:
+        """The lines not avoided now, or all where that leaves none."""
+        if not self._until:
+            return lines
+        for node in [node for node, until in self._until.items() if until <= now]:
+            del self._until[node]
+        return [line for line in lines if line[0] not in self._until] or lines
+
+
+class Op:
+    """One op in hand. `node` is where its try is out, `tried` the nodes it was sent to."""
+
+    __slots__ = ("number", "op_type", "table", "deadline", "node", "tried", "until")
+
+    def __init__(self, number: int, op_type: int, table: int, deadline: int) -> None:
+        self.number, self.op_type, self.table, self.deadline = number, op_type, table, deadline
+        self.node: int | None = None
+        self.tried: tuple[int, ...] = ()
+        self.until: int | None = None  # it waits for a line, so long
+
+
+class Attempts:
+    """The ops of one relay. `op_timeouts` by op type and `hold`, the longest wait for a line, are in ns; `pick` is
+    random, rotate or two. `proofs` may be widened only by tests, which plant a relay that repeats without proof."""
+
+    def __init__(self, random: Random, tables: Tables, op_timeouts: Sequence[int], pick: str, hold: int,
+                 avoidance: Avoidance, proofs: Sequence[str] = PROOFS) -> None:
+        self._random, self._tables, self._pick, self._hold = random, tables, pick, hold
+        self._op_timeouts, self._avoidance, self._proofs = op_timeouts, avoidance, proofs
+        self._rotations: dict[int, Rotation] = {}
+        self.own: Counter[int] = Counter()  # tries out, by node
+        self._waiting: dict[int, dict[int, Op]] = {}  # by table, in order of arrival
+        self.counts: Counter[str] = Counter()
+
+    def ask(self, now: int, number: int, op_type: int, table: int, within: int | None = None) -> tuple[Op, tuple]:
+        """A new op, which its caller waits for so long (ns; its op timeout if that is less or nothing is said)."""
+        self.counts["asked"] += 1
+        limit = self._op_timeouts[op_type]
+        op = Op(number, op_type, table, now + (limit if within is None else min(limit, within)))
+        share = self._tables.share(table, op_type)
+        if share < 1.0 and self._random.random() >= share:
+            return op, self._end(op, REJECTED, "level")
+        node = self._choose(now, op)
+        if node is not None:
+            return op, self._send(op, node)
+        if not self._hold:
+            return op, self._end(op, REJECTED, "no line")
+        op.until = min(now + self._hold, op.deadline)
+        self._waiting.setdefault(table, {})[number] = op
+        return op, ("wait", op.until)
+
+    def ended(self, now: int, op: Op, outcome: str) -> tuple:
+        """The try that was out has ended so."""
+        self._back(now, op, outcome == GOOD)
+        if outcome == GOOD:
+            return self._end(op, ACKED, "")
+        if outcome not in self._proofs:
+            return self._end(op, ABORTED, outcome)
+        if len(op.tried) > 1 or not self._tables.again(op.table):
+            return self._end(op, REJECTED, outcome)
+        if now >= op.deadline:
+            return self._end(op, REJECTED, "op timeout")
+        node = self._choose(now, op)
+        if node is None:
+            return self._end(op, REJECTED, "no other line")
+        self.counts["second_tries"] += 1
+        return self._send(op, node)
+
+    def give_up(self, now: int, op: Op, why: str = "op timeout") -> tuple:
+        """Its time is over, or its caller has gone. A try that is out may yet run: the relay closes it, which is
+        no proof, and the op is never sent again."""
+        if op.node is None:
+            self._forget(op)
+            return self._end(op, REJECTED, why)
+        self._back(now, op, False)
+        return self._end(op, ABORTED, why)
+
+    def expire(self, now: int, op: Op) -> tuple:
+        """The wait for a line is over."""
+        self._forget(op)
+        return self._end(op, REJECTED, "no line")
+
+    def changed(self, now: int, tables: Iterable[int]) -> list[tuple[Op, tuple]]:
+        """These tables may have other lines now: the ops that wait for one and get it, in order of arrival."""
+        steps = []
+        for table in tables:
+            for op in list(self._waiting.get(table, {}).values()):
+                node = self._choose(now, op)
+                if node is not None:
+                    self._forget(op)
+                    steps.append((op, self._send(op, node)))
+        return steps
+
+    def waiting(self) -> int:
+        return sum(map(len, self._waiting.values()))
+
+    def _choose(self, now: int, op: Op) -> int | None:
+        lines: Sequence[tuple[int, float]] = self._tables.open(op.table)
+        if op.tried:
+            lines = [line for line in lines if line[0] not in op.tried]
+        if not lines:
+            return None
+        lines = self._avoidance.sound(now, lines)
+        if self._pick == "two":
+            return idler(self._random, lines, self.own)
+        if self._pick == "rotate":
+            return self._rotations.setdefault(op.table, Rotation()).pick(lines)
+        return weighted(self._random, lines)
+
+    def _send(self, op: Op, node: int) -> tuple:
+        op.node, op.tried = node, (*op.tried, node)
+        self.own[node] += 1
+        return "send", node
+
+    def _back(self, now: int, op: Op, good: bool) -> None:
+        self.own[op.node] -= 1
+        if not self.own[op.node]:
+            del self.own[op.node]
+        self._avoidance.ended(now, op.node, good)
+        op.node = None
+
+    def _forget(self, op: Op) -> None:
+        op.until = None
+        waiting = self._waiting.get(op.table, {})
+        waiting.pop(op.number, None)
+        if not waiting:
+            self._waiting.pop(op.table, None)
+
+    def _end(self, op: Op, verdict: str, why: str) -> tuple:
+        self.counts[verdict] += 1
+        return "end", verdict, why
