--- a/kestrelplank/lab/rules.py
+++ b/kestrelplank/lab/rules.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 
 
 class Rules:
@@ -28,11 +29,11 @@
 
     # Rule 1.
 
-    def lines(self, now: int, relay: int, table: int, some: bool, due: bool) -> None:
-        """A relay has some open line of a table now, or none. `due`: a warm open node is listed, so that the time
-        without one counts."""
-        if some or not due:
-            since = self._bare.pop((relay, table), None)
+    def lines(self, now: int, relay: int, table: int, some: bool, due: Callable[[int], bool]) -> None:
+        """A relay has some open line of a table now, or none. `due` says of a table whether a warm open node is
+        listed by who has charge of it, so that the time without one counts."""
+        if some or not due(table):
+            since = self._bare.pop((relay, table), None) if self._bare else None
             if since is not None:
                 self._note("bare", (now - since) / 1e9, f"relay {relay}, slice {table}")
         else:
--- a/kestrelplank/lab/script.py
+++ b/kestrelplank/lab/script.py
@@ -226,7 +226,8 @@
         "Specifics": {
             "BaseMode": 1, "Blackhole": rules.bare * ms, "DataPlaneSize": site.relays, "Shards": site.slices,
             "EgressPerS": channel.lines_per_s, "Envelope": channel.envelope, "LevelKind": "none",
-            "MostWaiting": most_waiting(made), "Pick": {"two": "p2c", "rotate": "rotate"}.get(made.relays.pick, "random"),
+            "MostWaiting": most_waiting(made),
+            "Pick": {"two": "p2c", "rotate": "rotate"}.get(made.relays.pick, "random"),
             "ReportEvery": made.reports.every * ms, "Strikes": made.relays.strikes, "WarmKeys": kind.key_gain > 0,
             "Transit": sum(channel.transit) / 2 * ms, "WorstTransit": channel.transit[1] * ms},
         "Rules": {"ColdFrom": kind.cold_from, "FallMultiple": kind.fall_multiple, "WarmUp": kind.warm_up * ms,
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -126,7 +126,7 @@
         """These tables may have changed: ops that wait for a line may go, and rule 1 is held against them."""
         now, world = self.world.clock.now(), self.world
         for table in changed:
-            world.rules.lines(now, self.number, table, bool(self.tables.open(table)), world.due(table))
+            world.rules.lines(now, self.number, table, bool(self.tables.open(table)), world.due)
         for op, step in self.attempts.changed(now, changed):
             self.act(op, step)
 
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -139,7 +139,7 @@
     def changed(self, now: int, tables: Iterable[int]) -> list[tuple[Op, tuple]]:
         """These tables may have other lines now: the ops that wait for one and get it, in order of arrival."""
         steps = []
-        for table in tables:
+        for table in tables if self._waiting else ():
             for op in list(self._waiting.get(table, {}).values()):
                 node = self._choose(now, op)
                 if node is not None:
--- a/kestrelplank/state/tables.py
+++ b/kestrelplank/state/tables.py
@@ -74,6 +74,7 @@
                 raise Refused(f"order {place}: {why}")
         known.expects += 1
         changed: dict[int, None] = {}
+        turned: dict[int, None] = {}  # nodes withdrawn or let in again
         for word, *fields in orders:
             if word == "line":
                 table, node, weight = fields
@@ -88,9 +89,17 @@
                 self.read(fields[0], source, {})
                 changed[fields[0]] = None
             elif word == "take_out":
-                self._withdraw(known, source, *fields, changed)
+                node, out = fields
+                turned[node] = None
+                if out:
+                    known.out[node] = None
+                else:
+                    known.out.pop(node, None)
             elif word == "level":
                 self._set_level(known, *fields)
+        if turned:  # one walk a message, however many nodes a zone's loss withdraws
+            changed.update((table, None) for table, lines in enumerate(self._lines)
+                           if self._source[table] == source and not turned.keys().isdisjoint(lines))
         for table in changed:
             self._open[table] = None
         return list(changed), marks
@@ -111,15 +120,6 @@
                 return f"way {again} of trying again needs no proof"
         return "" if word in ("line", "clear", "take_out", "level", "mark") else f"no order is called {word!r}"
 
-    def _withdraw(self, known: Source, source: int, node: int, out: bool, changed: dict[int, None]) -> None:
-        if out:
-            known.out[node] = None
-        else:
-            known.out.pop(node, None)
-        for table, lines in enumerate(self._lines):
-            if node in lines and self._source[table] == source:
-                changed[table] = None
-
     def _set_level(self, known: Source, table: int, op_types: int, share: float, again: int) -> None:
         shares = known.shares if table == ALL_TABLES else self._levels.setdefault(table, {})
         for place in range(self._op_types):
