--- a/kestrelplank/config/ini.py
+++ b/kestrelplank/config/ini.py
@@ -199,7 +199,7 @@
         """Raises Unusable where a section stands that nobody took."""
         for section in self._left.values():
             raise Unusable(f"{self.path}, line {section.line}: no section is called {section}"
-                           + nearest(str(section)[1:-1], self._kinds))
+                           + nearest(f"{section.kind} NAME" if section.name else section.kind, self._kinds))
 
     def _read(self, section: Section, struct: type[Struct]) -> Struct:
         fields = {field.encode_name: field for field in msgspec.structs.fields(struct)}
--- a/kestrelplank/lab/rehearsal.py
+++ b/kestrelplank/lab/rehearsal.py
@@ -19,10 +19,9 @@
     clock = Clock(1_000_000_000_000)  # a node's start is never 0, which would mean long ago
     world = World(script, seed, clock, policy, proofs)
     world.start()
-    end = world.begun + script.site.length
-    while clock.now() < end:
-        clock.run(min(end, clock.now() + STEP))
-        progress((clock.now() - world.begun) / script.site.length)
+    while clock.now() < world.over:
+        clock.run(min(world.over, clock.now() + STEP))
+        progress((clock.now() - world.begun) / (world.over - world.begun))
     return report(world, "virtual")
 
 
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -485,6 +485,11 @@
         self.clock.at(now + script.reports.every, self.reports.close)
         self._arrive(False)
 
+    @property
+    def over(self) -> int:
+        """When everything asked for has ended one way or another."""
+        return self.begun + self.script.site.length + max(op.timeout for op in self.op_types)
+
     def begin(self, seat: Any) -> None:
         seat.start()
         self.discovery.whole(seat.number, "cached")
@@ -505,6 +510,8 @@
 
     def _arrive(self, asks: bool = True) -> None:
         random, now = self.random, self.clock.now()
+        if now >= self.begun + self.script.site.length:
+            return  # the day is over; what was asked for may end yet
         if asks:
             op_type = min(bisect(self._shares, random.random() * self._shares[-1]), len(self._shares) - 1)
             table = min(bisect(self._slices, random.random() * self._slices[-1]), len(self._slices) - 1)
