--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -1,8 +1,8 @@
 """The world of a rehearsal: nodes, relays, the hub with its store and channels, discovery, reports, clients, faults.
 
-It runs on any clock with `now` and `at`: the virtual one here, or the loop's, where `lab/live.py` puts conductors and
-nodes behind sockets by replacing `Seat` and the relays' `carry`. Each party has a chance of its own, so that one more
-draw of one leaves the others as they were.
+It runs on any clock with `now` and `at`: the virtual one, or the loop's, where `lab/live.py` puts conductors and nodes
+behind sockets in place of `Seat` and of what `World` does for tries. Each party has a chance of its own, so that one
+more draw of one leaves the others as they were.
 """
 
 from bisect import bisect
@@ -130,6 +130,9 @@
         for op, step in self.attempts.changed(now, changed):
             self.act(op, step)
 
+    def stand(self, until: int) -> None:
+        self.asleep_until = max(self.asleep_until, until)
+
     def kill(self) -> None:
         self.alive = False
         for number in list(self.ops):
@@ -168,6 +171,9 @@
     def kill(self) -> None:
         self.alive = False
 
+    def stand(self, until: int) -> None:
+        self.asleep_until = max(self.asleep_until, until)
+
     def tell(self, event: tuple, after: int = 0) -> None:
         """An event for the module, in the world's numbers, to arrive after that time; lost if it dies first."""
         life = self.life
@@ -625,12 +631,16 @@
         self._node_timers[node] = None
         target, now = self.nodes[node], self.clock.now()
         for number, _ in target.step(now):
-            relay = self.where.get(number)
-            if relay is not None:
-                self.clock.at(now + self.way(relay.zone, self.zone_of(node)),
-                              lambda relay=relay, number=number: relay.awake(relay.ended, number, node, "acked"))
+            self.done(node, number)
         self.look_at(node)
 
+    def done(self, node: int, number: int) -> None:
+        """A node answers an op."""
+        relay = self.where.get(number)
+        if relay is not None:
+            self.clock.at(self.clock.now() + self.way(relay.zone, self.zone_of(node)),
+                          lambda: relay.awake(relay.ended, number, node, "acked"))
+
     def tried(self, relay: Relay, ask: Ask, node: int, good: bool, time: int) -> None:
         """For the reports of whoever has charge."""
         charge = relay.tables.source(ask.table)
@@ -646,18 +656,18 @@
 
     def _fell(self, node: int) -> None:
         self.score.falls.append(node)
-        self._drop(node, RESET)
+        self.drop(node)
 
     # Faults.
 
-    def _drop(self, node: int, outcome: str) -> None:
-        """All connections to a node end, and so do the tries on them."""
+    def drop(self, node: int) -> None:
+        """All connections to a node end, and so do the tries on them; whether it takes new ones is its own state."""
         self.lives[node] += 1
         now = self.clock.now()
         for number, relay in list(self.where.items()):
             if number in relay.ops and relay.ops[number][0].node == node:
                 self.clock.at(now + self.way(relay.zone, self.zone_of(node)),
-                              lambda relay=relay, number=number: relay.awake(relay.ended, number, node, outcome))
+                              lambda relay=relay, number=number: relay.awake(relay.ended, number, node, RESET))
 
     def _fault(self, name: str, fault: Fault, end: int, whom: dict[str, list[int]]) -> None:
         end += self.begun
@@ -701,8 +711,7 @@
             self.nodes[number].fault(self.clock.now(), name, "stall", 1.0)
             self.clock.at(until, lambda: self._mend(name, [number]))
         else:
-            party = (self.relays if kind == "relay" else self.seats)[number]
-            party.asleep_until = max(party.asleep_until, until)
+            (self.relays if kind == "relay" else self.seats)[number].stand(until)
 
     def _lose(self, whom: dict[str, list[int]], end: int) -> None:
         for number in whom["relay"]:
@@ -711,7 +720,7 @@
             self._lose_conductor(self.seats[number], end)
         for node in whom["node"]:
             self.nodes[node].kill(self.clock.now())
-            self._drop(node, RESET)
+            self.drop(node)
         if whom["node"]:
             self.discovery.change(whom["node"], "removed", None, self.script.discovery.notice)
             self.clock.at(end, lambda: self.back(whom["node"]))
@@ -722,7 +731,7 @@
         for node in nodes:
             self.nodes[node].start(now, keeps_queue)
             self.boots[node] = now
-            self._drop(node, RESET)
+            self.drop(node)
             self.look_at(node)
         nodes = [node for node in nodes if not self.nodes[node].fallen]
         self.discovery.change(nodes, "up", now, self.script.discovery.add)
--- a/kestrelplank/net/http.py
+++ b/kestrelplank/net/http.py
@@ -100,6 +100,11 @@
         elif self._up:
             self._send()
 
+    @property
+    def sent(self) -> bool:
+        """Whether the present call has been handed to a connection: if not, the party has seen nothing of it."""
+        return not self._request
+
     def move(self, to: str) -> None:
         """Calls go there from now on. One that was sent may be carried out where it went, so it ends first;
         sent to both, it could come after a newer one."""
