--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -57,6 +57,18 @@
     return found
 
 
+def operators_file() -> Any:
+    """What the operator's own file says, where one is named; Unusable says what can't be used. Without it nothing is
+    imported for it."""
+    path = os.environ.get("KESTRELPLANK_INI")
+    if not path:
+        return None
+    from kestrelplank.config import operator
+    from kestrelplank.config.ini import Ini
+
+    return operator.read(Ini.of(path))
+
+
 class Signals:
     """Signals as bytes on a socket of the loop's: nothing of ours runs inside a handler."""
 
@@ -87,7 +99,8 @@
         ids = Ids(text)
         config = configuration(ids)
         found = config["settings"]
-    except Malformed as err:
+        extras = operators_file()
+    except ValueError as err:
         print(f"kestrelplank: {err}", file=sys.stderr)
         return 2
     loop = Loop(lambda err: counters.defect(err))
@@ -100,17 +113,25 @@
     def reload() -> None:
         try:
             new = configuration(Ids(text))
-        except Malformed as err:
+            more = operators_file()
+        except ValueError as err:
             counters.trouble("reloads_refused", err)
             return
         counters.add("reloads")
         counters.info("reloaded", discovery=new["discovery"], hub=new["hub"])
         for part, to in ((orders, new["hub"]), (news, new["hub"]), (discovery, new["discovery"])):
             part.move(to)
+        if files:
+            files.reload(more.nodes)
 
     orders = Orders(loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS,
                     found["transit"])
-    discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_event)
+    files = None
+
+    def on_listed(event: tuple) -> None:
+        (files.on_event if files else on_event)(event)
+
+    discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_listed)
     probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
                     found["load_by"] != "none", on_event)
     try:
@@ -124,6 +145,11 @@
         return 1
     conductor = Conductor(loop, counters, Policy(loop.now(), config["seed"], found), found["tick"], orders,
                           discovery, probes, peers)
+    if extras and extras.nodes.files:
+        from kestrelplank.files.source import Source
+
+        files = Source(loop, counters, extras.nodes, found["grace"], ids, discovery.addresses, on_event)
+        conductor.holders.append(files)
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop, signal.SIGHUP: reload,
@@ -131,7 +157,7 @@
     counters.info("started", listen="%s:%d" % front.at)
     gc.freeze()  # what start-up made stays, and need not be looked through again
     loop.run()
-    for part in (front, news, orders, discovery, probes, peers, signals, loop):
+    for part in (front, news, orders, discovery, files, probes, peers, signals, loop):
         if part is not None:
             part.close()
     counters.report()
--- a/kestrelplank/cli/__init__.py
+++ b/kestrelplank/cli/__init__.py
@@ -5,6 +5,9 @@
 
 COMMANDS = {  # name to the module's name in this package, and the line that the help shows
     "serve": ("serve", "Run a conductor, told all it needs by the file that NODE_CONFIG names."),
+    "check": ("check", "Say whether files can be used: an operator's file, node lists, scripts."),
+    "config": ("config", "What the operator's file says, and where each value came from."),
+    "nodes": ("nodes", "Node lists in files, and the set that is in force."),
     "rehearse": ("rehearse", "Play a scripted incident with the real decisions, and hold the rules against it."),
 }
 EXTRA = "kestrelplank: this command needs the 'cli' extra: pip install 'kestrelplank[cli]'"
--- /dev/null
+++ b/kestrelplank/cli/check.py
@@ -0,0 +1,51 @@
+"""`kestrelplank check FILE...`: whether files can be used: an operator's file, node lists (together one set), scripts."""
+
+import sys
+
+import click
+
+from kestrelplank.config import operator
+from kestrelplank.config.ini import Ini, Unusable
+
+
+def kind(ini: Ini) -> str:
+    """What a file is, by its sections."""
+    kinds = {section.kind for section in ini.sections}
+    return "script" if "site" in kinds else "node list" if kinds & {"zone", "list"} else "operator's file"
+
+
+@click.command()
+@click.argument("paths", metavar="FILE...", nargs=-1, required=True, type=click.Path())
+def command(paths: tuple[str, ...]) -> None:
+    """Say whether files can be used; node lists among them are checked as one set."""
+    from kestrelplank.files import nodelist
+    from kestrelplank.files.source import bytes_of
+    from kestrelplank.state.nodeset import Refused, assemble
+
+    bad, parts = False, []
+    for path in paths:
+        try:
+            ini = Ini.of(path)
+            what = kind(ini)
+            if what == "script":
+                from kestrelplank.lab.script import script
+                script(ini)
+            elif what == "node list":
+                limits = operator.Nodes()
+                parts.append(nodelist.read(path, bytes_of(path, limits.most_bytes), limits.most_nodes, False))
+            else:
+                operator.read(ini)
+            click.echo(f"{path}: {what}, good")
+        except Unusable as err:
+            bad = True
+            click.echo(f"kestrelplank: {err}", err=True)
+    if parts and not bad:
+        try:
+            found = assemble(parts)
+            size = f"{len(found)} nodes, {len(found.ready())} ready, in {len(found.zones)} zones"
+            click.echo(f"{size}; hash {found.short}")
+        except Refused as err:
+            bad = True
+            for conflict in err.conflicts:
+                click.echo(f"kestrelplank: {conflict}", err=True)
+    sys.exit(2 if bad else 0)
--- /dev/null
+++ b/kestrelplank/cli/config.py
@@ -0,0 +1,46 @@
+"""`kestrelplank config show`: what holds of the operator's file, and where each value came from."""
+
+import sys
+
+import click
+import msgspec
+
+from kestrelplank.config import operator
+from kestrelplank.config.ini import UNITS, Ini, Unusable
+
+
+def shown(value: object, field: str) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, tuple):
+        return ", ".join(map(str, value))
+    if isinstance(value, int) and field in TIMES:
+        unit = next((unit for unit, size in reversed(UNITS.items()) if value and not value % size), "s")
+        return f"{value // UNITS[unit]}{unit}"
+    return "" if value is None else str(value)
+
+
+TIMES = ("quiet", "poll", "stand", "grace")
+
+
+@click.group(name="config")
+def command() -> None:
+    """What the operator's file says."""
+
+
+@command.command()
+@click.option("--ini", "path", envvar=operator.VARIABLE, type=click.Path(), help="The operator's file.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON, times in ns.")
+def show(path: str | None, as_json: bool) -> None:
+    """Every field with its value, and the line or default that it came from."""
+    try:
+        ini = Ini.of(path) if path else Ini("no file", "")
+        operator.read(ini)
+    except Unusable as err:
+        click.echo(f"kestrelplank: {err}", err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo(msgspec.json.encode([dict(zip(("section", "field", "value", "from"), row)) for row in ini.origins]))
+        return
+    for section, field, value, where in ini.origins:
+        click.echo(f"{section:<10} {field:<16} {shown(value, field):<28} {where}")
--- a/kestrelplank/cli/serve.py
+++ b/kestrelplank/cli/serve.py
@@ -1,13 +1,19 @@
 """`kestrelplank serve`: today's program, the same as `python -m kestrelplank`."""
 
+import os
 import sys
 
 import click
 
+from kestrelplank.config.operator import VARIABLE
+
 
 @click.command()
-def command() -> None:
+@click.option("--ini", "path", type=click.Path(), help=f"The operator's file; also by {VARIABLE}.")
+def command(path: str | None) -> None:
     """Run a conductor, told all it needs by the file that NODE_CONFIG names."""
     from kestrelplank.__main__ import main
 
+    if path:
+        os.environ[VARIABLE] = path
     sys.exit(main())
--- a/kestrelplank/config/ini.py
+++ b/kestrelplank/config/ini.py
@@ -189,11 +189,15 @@
 
     def each(self, kind: str, struct: type[Struct]) -> list[tuple[Section, Struct]]:
         """All sections of that kind, each with a name of its own, in the order of the file."""
+        return [(section, self._read(section, struct)) for section in self.named(kind)]
+
+    def named(self, kind: str) -> list[Section]:
+        """The same as they stand, for whoever reads fields of other names than ours."""
         self._kinds[f"{kind} NAME"] = None
         found = [section for section in self.sections if section.kind == kind and section.name]
         for section in found:
             self._left.pop(id(section), None)
-        return [(section, self._read(section, struct)) for section in found]
+        return found
 
     def finish(self) -> None:
         """Raises Unusable where a section stands that nobody took."""
--- a/kestrelplank/net/conductor.py
+++ b/kestrelplank/net/conductor.py
@@ -25,6 +25,7 @@
         self.line, self.clear, self.take_out = orders.line, orders.clear, orders.take_out
         self.level, self.mark = orders.level, orders.mark
         self.probe, self.fetch = probes.probe, discovery.fetch
+        self.holders = [orders, discovery, probes]  # whoever holds something of a node, to be forgotten with it
 
     def on_event(self, event: tuple) -> None:
         if len(self._events) >= MOST_EVENTS and event[0] in REPORTS:
@@ -65,7 +66,7 @@
         self._loop.at(at, lambda: self.on_event(("timer", name)))
 
     def forget(self, node: int) -> None:
-        for part in (self._orders, self._discovery, self._probes):
+        for part in self.holders:
             part.forget(node)
 
     def note(self, text: str) -> None:
