--- a/kestrelplank/cli/check.py
+++ b/kestrelplank/cli/check.py
@@ -1,4 +1,4 @@
-"""`kestrelplank check FILE...`: whether files can be used: an operator's file, node lists (together one set), scripts."""
+"""`kestrelplank check FILE...`: whether an operator's file, node lists (together one set) and scripts can be used."""
 
 import sys
 
--- a/kestrelplank/lab/script.py
+++ b/kestrelplank/lab/script.py
@@ -85,18 +85,28 @@
     tick: Span = 4 * MS
 
 
+class Files(Struct, frozen=True, kw_only=True):
+    """[files]: node lists in files in place of discovery, with the operator's terms."""
+
+    quiet: Span = 200 * MS
+    most_closed: Share = 0.25
+    stand: Span = 60_000 * MS
+    weight_step: Share = 0.1
+
+
 class Load(Struct, frozen=True, kw_only=True):
     at: Span
     load: Share
 
 
 class Fault(Struct, frozen=True, kw_only=True):
-    kind: Literal["stall", "slow", "silent", "fail", "mute", "lost", "drain"]
+    kind: Literal["stall", "slow", "silent", "fail", "mute", "lost", "drain", "edit"]
     who: Words
     start: Span
     length: Span | None = None
     end: Span | None = None
-    strength: Number | None = None  # slow: times slower; fail, mute: a share
+    strength: Number | None = None  # slow: times slower; fail, mute: a share; edit: times the weight
+    how: Literal["torn", "twice", "gone", "empty", "remove", "drain", "weight"] = "torn"  # edit: what is saved
     pause: Span = 300 * MS  # stall: stands still for so long,
     every: Span = 2_000 * MS  # so often
     keeps_queue: Flag = False  # silent: what waited is still there when it comes back
@@ -122,6 +132,7 @@
     discovery: Discovery
     network: Network
     rules: Rules
+    files: Files | None
     loads: tuple[tuple[int, float], ...]  # from when on, in order
     faults: tuple[tuple[str, Fault, int, tuple[Party, ...]], ...]  # name, fault, end, whom
 
@@ -168,6 +179,10 @@
         raise ini.fail(section, "who", f"{read.kind} is for nodes alone")
     if read.kind in ("fail", "mute") and not 0 < (read.strength or 0) <= 1:
         raise ini.fail(section, "strength", "expected a share over 0 and up to 1")
+    if read.kind == "edit" and ini.find("files") is None:
+        raise ini.fail(section, "kind", "there are no node files: the script has no section [files]")
+    if read.kind == "edit" and read.how == "weight" and not read.strength:
+        raise ini.fail(section, "strength", "expected by how much weights are multiplied")
     if read.kind == "slow" and not (read.strength or 0) > 1:
         raise ini.fail(section, "strength", "expected how many times slower, over 1")
     if read.kind == "stall" and not 0 < read.pause < read.every:
@@ -208,6 +223,7 @@
         clients=ini.one("clients", Clients), relays=ini.one("relays", Relays), channel=ini.one("channel", Channel),
         reports=ini.one("reports", Reports), discovery=ini.one("discovery", Discovery),
         network=ini.one("network", Network), rules=ini.one("rules", Rules), loads=tuple(loads),
+        files=ini.one("files", Files) if ini.find("files") else None,
         faults=tuple(fault(ini, section, read, site) for section, read in ini.each("fault", Fault)))
     ini.finish()
     return made
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -11,7 +11,9 @@
 from math import log, sqrt
 from typing import Any
 
+from kestrelplank.config.ini import Unusable
 from kestrelplank.decode import Ids, settings, whole
+from kestrelplank.files import nodelist
 from kestrelplank.lab.clock import chance
 from kestrelplank.lab.node import NOT_STARTED as FULL
 from kestrelplank.lab.node import TAKEN, Node
@@ -20,6 +22,11 @@
 from kestrelplank.lab.script import MS, Fault, Party, Script, conf, most_waiting
 from kestrelplank.plan.attempts import FAILED, NOT_STARTED, PROOFS, REFUSED, RESET, Attempts, Avoidance, Op
 from kestrelplank.policy import Conductor as Policy
+from kestrelplank.state.guards import Terms
+from kestrelplank.state.intake import SETTLED, Intake, Settling, digest_of
+from kestrelplank.state.nodeset import Listed, NodeSet
+from kestrelplank.state.roster import Roster
+from kestrelplank.state.roster import Terms as Pace
 from kestrelplank.state.tables import Tables
 
 SLACK = 300 * MS  # what the protocol's page grants time limits on sockets
@@ -375,6 +382,100 @@
                 self.world.rules.told(self.world.clock.now(), seat.number, entry[0], condition, boot is not None)
 
 
+class Files(Discovery):
+    """Node lists in files in place of discovery, edited by the script: the cores of `state/` over texts, no disk. What
+    runs and what does not, nobody tells."""
+
+    def __init__(self, world: "World") -> None:
+        super().__init__(world)
+        script = world.script
+        terms = script.files
+        self._nodes = {f"n{node}": Listed(script.site.zones[world.zone_of(node)], f"127.0.0.1:{9000 + node}")
+                       for node in range(script.site.nodes)}
+        self.intake = Intake(Terms(terms.most_closed, terms.stand, False))
+        self._settling, self._roster = Settling(terms.quiet), Roster(Pace(script.rules.grace, terms.weight_step))
+        self._text: bytes | None = nodelist.written(NodeSet(self._nodes)).encode()
+        self._read_at(world.clock.now())
+        self._read_at(world.clock.now() + terms.quiet)
+        self._roster.accept(world.clock.now(), self.intake.force)
+        self._roster.whole()
+        self._weights = [1.0] * len(self._nodes)
+
+    def entry(self, node: int) -> tuple:
+        return (*super().entry(node)[:4], self._weights[node], self.listed[node][1])
+
+    def change(self, nodes: list[int], condition: str, boot: int | None, after: tuple[int, int]) -> None:
+        """A file does not know of processes."""
+
+    def save(self, fault: Fault, nodes: list[int]) -> None:
+        """The file is saved as the script says; with `how` right again at its end."""
+        changed = {f"n{node}": self._nodes[f"n{node}"] for node in nodes}
+        held = dict(self._nodes)
+        if fault.how == "remove":
+            held = {name: listed for name, listed in held.items() if name not in changed}
+        elif fault.how in ("drain", "weight"):
+            held.update({name: listed._replace(**{"draining": True} if fault.how == "drain"
+                                               else {"weight": listed.weight * fault.strength})
+                         for name, listed in changed.items()})
+        text = nodelist.written(NodeSet(held))
+        if fault.how == "torn":
+            text = text[:self.random.randrange(1, len(text) - 1)]
+        elif fault.how == "twice":
+            first = next(iter(held))
+            text = text.replace(f"# end {len(held)}", f"{first} = 127.0.0.1:1\n# end {len(held) + 1}")
+        self._put(None if fault.how == "gone" else b"" if fault.how == "empty" else text.encode())
+
+    def right(self) -> None:
+        """The whole list again."""
+        self._put(nodelist.written(NodeSet(self._nodes)).encode())
+
+    def _put(self, text: bytes | None) -> None:
+        self._text = text
+        self._read()
+
+    def _read(self) -> None:
+        clock = self.world.clock
+        outcome = self._read_at(clock.now())
+        if isinstance(outcome, int):
+            clock.at(outcome, self._read)
+        elif outcome is not None:
+            self.world.score.event(clock.now(), f"list {outcome.how}: {outcome.why}", [])
+            if outcome.how == "accepted":
+                self._roster.accept(clock.now(), self.intake.force)
+                self._advance()
+        if self.intake.due is not None:
+            clock.at(self.intake.due, self._read)
+
+    def _read_at(self, now: int) -> Any:
+        """When to read again, or what has been decided."""
+        step = self._settling.see(now, "nodes.ini", None if self._text is None else digest_of(self._text))
+        if isinstance(step, int):
+            return step
+        if step == SETTLED:
+            try:
+                found: Any = "nodes.ini: there is no such file" if self._text is None else nodelist.read(
+                    "nodes.ini", self._text, 2 * len(self._nodes), True)
+            except Unusable as err:
+                found = str(err)
+            self.intake.take("nodes.ini", found)
+        return self.intake.decide(now)
+
+    def _advance(self) -> None:
+        now = self.world.clock.now()
+        entries = self._roster.advance(now)
+        for name, condition, _, _, weight, boot in entries:
+            self.listed[int(name[1:])], self._weights[int(name[1:])] = (condition, boot), weight
+        for seat in self.world.seats:
+            nodes = [(int(name[1:]), condition, boot) for name, condition, *_, boot in entries]
+            if seat.alive and nodes:
+                seat.tell(("roster", "delta", [self.entry(node) for node, *_ in nodes]))
+                for node, condition, boot in nodes:
+                    self.world.rules.told(now, seat.number, node, condition, boot is not None)
+        due = self._roster.due(now)
+        if due is not None:
+            self.world.clock.at(due, self._advance)
+
+
 class Reports:
     """Sums of what relays met, by conductor in charge, zone and node, and of ops by slice; late, and only so many
     lines a second."""
@@ -428,7 +529,8 @@
         self.nodes = [Node(script.kind, chance(seed, "node", number), now, self._ran,
                            lambda number=number: self._fell(number)) for number in range(site.nodes)]
         self.where: dict[int, Relay] = {}  # op to the relay that waits for it
-        self.hub, self.discovery, self.reports = Hub(self), Discovery(self), Reports(self)
+        self.hub, self.reports = Hub(self), Reports(self)
+        self.discovery = Files(self) if script.files else Discovery(self)
         self.relays = [Relay(self, number) for number in range(site.relays)]
         self.seats = [seat(self, number) for number in range(site.conductors)]
         self._draw()
@@ -675,6 +777,9 @@
         self.score.event(self.clock.now(), f"{name}: {fault.kind} begins", nodes)
         if fault.kind == "lost":
             self._lose(whom, end)
+        elif fault.kind == "edit":
+            self.discovery.save(fault, nodes)
+            self.clock.at(end, self.discovery.right)
         elif fault.kind == "drain":
             self.discovery.change(nodes, "draining", None, (0, 0))
             self.clock.at(end, lambda: self.back(nodes))
--- a/kestrelplank/state/intake.py
+++ b/kestrelplank/state/intake.py
@@ -81,6 +81,11 @@
         self._said: tuple | None = None
         self.due: int | None = None  # when to decide again though no file changes
 
+    @property
+    def waiting(self) -> bool:
+        """Whether the files make a set that waits for a second word."""
+        return self._candidate is not None
+
     def take(self, path: str, found: Part | str) -> None:
         """A file's reading counts: its part, or what is wrong with it."""
         if isinstance(found, Part):
--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -205,6 +205,19 @@
     assert says in str(found.value)
 
 
+def test_a_midnight_edit_never_empties_a_key_block_and_each_refusal_names_its_line():
+    found = play(script(Ini.of(str(SCRIPTS / "midnight-edit.ini"))), 3)
+    said = [what for _, what, _ in found["events"] if what.startswith("list")]
+    assert [what.split(":")[0] for what in said] == ["list refused"] * 4 + ["list waiting"] + ["list accepted"] * 4
+    assert "stands in zone" in said[1] and all("nodes.ini" in what for what in said[:4])
+    assert found["broken"] == [] and found["rules"]["bare"]["worst"] == 0 and found["service"] > 0.99
+
+
+def test_an_edit_needs_node_files():
+    with pytest.raises(Unusable, match="there are no node files"):
+        read("kind = edit, who = nodes, start = 3s, length = 3s")
+
+
 def test_load_follows_the_script_over_time():
     made = script(Ini("s.ini", SITE + "\n[load more]\nat = 5s\nload = 100%\n[load none]\nat = 10s\nload = 0\n"))
     world = World(made, 1, Clock(10**12))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -206,6 +206,52 @@
         party.close()
 
 
+NODES = "[zone a]\ns-1 = 127.0.0.1:1%s\ns-2 = 127.0.0.1:2\ns-3 = 127.0.0.1:3\ns-4 = 127.0.0.1:4\n"
+
+
+def test_with_an_operators_file_nodes_come_from_watched_files_and_a_bad_one_is_refused(kit, tmp_path, monkeypatch):
+    """Discovery says nothing at all; a drain saved in the list reaches the relay, on SIGHUP terms are read anew."""
+    def relay_does(visitor, path, body):
+        if path == "/api/stream":
+            visitor.begin()
+            visitor.tell(*STANDING)
+        else:
+            visitor.reply({"ok_count": len(json.loads(body)["ops"])})
+
+    relay, ini = Party(kit, relay_does), tmp_path / "k.ini"
+    (tmp_path / "nodes.ini").write_text(NODES % "")
+    good = f"[nodes]\nfiles = {tmp_path}/nodes.ini\nquiet = 20ms\npoll = 50ms\nstate = {tmp_path}/state\n"
+    ini.write_text(good)
+    monkeypatch.setenv("KESTRELPLANK_INI", str(ini))
+    program = Program(kit, tmp_path / "c.json", discovery=closed_port(), hub={"address": relay.at})
+    until(kit.loop, lambda: program.lines("event=files_accepted"))
+    (tmp_path / "nodes.ini").write_text(NODES.replace("\n", " draining\n") % "")
+    until(kit.loop, lambda: program.lines("event=files_refused"))
+    (tmp_path / "nodes.ini").write_text(NODES % " draining")
+    until(kit.loop, lambda: any(b'"eject","endpoint":"s-1"' in body for _, _, body in relay.requests))
+    ini.write_text(good.replace("quiet", "quite"))
+    program.process.send_signal(signal.SIGHUP)
+    until(kit.loop, lambda: program.lines("is quiet meant?"))
+    ini.write_text(good + "most_closed = 100%\n")
+    program.process.send_signal(signal.SIGHUP)
+    until(kit.loop, lambda: program.lines("event=reloaded"))
+    (tmp_path / "nodes.ini").write_text(NODES.split("s-3")[0] % " draining")
+    until(kit.loop, lambda: len(program.lines("event=files_accepted")) == 3)
+    code, said = program.end(signal.SIGTERM)
+    assert code == 0 and "defects" not in said and b'"version":3' in (tmp_path / "state").read_bytes()
+    relay.close()
+
+
+def test_an_operators_file_that_cannot_be_used_is_one_plain_line(tmp_path):
+    (tmp_path / "c.json").write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+                                                 "hub": {"address": "127.0.0.1:1"}, "settings": SETTINGS}))
+    (tmp_path / "k.ini").write_text("[nodes]\npoll = often\n")
+    env = os.environ | {"NODE_CONFIG": str(tmp_path / "c.json"), "KESTRELPLANK_INI": str(tmp_path / "k.ini")}
+    done = subprocess.run([sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True, timeout=20, check=False)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert "k.ini, line 2, [nodes], field poll: expected a time" in done.stderr
+
+
 def cycles(kit, front, relay, number):
     """So many callers that come and go in every way, and as many breaks of the news."""
     for turn in range(number):
