--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -40,7 +40,8 @@
     def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner, most_waiting: int) -> None:
         self._loop, self._pool, self._sock, self._owner = loop, pool, sock, owner
         self._waiting, self._most_waiting, self.open = bytearray(), most_waiting, True
-        self._writing = False
+        self._writing, self._reading = False, True
+        self.on_drained: Callable[[], None] | None = None  # called when all that waited has been written
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.watch(sock, READ, self._ready)
@@ -58,14 +59,15 @@
         if not self.open:
             return
         self.open = False
-        self._loop.forget(self._sock)
+        if self._writing or self._reading:
+            self._loop.forget(self._sock)
         self._sock.close()
         self._owner.on_close(why)
 
     def _ready(self, events: int) -> None:
         if events & WRITE and self.open:
             self._flush()
-        if events & READ and self.open:
+        if events & READ and self.open and self._reading:
             self._read()
 
     def _flush(self) -> None:
@@ -79,8 +81,29 @@
             self.close(errno.errorcode.get(err.errno, str(err)))
             return
         if self._writing != bool(self._waiting):
-            self._writing = not self._writing
-            self._loop.change(self._sock, READ | WRITE if self._writing else READ, self._ready)
+            self._look(self._reading, not self._writing)
+            if not self._writing and self.on_drained is not None:
+                self.on_drained()
+
+    def waiting(self) -> int:
+        """Bytes that the other side has not taken yet."""
+        return len(self._waiting)
+
+    def read(self, on: bool) -> None:
+        """Reads no further, so that the other side is held up in its turn, or goes on. A connection that is not read
+        does not hear of its own end."""
+        if self.open and on != self._reading:
+            self._look(on, self._writing)
+
+    def _look(self, reading: bool, writing: bool) -> None:
+        before, self._reading, self._writing = self._reading or self._writing, reading, writing
+        events = (READ if reading else 0) | (WRITE if writing else 0)
+        if not events:
+            self._loop.forget(self._sock)
+        elif before:
+            self._loop.change(self._sock, events, self._ready)
+        else:
+            self._loop.watch(self._sock, events, self._ready)
 
     def _read(self) -> None:
         buffer = self._pool.take()
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -11,10 +11,11 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
-from kestrelplank.plan.picks import Rotation, idler, weighted
+from kestrelplank.plan.limits import Limits, Queue
+from kestrelplank.plan.picks import Rotation, idler, keyed, weighted
 from kestrelplank.state.tables import Tables
 
 ACKED, REJECTED, ABORTED = "acked", "rejected", "aborted"
@@ -63,42 +64,79 @@
         return [line for line in lines if line[0] not in self._until] or lines
 
 
+class Budget:
+    """Second tries an op type may have: `share` of its first ones, and `most` saved up for a bad moment. Guards against
+    a bad day that is doubled by tries again, and all relays doing so at once. Harm: in a short, sharp loss some ops are
+    turned away that another node would have acked.
+
+    Source: the retry budgets of Finagle (Twitter, 2013) and of gRPC's proposal A6 (2017), here counted by op type."""
+
+    def __init__(self, op_types: int, share: float, most: float) -> None:
+        self._share, self._most = share, most
+        self._saved = [most] * op_types
+
+    def asked(self, op_type: int) -> None:
+        self._saved[op_type] = min(self._most, self._saved[op_type] + self._share)
+
+    def spend(self, op_type: int) -> bool:
+        """Whether there is one more, which then is spent."""
+        if self._saved[op_type] < 1:
+            return False
+        self._saved[op_type] -= 1
+        return True
+
+
 class Op:
-    """One op in hand. `node` is where its try is out, `tried` the nodes it was sent to."""
+    """One op in hand. `node` is where its try is out, since `sent_at`; `tried` the nodes it was sent to."""
 
-    __slots__ = ("number", "op_type", "table", "deadline", "node", "tried", "until")
+    __slots__ = ("number", "op_type", "table", "deadline", "key", "node", "tried", "until", "sent_at")
 
-    def __init__(self, number: int, op_type: int, table: int, deadline: int) -> None:
-        self.number, self.op_type, self.table, self.deadline = number, op_type, table, deadline
+    def __init__(self, number: int, op_type: int, table: int, deadline: int, key: str) -> None:
+        self.number, self.op_type, self.table, self.deadline, self.key = number, op_type, table, deadline, key
         self.node: int | None = None
+        self.sent_at = 0
         self.tried: tuple[int, ...] = ()
         self.until: int | None = None  # it waits for a line, so long
 
 
 class Attempts:
     """The ops of one relay. `op_timeouts` by op type and `hold`, the longest wait for a line, are in ns; `pick` is
-    random, rotate or two. `proofs` may be widened only by tests, which plant a relay that repeats without proof."""
+    random, rotate, two or key. `proofs` may be widened only by tests, which plant a relay that repeats without proof.
+
+    A relay may also have a `budget` for second tries, `limits` on what is out at a node with a `queue` of those who
+    wait for room, and `weigh(node)`, the share of its weight that a node is given as yet. Where it has a queue, call
+    `settled` after each of the calls below: what one op does may settle others."""
 
     def __init__(self, random: Random, tables: Tables, op_timeouts: Sequence[int], pick: str, hold: int,
-                 avoidance: Avoidance, proofs: Sequence[str] = PROOFS) -> None:
+                 avoidance: Avoidance, proofs: Sequence[str] = PROOFS, budget: Budget | None = None,
+                 limits: Limits | None = None, queue: Queue | None = None,
+                 weigh: Callable[[int], float] | None = None) -> None:
         self._random, self._tables, self._pick, self._hold = random, tables, pick, hold
         self._op_timeouts, self._avoidance, self._proofs = op_timeouts, avoidance, proofs
+        self._budget, self._limits, self._queue, self._weigh = budget, limits, queue, weigh
+        self._queued: dict[int, Op] = {}
+        self._steps: list[tuple[Op, tuple]] = []
         self._rotations: dict[int, Rotation] = {}
         self.own: Counter[int] = Counter()  # tries out, by node
         self._waiting: dict[int, dict[int, Op]] = {}  # by table, in order of arrival
         self.counts: Counter[str] = Counter()
 
-    def ask(self, now: int, number: int, op_type: int, table: int, within: int | None = None) -> tuple[Op, tuple]:
+    def ask(self, now: int, number: int, op_type: int, table: int, within: int | None = None,
+            key: str = "") -> tuple[Op, tuple]:
         """A new op, which its caller waits for so long (ns; its op timeout if that is less or nothing is said)."""
         self.counts["asked"] += 1
         limit = self._op_timeouts[op_type]
-        op = Op(number, op_type, table, now + (limit if within is None else min(limit, within)))
+        op = Op(number, op_type, table, now + (limit if within is None else min(limit, within)), key)
+        if self._budget:
+            self._budget.asked(op_type)
         share = self._tables.share(table, op_type)
         if share < 1.0 and self._random.random() >= share:
             return op, self._end(op, REJECTED, "level")
         node = self._choose(now, op)
         if node is not None:
-            return op, self._send(op, node)
+            return op, self._send(now, op, node)
+        if self._limits is not None and self._tables.open(table):
+            return op, self._enqueue(now, op)
         if not self._hold:
             return op, self._end(op, REJECTED, "no line")
         op.until = min(now + self._hold, op.deadline)
@@ -119,8 +157,10 @@
         node = self._choose(now, op)
         if node is None:
             return self._end(op, REJECTED, "no other line")
+        if self._budget and not self._budget.spend(op.op_type):
+            return self._end(op, REJECTED, "budget")
         self.counts["second_tries"] += 1
-        return self._send(op, node)
+        return self._send(now, op, node)
 
     def give_up(self, now: int, op: Op, why: str = "op timeout") -> tuple:
         """Its time is over, or its caller has gone. A try that is out may yet run: the relay closes it, which is
@@ -132,9 +172,10 @@
         return self._end(op, ABORTED, why)
 
     def expire(self, now: int, op: Op) -> tuple:
-        """The wait for a line is over."""
+        """The wait for a line, or for room at a node, is over."""
+        queued = op.number in self._queued
         self._forget(op)
-        return self._end(op, REJECTED, "no line")
+        return self._end(op, REJECTED, "no room in time" if queued else "no line")
 
     def changed(self, now: int, tables: Iterable[int]) -> list[tuple[Op, tuple]]:
         """These tables may have other lines now: the ops that wait for one and get it, in order of arrival."""
@@ -144,31 +185,70 @@
                 node = self._choose(now, op)
                 if node is not None:
                     self._forget(op)
-                    steps.append((op, self._send(op, node)))
+                    steps.append((op, self._send(now, op, node)))
+        return steps
+
+    def settled(self, now: int) -> list[tuple[Op, tuple]]:
+        """What the last calls have settled of other ops: turned away for a dearer one, or sent as room was made."""
+        if self._queued:
+            def fits(number: int) -> bool:
+                op = self._queued[number]
+                node = self._choose(now, op)
+                if node is None:
+                    return False
+                del self._queued[number]
+                op.until = None
+                self._steps.append((op, self._send(now, op, node)))
+                return True
+
+            self._queue.next(fits)
+        steps, self._steps = self._steps, []
         return steps
 
     def waiting(self) -> int:
-        return sum(map(len, self._waiting.values()))
+        return sum(map(len, self._waiting.values())) + len(self._queued)
+
+    def _enqueue(self, now: int, op: Op) -> tuple:
+        until, turned = self._queue.put(now, op.number, op.op_type, op.deadline) if self._queue is not None else (None, [])
+        for number in turned:
+            other = self._queued.pop(number)
+            other.until = None
+            self._steps.append((other, self._end(other, REJECTED, "turned away")))
+        if until is None:
+            return self._end(op, REJECTED, "full")
+        op.until = until
+        self._queued[op.number] = op
+        return "wait", until
 
     def _choose(self, now: int, op: Op) -> int | None:
         lines: Sequence[tuple[int, float]] = self._tables.open(op.table)
         if op.tried:
             lines = [line for line in lines if line[0] not in op.tried]
+        if self._limits:
+            lines = [line for line in lines if self._limits.room(line[0], op.op_type)]
         if not lines:
             return None
         lines = self._avoidance.sound(now, lines)
+        if self._weigh and len(lines) > 1:
+            lines = [(node, weight * self._weigh(node)) for node, weight in lines]
+        if self._pick == "key":
+            return keyed(op.key, lines)
         if self._pick == "two":
             return idler(self._random, lines, self.own)
         if self._pick == "rotate":
             return self._rotations.setdefault(op.table, Rotation()).pick(lines)
         return weighted(self._random, lines)
 
-    def _send(self, op: Op, node: int) -> tuple:
-        op.node, op.tried = node, (*op.tried, node)
+    def _send(self, now: int, op: Op, node: int) -> tuple:
+        op.node, op.tried, op.sent_at = node, (*op.tried, node), now
         self.own[node] += 1
+        if self._limits:
+            self._limits.began(node, op.op_type)
         return "send", node
 
     def _back(self, now: int, op: Op, good: bool) -> None:
+        if self._limits:
+            self._limits.ended(op.node, op.op_type, now - op.sent_at if good else None)
         self.own[op.node] -= 1
         if not self.own[op.node]:
             del self.own[op.node]
@@ -177,6 +257,9 @@
 
     def _forget(self, op: Op) -> None:
         op.until = None
+        if self._queued.pop(op.number, None) is not None:
+            self._queue.drop(op.number)
+            return
         waiting = self._waiting.get(op.table, {})
         waiting.pop(op.number, None)
         if not waiting:
--- a/kestrelplank/plan/picks.py
+++ b/kestrelplank/plan/picks.py
@@ -1,6 +1,8 @@
 """Which of several lines takes an op: by weight, the idler of two, or in turn. No line's weight is 0."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from hashlib import blake2b
+from math import log
 from random import Random
 
 Lines = Sequence[tuple[int, float]]
@@ -30,6 +32,28 @@
     return second if own.get(second, 0) < own.get(first, 0) else first
 
 
+def keyed(key: str, lines: Lines) -> int:
+    """The same node for the same key, each node with its part of the keys by weight: the highest of scores drawn from
+    key and node. When a weight grows keys only move to that node, when it shrinks only away from it, and when a line
+    goes only its keys move.
+
+    Source: highest random weight (D. Thaler and C. Ravishankar, 1998), weighted as -w / ln(h)."""
+    def score(line: tuple[int, float]) -> float:
+        digest = blake2b(f"{key}/{line[0]}".encode(), digest_size=8).digest()
+        return line[1] / -log((int.from_bytes(digest) + 1) / (2**64 + 2))
+
+    return max(lines, key=score)[0]
+
+
+def nearest(lines: Lines, zone_of: Callable[[int], int], zones: Sequence[int]) -> Lines:
+    """The lines of the first zone, in that order of preference, that has any; all where none of them has."""
+    for zone in zones:
+        found = [line for line in lines if zone_of(line[0]) == zone]
+        if found:
+            return found
+    return lines
+
+
 class Rotation:
     """In turn, evenly by weight: each pick adds its weight to every line's credit, and the line with most gives up
     what all got. Over any stretch each line is within one pick of its part."""
--- a/tests/plan/test_attempts.py
+++ b/tests/plan/test_attempts.py
@@ -19,7 +19,9 @@
     UNSENT,
     Attempts,
     Avoidance,
+    Budget,
 )
+from kestrelplank.plan.limits import Limits, Queue, Terms
 from kestrelplank.state.tables import Tables
 
 S = 1_000_000_000
@@ -175,3 +177,58 @@
         step = made.ended(len(met), op, met[-1])
     assert step[1] == (ACKED if met[-1] == GOOD else REJECTED if met[-1] in PROOFS else ABORTED)
     assert not made.own and made.counts["asked"] == made.counts[step[1]] == 1
+
+
+def limited(*lines, first=1, queue=2, share=0.5, most=1.0, weigh=None):
+    random = Random(1)
+    terms = Terms(first=first, least=first, most=first)
+    return Attempts(random, tables(*lines), (4 * S, 2 * S), "random", 0, Avoidance(random, 0, (S, S)),
+                    budget=Budget(2, share, most), limits=Limits(terms), queue=Queue(queue, (S, S), (1.0, 5.0), 0.5),
+                    weigh=weigh)
+
+
+def test_an_op_waits_for_room_the_dearest_first_and_the_cheapest_is_turned_away():
+    made = limited({1: 1.0})
+    made.ask(0, 9, 1, 0)
+    first, _ = made.ask(0, 0, 0, 0)
+    waiting = [made.ask(0, number, 0, 0) for number in (1, 2)]
+    assert [step for _, step in waiting] == [("wait", S // 2)] * 2 and made.settled(0) == []
+    dear, step = made.ask(0, 3, 1, 0)
+    assert step == ("wait", S // 2) and made.settled(0) == [(waiting[1][0], ("end", REJECTED, "turned away"))]
+    assert made.ask(0, 4, 0, 0)[1] == ("end", REJECTED, "full")
+    made.ended(9, first, GOOD)
+    assert made.settled(9) == [(waiting[0][0], ("send", 1))] and made.waiting() == 1 and dear.until
+
+
+def test_who_waits_for_room_and_gives_up_or_is_out_of_time_has_run_nowhere():
+    made = limited({1: 1.0})
+    made.ask(0, 0, 0, 0)
+    (one, _), (two, _) = (made.ask(0, number, 0, 0) for number in (1, 2))
+    assert made.expire(S // 2, one) == ("end", REJECTED, "no room in time")
+    assert made.give_up(S // 2, two, "caller gone") == ("end", REJECTED, "caller gone")
+    assert made.waiting() == 0 and made.settled(S) == []
+
+
+def test_a_full_node_is_passed_over_for_one_with_room():
+    made = limited({1: 1.0, 7: 1.0})
+    assert sorted(made.ask(0, number, 0, 0)[1] for number in range(2)) == [("send", 1), ("send", 7)]
+
+
+def test_second_tries_stay_within_their_budget_by_op_type():
+    made, second = limited({1: 1.0, 7: 1.0}, first=100, share=0.1, most=2.0), [0, 0]
+    for number in range(1000):
+        op, _ = made.ask(0, number, number % 2, 0)
+        step = made.ended(0, op, REFUSED)
+        second[number % 2] += step[0] == "send"
+        if step[0] == "send":
+            made.ended(0, op, GOOD)
+        else:
+            assert step == ("end", REJECTED, "budget")
+    assert second == [51, 51]  # two saved up, and a tenth of 500, less what was full
+
+
+def test_a_node_that_is_new_here_is_given_its_share_of_its_weight():
+    made = limited({1: 1.0, 7: 1.0}, first=10_000, weigh=lambda node: 0.25 if node == 7 else 1.0)
+    for number in range(4000):
+        made.ask(0, number, 0, 0)
+    assert made.own[7] == pytest.approx(800, abs=80)
--- a/tests/plan/test_picks.py
+++ b/tests/plan/test_picks.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as some
 
-from kestrelplank.plan.picks import Rotation, idler, weighted
+from kestrelplank.plan.picks import Rotation, idler, keyed, nearest, weighted
 
 lines = some.lists(some.floats(0.01, 100), min_size=1, max_size=8).map(lambda weights: tuple(enumerate(weights)))
 
@@ -37,3 +37,29 @@
             return 1.0 - 2**-53
 
     assert weighted(Most(), tuple((node, 0.1) for node in range(10))) == 9
+
+
+def test_a_key_has_its_node_and_each_node_its_part_of_the_keys():
+    found = Counter(keyed(f"k{number}", ((1, 3.0), (2, 1.0))) for number in range(4000))
+    assert abs(found[1] - 3000) < 120 and keyed("k", ((1, 1.0), (2, 1.0))) == keyed("k", ((2, 1.0), (1, 1.0)))
+
+
+@given(lines, some.integers(0, 7), some.floats(0.01, 100), some.text(max_size=4))
+def test_when_a_weight_changes_keys_move_only_to_that_node_or_only_from_it(lines, place, weight, key):
+    place %= len(lines)
+    other = tuple((node, weight if node == place else held) for node, held in lines)
+    before, after = keyed(key, lines), keyed(key, other)
+    assert before == after or (after if weight > lines[place][1] else before) == place
+
+
+@given(lines, some.integers(0, 7), some.text(max_size=4))
+def test_when_a_line_goes_only_its_keys_move(lines, place, key):
+    left = tuple(line for line in lines if line[0] != place)
+    if left:
+        assert keyed(key, lines) in (place, keyed(key, left))
+
+
+def test_the_nearest_zone_that_has_a_line_is_used_and_all_where_none_has():
+    lines = ((1, 1.0), (2, 1.0), (5, 1.0))
+    assert nearest(lines, lambda node: node % 3, (0, 2, 1)) == [(2, 1.0), (5, 1.0)]
+    assert nearest(lines, lambda node: node % 3, (0,)) == lines
