--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -161,10 +161,10 @@
     who hears of any trouble, for room; without that it looks away for `pause`, as the socket stays ready and
     would spin."""
 
-    def __init__(self, loop: Loop, at: tuple[str, int], on_accept: Callable[[socket.socket], None],
+    def __init__(self, loop: Loop, at: tuple[str, int] | socket.socket, on_accept: Callable[[socket.socket], None],
                  on_trouble: Callable[[str], bool | None], pause: int) -> None:
         self._loop, self._on_accept, self._on_trouble, self._pause = loop, on_accept, on_trouble, pause
-        self._sock = socket.create_server(at, backlog=BACKLOG)
+        self._sock = socket.create_server(at, backlog=BACKLOG) if isinstance(at, tuple) else at
         self._sock.setblocking(False)
         self.at = self._sock.getsockname()
         self._resume = None
@@ -189,6 +189,9 @@
                 return
             self._on_accept(sock)
 
+    def fileno(self) -> int:
+        return self._sock.fileno()
+
     def close(self) -> None:
         if self._watched:
             self._loop.forget(self._sock)
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -209,7 +209,9 @@
         return sum(map(len, self._waiting.values())) + len(self._queued)
 
     def _enqueue(self, now: int, op: Op) -> tuple:
-        until, turned = self._queue.put(now, op.number, op.op_type, op.deadline) if self._queue is not None else (None, [])
+        until, turned = None, []
+        if self._queue is not None:
+            until, turned = self._queue.put(now, op.number, op.op_type, op.deadline)
         for number in turned:
             other = self._queued.pop(number)
             other.until = None
--- a/kestrelplank/state/tables.py
+++ b/kestrelplank/state/tables.py
@@ -36,7 +36,7 @@
     way of trying again. What may be picked is worked out once a change, not once an op."""
 
     def __init__(self, tables: int, op_types: int, usual_again: int) -> None:
-        self._op_types, self._usual = op_types, usual_again
+        self.size, self._op_types, self._usual = tables, op_types, usual_again
         self._lines: list[dict[int, float]] = [{}] * tables  # never changed in place: relays may share them
         self._open: list[tuple[tuple[int, float], ...] | None] = [None] * tables
         self._source: list[int | None] = [None] * tables  # who has charge of the table
