kestrelplank relay: tables from a hub, kept over a restart, a successor without a refused connection

Need: the relay must join conductors, survive without them, and be replaced under load. Tables are kept in a sealed file with their age. SIGHUP reads the file anew; over a Unix socket a successor gets the listening socket, and connections at rest are let go by and by. Measured: six takeovers with four clients asking all the time: every op answered, none rejected or aborted.

--- a/kestrelplank/cli/check.py
+++ b/kestrelplank/cli/check.py
@@ -4,13 +4,15 @@
 
 import click
 
-from kestrelplank.config import operator
+from kestrelplank.config import operator, relay
 from kestrelplank.config.ini import Ini, Unusable
 
 
 def kind(ini: Ini) -> str:
     """What a file is, by its sections."""
     kinds = {section.kind for section in ini.sections}
+    if "relay" in kinds:
+        return "relay's file"
     return "script" if "site" in kinds else "node list" if kinds & {"zone", "list"} else "operator's file"
 
 
@@ -30,6 +32,8 @@
             if what == "script":
                 from kestrelplank.lab.script import script
                 script(ini)
+            elif what == "relay's file":
+                relay.read(ini)
             elif what == "node list":
                 limits = operator.Nodes()
                 parts.append(nodelist.read(path, bytes_of(path, limits.most_bytes), limits.most_nodes, False))
--- /dev/null
+++ b/kestrelplank/cli/relay.py
@@ -0,0 +1,14 @@
+"""`kestrelplank relay --config FILE`: the reference relay."""
+
+import sys
+
+import click
+
+
+@click.command()
+@click.option("--config", "path", required=True, type=click.Path(), help="The relay's file.")
+def command(path: str) -> None:
+    """Run a relay: an HTTP/1.1 proxy that obeys the conductors' tables."""
+    from kestrelplank.relay.program import main
+
+    sys.exit(main(path))
--- a/kestrelplank/files/source.py
+++ b/kestrelplank/files/source.py
@@ -17,8 +17,9 @@
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.loop import Loop, Timer
 from kestrelplank.state import guards, roster
-from kestrelplank.state.intake import ACCEPTED, REFUSED, SAME, SETTLED, Intake, Settling, digest_of, restored
+from kestrelplank.state.intake import ACCEPTED, REFUSED, SAME, SETTLED, Intake, Settling, restored
 from kestrelplank.state.nodeset import NodeSet
+from kestrelplank.state.sealed import digest_of
 from kestrelplank.state.sources import DISCOVERY, FILES, Blend
 
 
--- a/kestrelplank/lab/live.py
+++ b/kestrelplank/lab/live.py
@@ -33,16 +33,17 @@
 ENDS_WITHIN = 5.0  # s that a process gets to end after SIGTERM
 IDLE = 15_000 * MS
 MOST_ANSWER = 1 << 12
+CONDUCTOR = ("-m", "kestrelplank")
 CONDITIONS = {"up": "in_service", "draining": "terminating", "removed": "terminated"}
 
 
 class Process:
-    """The real program, its log read by our loop."""
+    """A program of ours, its log read by our loop: nothing here blocks while it runs, as whoever starts it plays the
+    other side too."""
 
-    def __init__(self, loop: Loop, path: str) -> None:
+    def __init__(self, loop: Loop, words: tuple[str, ...], **variables: str) -> None:
         self._loop, self.log = loop, b""
-        self.process = subprocess.Popen([sys.executable, "-m", "kestrelplank"], stderr=subprocess.PIPE,
-                                        env=os.environ | {"NODE_CONFIG": path})
+        self.process = subprocess.Popen([sys.executable, *words], stderr=subprocess.PIPE, env=os.environ | variables)
         os.set_blocking(self.process.stderr.fileno(), False)
         loop.watch(self.process.stderr, READ, self._read)
 
@@ -149,7 +150,7 @@
                   "settings": conf(self.world.script, self.number)}
         with open(self.path, "w") as file:
             json.dump(config, file)
-        self._process = Process(self.world.kit.loop, self.path)
+        self._process = Process(self.world.kit.loop, CONDUCTOR, NODE_CONFIG=self.path)
         self._join()
         self._sign()
 
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -23,10 +23,11 @@
 from kestrelplank.plan.attempts import FAILED, NOT_STARTED, PROOFS, REFUSED, RESET, Attempts, Avoidance, Op
 from kestrelplank.policy import Conductor as Policy
 from kestrelplank.state.guards import Terms
-from kestrelplank.state.intake import SETTLED, Intake, Settling, digest_of
+from kestrelplank.state.intake import SETTLED, Intake, Settling
 from kestrelplank.state.nodeset import Listed, NodeSet
 from kestrelplank.state.roster import Roster
 from kestrelplank.state.roster import Terms as Pace
+from kestrelplank.state.sealed import digest_of
 from kestrelplank.state.tables import Tables
 
 SLACK = 300 * MS  # what the protocol's page grants time limits on sockets
--- a/kestrelplank/plan/admission.py
+++ b/kestrelplank/plan/admission.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 ADMIT, REFUSE = "admit", "refuse"
+LINGER = 1_000_000_000  # ns without a request after which a connection may be closed while we stop
 
 
 class Terms(NamedTuple):
@@ -72,11 +73,16 @@
             if not mine:
                 del self._by_client[held.client]
 
-    def late(self, now: int) -> list[tuple[int, str]]:
-        """Connections to close, with why: a head that does not come, or nothing for too long."""
+    def late(self, now: int, stopping: bool = False) -> list[tuple[int, str]]:
+        """Connections to close, with why: a head that does not come, or nothing for too long. While we stop that is
+        `LINGER`: a request that is on its way on a kept connection must still find us, and is told to leave with its
+        answer; closed at once, it would be lost without a word."""
         found = []
         for connection, held in self._held.items():
             since = now - held.since
+            if stopping and held.state in ("new", "idle") and since >= LINGER:
+                found.append((connection, "idle"))
+                continue
             if held.state in ("new", "head") and since >= self.terms.head:
                 found.append((connection, "no whole head came"))
             elif held.state == "idle" and since >= self.terms.idle:
--- /dev/null
+++ b/kestrelplank/relay/program.py
@@ -0,0 +1,216 @@
+"""`kestrelplank relay --config FILE`: makes the parts of a relay and joins them, takes signals, keeps its tables."""
+
+import signal
+import sys
+import time
+from random import Random
+from zlib import crc32
+
+from kestrelplank.__main__ import Signals
+from kestrelplank.config import relay as config
+from kestrelplank.config.ini import Ini, Unusable
+from kestrelplank.decode import Ids, Malformed, text
+from kestrelplank.files.whole import write_whole
+from kestrelplank.net.buffers import Pool
+from kestrelplank.net.connection import address
+from kestrelplank.net.counters import Counters, logger
+from kestrelplank.net.loop import Loop
+from kestrelplank.plan import admission, limits, pools
+from kestrelplank.plan.attempts import Attempts, Avoidance, Budget
+from kestrelplank.relay.control import Control
+from kestrelplank.relay.message import one
+from kestrelplank.relay.proxy import Bounds, Exchange, Kind, Proxy
+from kestrelplank.relay.takeover import Office, listens, take
+from kestrelplank.state import answers
+from kestrelplank.state.sealed import sealed, unsealed
+from kestrelplank.state.tables import Refused, Tables
+
+BUFFER, BUFFERS = 1 << 16, 64
+FORM = 1  # of kept tables
+
+
+def kinds(file: config.RelayFile) -> list[Kind]:
+    return [Kind(name, op.method.upper().encode(), op.prefix.encode(), op.effect == "deduplicated", op.timeout)
+            for name, op in file.op_types.items()]
+
+
+def bounds(file: config.RelayFile) -> Bounds:
+    clients = file.clients
+    return Bounds(head=clients.head_bytes, kept=clients.kept_bytes, body=clients.body_bytes, dial=file.tries.dial,
+                  key=clients.key.lower().encode())
+
+
+def client_terms(file: config.RelayFile) -> admission.Terms:
+    return admission.Terms(file.clients.most, file.clients.each, file.clients.head, file.clients.idle)
+
+
+def node_terms(file: config.RelayFile) -> pools.Terms:
+    nodes = file.nodes
+    return pools.Terms(nodes.most, nodes.idle, nodes.uses, nodes.grace, nodes.warm_up, nodes.cold_from)
+
+
+class Relay:
+    """All parts of one relay. `listening`: a predecessor's socket, or the address of the file."""
+
+    def __init__(self, loop: Loop, counters: Counters, file: config.RelayFile, listening: object) -> None:
+        self.loop, self.counters, self.file = loop, counters, file
+        place, tries, ops = file.place, file.tries, list(file.op_types.values())
+        self.pool, self.ids = Pool(BUFFER, BUFFERS), Ids(text)
+        self.tables = Tables(place.slices, len(ops), int(tries.again))
+        self.addresses: dict[int, str] = {}
+        self._dirty = False
+        random = Random(place.seed)
+        values, targets = [op.value for op in ops], [op.target for op in ops]
+        self.attempts = Attempts(
+            random, self.tables, [op.timeout for op in ops], tries.pick, tries.hold,
+            Avoidance(random, tries.strikes, tries.avoid), budget=Budget(len(ops), tries.budget, tries.budget_saved),
+            limits=limits.Limits(limits.Terms(tries.first, tries.least, tries.most, tries.tolerance))
+            if tries.limited else None, queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
+            weigh=self._weigh if file.nodes.warm_up else None)
+        self._by = b"" if place.block_by == "path" else place.block_by.lower().encode()
+        self.kept_at: float | None = self._restore()
+        clients = file.clients
+        self.proxy = Proxy(loop, self.pool, counters, listening, kinds(file), bounds(file), self.tables, self.attempts,
+                           admission.Admission(client_terms(file)),
+                           answers.Answers(answers.Terms(clients.answers, clients.answers_bytes, clients.answers_age)),
+                           node_terms(file), self.addresses, self._block, self._on_try, self._on_op)
+        self.control = None
+        if place.hub:
+            self.control = Control(loop, self.pool, counters, place.hub, place.number, place.zone, self.ids,
+                                   self.tables, list(file.op_types), self.addresses, self._changed)
+        self._timer = loop.at(loop.now() + place.state_every, self._keep)
+
+    def _weigh(self, node: int) -> float:
+        pool = self.proxy.pools.get(node)
+        return 1.0 if pool is None else pool.share(self.loop.now())
+
+    def _block(self, exchange: Exchange) -> int:
+        """The slice of an op: by the header that the file names, or its path."""
+        found = one(exchange.headers, self._by) if self._by else exchange.target.partition(b"?")[0]
+        return crc32(found or b"") % self.tables.size
+
+    def _on_try(self, *told: object) -> None:
+        if self.control:
+            self.control.on_try(*told)
+
+    def _on_op(self, *told: object) -> None:
+        if self.control:
+            self.control.on_op(*told)
+
+    def _changed(self, tables: list[int]) -> None:
+        self._dirty = True
+        self.proxy.changed(tables)
+
+    # Tables that survive.
+
+    def _restore(self) -> float | None:
+        path = self.file.place.state
+        if not path:
+            return None
+        try:
+            with open(path, "rb") as kept:
+                found = unsealed(FORM, kept.read())
+            self.tables.restore(found["tables"], self.ids.node)
+            self.addresses.update((self.ids.node(name), at) for name, at in found["addresses"].items())
+        except FileNotFoundError:
+            return None
+        except (OSError, Malformed, Refused) as err:
+            self.counters.trouble("tables_not_restored", f"{path}: {err}")
+            return None
+        self.counters.info("tables_restored", age_s=round(time.time() - found["at"], 1))
+        return found["at"]
+
+    def keep(self) -> None:
+        """Writes the tables that hold, if any have changed since."""
+        path = self.file.place.state
+        if not (self._dirty and path):
+            return
+        self._dirty = False
+        names = self.ids.node_ids
+        data = sealed(FORM, {"at": time.time(), "tables": self.tables.kept(names.__getitem__),
+                             "addresses": {names[node]: at for node, at in self.addresses.items()}})
+        try:
+            write_whole(path, data)
+        except OSError as err:
+            self.counters.trouble("tables_not_kept", f"{path}: {err.strerror}")
+
+    def _keep(self) -> None:
+        self.keep()
+        self._timer = self.loop.at(self.loop.now() + self.file.place.state_every, self._keep)
+
+    def reload(self, file: config.RelayFile) -> None:
+        """Terms of clients, bodies and op types hold from now on; no connection is dropped. Places, tables and the
+        terms of limits wait for a restart, which a successor can be."""
+        if list(file.op_types) != list(self.file.op_types):
+            raise Unusable("op types can't be added, taken away or put in another order while the relay runs")
+        self.file = file
+        self.proxy.kinds, self.proxy.bounds = kinds(file), bounds(file)
+        self.proxy.admission.terms = client_terms(file)
+
+    def close(self) -> None:
+        self._timer.cancel()
+        self.keep()
+        if self.control:
+            self.control.close()
+        self.proxy.close()
+
+
+def main(path: str) -> int:
+    """Runs until SIGTERM, or until a successor has taken over, and then until requests in hand have their answers."""
+    try:
+        file = config.read(Ini.of(path))
+    except Unusable as err:
+        print(f"kestrelplank: {err}", file=sys.stderr)
+        return 2
+    loop = Loop(lambda err: counters.defect(err))
+    counters = Counters(logger(f"relay-{file.place.number}"), loop.now)
+    taken = office = None
+    try:
+        if file.place.successor:
+            taken = take(file.place.successor)
+        relay = Relay(loop, counters, file, taken[0] if taken else address(file.place.listen))
+        if file.place.successor:
+            office = Office(loop, file.place.successor, relay.proxy.descriptor, lambda: stop("successor"))
+    except OSError as err:
+        print(f"kestrelplank: can't listen: {err.strerror or err}", file=sys.stderr)
+        return 1
+
+    def stop(why: str = "signal") -> None:
+        counters.info("stopping", why=why)
+        relay.proxy.stop()
+        end = loop.now() + file.place.stop_within
+
+        def look() -> None:
+            if relay.proxy.idle() or loop.now() >= end:
+                loop.stop()
+            else:
+                loop.at(loop.now() + 20_000_000, look)
+
+        look()
+
+    def reload() -> None:
+        try:
+            relay.reload(config.read(Ini.of(path)))
+        except Unusable as err:
+            counters.trouble("reloads_refused", err)
+            return
+        counters.add("reloads")
+        counters.info("reloaded")
+
+    signals = Signals(loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload,
+                             signal.SIGUSR1: counters.report})
+    counters.info("started", listen="%s:%d" % relay.proxy.at, tables="kept" if relay.kept_at else "none yet",
+                  predecessor=bool(taken))
+    if taken:
+        listens(taken[1])
+    loop.run()
+    relay.close()
+    if office:
+        office.close()
+    signals.close()
+    loop.close()
+    for verdict, number in sorted(relay.proxy.outcomes.items()):
+        counters.add(f"ops_{verdict}", number)
+    counters.add("second_tries", relay.attempts.counts["second_tries"])
+    counters.report()
+    return 0
--- a/kestrelplank/relay/proxy.py
+++ b/kestrelplank/relay/proxy.py
@@ -688,7 +688,7 @@
 
     def _sweep(self) -> None:
         now = self.loop.now()
-        for number, why in self.admission.late(now):
+        for number, why in self.admission.late(now, self.stopping):
             client = self._clients.get(number)
             if client is not None:
                 self.counters.add("clients_late")
@@ -702,13 +702,10 @@
         self._timer = self.loop.at(now + SWEEP, self._sweep)
 
     def stop(self) -> None:
-        """No new connection is taken; requests in hand are answered, and each connection then closed."""
+        """No new connection is taken; requests are answered, and each connection then closed."""
         if not self.stopping:
             self.stopping = True
-            self._listener.close()
-            for client in list(self._clients.values()):
-                if not client.queue:
-                    client.connection.close("stopping")
+            self._listener.close()  # connections at rest end by and by, see `Admission.late`
 
     def idle(self) -> bool:
         return not self._clients
--- a/kestrelplank/state/intake.py
+++ b/kestrelplank/state/intake.py
@@ -2,15 +2,13 @@
 that may follow. The files' adapter calls in; the answers say what to do, and why.
 """
 
-import hashlib
 from collections import deque
 from typing import NamedTuple
 
-import msgspec
-
-from kestrelplank.decode import Malformed, parsed
+from kestrelplank.decode import Malformed
 from kestrelplank.state.guards import ACCEPTED, REFUSED, WAITING, Terms, judge
 from kestrelplank.state.nodeset import Listed, NodeSet, Part, Refused, assemble, difference
+from kestrelplank.state.sealed import sealed, unsealed
 
 MOST_HISTORY = 64
 FORM = 1  # of what is stored
@@ -140,26 +138,14 @@
 
     def stored(self) -> bytes:
         """The set in force, to be kept in a file: read back by `restored`."""
-        body = msgspec.json.encode({"form": FORM, "version": self.version, "hash": self.force.hash,
-                                    "nodes": {name: list(listed) for name, listed in self.force.nodes.items()},
-                                    "history": list(self.history)})
-        return body + b"\n" + digest_of(body).encode() + b"\n"
-
-
-def digest_of(body: bytes) -> str:
-    """What tells one content from another; 32 hexadecimal digits."""
-    return hashlib.blake2b(body, digest_size=16).hexdigest()
+        return sealed(FORM, {"version": self.version, "hash": self.force.hash,
+                             "nodes": {name: list(listed) for name, listed in self.force.nodes.items()},
+                             "history": list(self.history)})
 
 
 def restored(data: bytes) -> tuple[NodeSet, int, tuple[tuple, ...]]:
-    """Set, version and history out of what `stored` made. Raises Malformed where it is torn, changed, or of a form
-    that this program does not know; half of it is never used."""
-    body, _, rest = data.rstrip(b"\n").rpartition(b"\n")
-    if not body or digest_of(body) != rest.decode(errors="replace"):
-        raise Malformed("torn or changed: its checksum does not hold")
-    found = parsed(body)
-    if not isinstance(found, dict) or found.get("form") != FORM:
-        raise Malformed(f"form {found.get('form') if isinstance(found, dict) else None} is not known, {FORM} is")
+    """Set, version and history out of what `stored` made; raises Malformed as `unsealed` does."""
+    found = unsealed(FORM, data)
     nodes = NodeSet({name: Listed(*listed) for name, listed in found["nodes"].items()})
     if nodes.hash != found["hash"]:
         raise Malformed("its nodes do not make the set that it names")
--- a/kestrelplank/state/tables.py
+++ b/kestrelplank/state/tables.py
@@ -5,8 +5,9 @@
 stream it came on, as do withdrawals: a relay that has lost its conductor goes on with what it has.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from math import isfinite
+from typing import Any
 
 from kestrelplank.interface import ALL_TABLES
 
@@ -130,6 +131,29 @@
         else:
             self._again[table] = again
 
+    # What survives this relay's process.
+
+    def kept(self, name_of: Callable[[int], str]) -> dict[str, Any]:
+        """All that holds, with nodes by name: for a file. Streams and the numbers of messages are of one life only."""
+        return {"lines": [{name_of(node): weight for node, weight in lines.items()} for lines in self._lines],
+                "sources": [[source, [name_of(node) for node in known.out], list(known.shares.items()), known.again]
+                            for source, known in self._sources.items()],
+                "charge": self._source,
+                "levels": [[table, list(shares.items())] for table, shares in self._levels.items()],
+                "again": list(self._again.items())}
+
+    def restore(self, kept: dict[str, Any], node_of: Callable[[str], int]) -> None:
+        """Takes what `kept` gave. Raises Refused where it is of another number of tables; nothing is taken then."""
+        if len(kept["lines"]) != self.size or len(kept["charge"]) != self.size:
+            raise Refused(f"{len(kept['lines'])} tables were kept, {self.size} are configured")
+        self._lines = [{node_of(name): weight for name, weight in lines.items()} for lines in kept["lines"]]
+        self._source, self._open = list(kept["charge"]), [None] * self.size
+        for source, out, shares, again in kept["sources"]:
+            known = self._sources[source] = Source()
+            known.out, known.shares, known.again = dict.fromkeys(map(node_of, out)), dict(shares), again
+        self._levels = {table: dict(shares) for table, shares in kept["levels"]}
+        self._again = dict(kept["again"])
+
     # What holds.
 
     def known(self, source: int) -> bool:
--- a/tests/plan/test_admission.py
+++ b/tests/plan/test_admission.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as some
 
-from kestrelplank.plan.admission import ADMIT, REFUSE, Admission, Terms
+from kestrelplank.plan.admission import ADMIT, LINGER, REFUSE, Admission, Terms
 
 S = 1_000_000_000
 
@@ -42,6 +42,14 @@
     assert admission.late(65 * S)[2:] == [(3, "idle")]
 
 
+def test_while_we_stop_a_connection_at_rest_is_closed_after_a_while_and_not_at_once():
+    admission = made("a", "b", "c")
+    admission.state(0, 1, "busy")
+    admission.state(0, 2, "idle")
+    assert admission.late(LINGER - 1, True) == [] == admission.late(2 * LINGER)
+    assert admission.late(2 * LINGER, True) == [(0, "idle"), (2, "idle")]
+
+
 @given(some.lists(some.tuples(some.sampled_from("abc"), some.sampled_from(("come", "go", "busy", "idle"))), max_size=60))
 def test_there_are_never_more_than_allowed_and_what_is_busy_is_never_pushed_out(steps):
     admission, held, busy, number = made(), {}, set(), 0
--- a/tests/relay/test_proxy.py
+++ b/tests/relay/test_proxy.py
@@ -559,11 +559,12 @@
 
 def test_a_stop_answers_what_is_in_hand_and_then_ends(site):
     here = site(None)
+    began = here.kit.loop.now()
     busy, idle = here.client(GET), here.client()
     here.wait(lambda: here.nodes[0].peers and here.nodes[0].peers[0].data and len(here.proxy.admission) == 2)
     here.proxy.stop()
     here.wait(lambda: idle.ended)
-    assert not here.proxy.idle()
+    assert not here.proxy.idle() and here.kit.loop.now() - began >= admission.LINGER
     here.nodes[0].peers[0].write(OK)
     here.wait(lambda: busy.ended and here.proxy.idle())
     assert b"Connection: close" in busy.data and busy.data.endswith(b"ok")
--- /dev/null
+++ b/tests/relay/test_relay_program.py
@@ -0,0 +1,197 @@
+"""The relay as a process: kept tables, reload, stop, and a successor that takes its socket over under load."""
+
+import json
+import signal
+import socket
+
+import pytest
+from parties import MS, Kit, Party, until
+from test_proxy import GET, OK, Client, Node, answers_with
+
+from kestrelplank.config import relay as config
+from kestrelplank.config.ini import Ini, Unusable
+from kestrelplank.lab.live import Process
+
+WORDS = ("-c", "from kestrelplank.cli import main; raise SystemExit(main())", "relay", "--config")
+FILE = """[relay]
+listen = 127.0.0.1:0
+hub = %s
+number = 3
+zone = a
+slices = 4
+state = %s/state
+state_every = 50ms
+successor = %s/successor
+
+[clients]
+kept_bytes = 1000
+
+[op look]
+method = GET
+prefix = /look
+effect = retryable
+
+[op order-place]
+method = POST
+timeout = 300ms
+target = 200ms
+"""
+
+
+class Site:
+    def __init__(self, folder):
+        self.kit, self.folder, self.programs, self.clients = Kit(), folder, [], []
+        self.node = Node(self.kit, answers_with(OK))
+        self.hub = Party(self.kit, self.asked)
+        self.path = folder / "relay.ini"
+        self.path.write_text(FILE % (self.hub.at, folder, folder))
+
+    def asked(self, visitor, path, body):
+        if not path.startswith("/v1/tables"):
+            visitor.reply({})
+            return
+        visitor.begin()
+        visitor.tell({"type": "node", "object": {"name": "s-1", "address": self.node.at}}, {"type": "joined", "object": {"source": 0}},
+                     *({"type": "table", "object": {"table": table, "source": 0, "lines": {"s-1": 1.0}}} for table in range(4)), {})
+
+    def start(self):
+        program = Process(self.kit.loop, WORDS + (str(self.path),))
+        self.programs.append(program)
+        until(self.kit.loop, lambda: program.address() or program.process.poll() is not None)
+        assert program.address(), program.log
+        return program
+
+    def client(self, program, data=b""):
+        self.clients.append(Client(self.kit, program.address()))
+        self.clients[-1].send(data)
+        return self.clients[-1]
+
+    def wait(self, condition):
+        until(self.kit.loop, condition)
+
+    def close(self):
+        for one in (*self.programs, *self.clients, self.node, self.hub):
+            one.close()
+        self.kit.loop.close()
+
+
+@pytest.fixture
+def site(tmp_path):
+    made = Site(tmp_path)
+    yield made
+    made.close()
+
+
+def test_it_serves_reports_stops_and_serves_again_from_kept_tables_without_a_hub(site):
+    first = site.start()
+    client = site.client(first, GET)
+    site.wait(lambda: client.data == OK)
+    site.wait(lambda: any(path == "/v1/reports" for _, path, _ in site.hub.requests))
+    site.wait(lambda: (site.folder / "state").exists())
+    first.kill(signal.SIGTERM)
+    site.wait(first.ended)
+    assert first.process.returncode == 0 and "ops_acked=1" in first.log.decode() and "defects" not in first.log.decode()
+    site.hub.close()
+    second = site.start()
+    assert "tables=kept" in second.lines("event=started")[0] and "age_s=" in second.lines("event=tables_restored")[0]
+    again = site.client(second, GET)
+    site.wait(lambda: again.data == OK)
+
+
+def test_tables_that_were_kept_and_are_torn_are_named_and_the_hub_tells_anew(site):
+    (site.folder / "state").write_text("{")
+    program = site.start()
+    assert "torn or changed" in program.lines("event=tables_not_restored")[0]
+    client = site.client(program, GET)
+    site.wait(lambda: client.data == OK)
+
+
+def test_its_file_is_read_anew_without_dropping_a_connection(site):
+    program = site.start()
+    client = site.client(program, GET)
+    site.wait(lambda: client.data == OK)
+    text = site.path.read_text()
+    for bad, says in ((text.replace("kept_bytes", "keptbytes"), "is kept_bytes meant?"), (text.replace("order-place", "other"), "op types can't be")):
+        site.path.write_text(bad)
+        program.kill(signal.SIGHUP)
+        site.wait(lambda says=says: program.lines(says))
+    site.path.write_text(text.replace("prefix = /look", "prefix = /see"))
+    program.kill(signal.SIGHUP)
+    site.wait(lambda: program.lines("event=reloaded"))
+    client.send(GET)
+    site.wait(lambda: client.data.count(b"HTTP/1.1") == 2)
+    assert client.data.endswith(b"no op type has this method and target\n") and not client.ended
+
+
+def test_a_successor_takes_the_socket_over_under_load_and_no_op_fails(site):
+    program, sent, turns = site.start(), 0, 6
+    at = program.address()
+
+    def ask(client):
+        nonlocal sent
+        client.data = b""
+        client.send(GET)
+        sent += 1
+
+    for turn in range(turns):
+        clients = [site.client(program) for _ in range(4)]
+        for client in clients:
+            ask(client)
+        successor = Process(site.kit.loop, WORDS + (str(site.path),))
+        site.programs.append(successor)
+        while not program.ended():
+            for place, client in enumerate(clients):
+                if client.data.endswith(b"\r\n\r\nok"):
+                    if client.ended:  # it was told so with its answer
+                        assert b"Connection: close" in client.data
+                        clients[place] = client = Client(site.kit, at)
+                        site.clients.append(client)
+                    if b"Connection: close" not in client.data:
+                        ask(client)
+                assert not client.ended or client.data, "an op got no answer"
+            site.kit.loop.at(site.kit.loop.now() + MS, lambda: None)
+            site.kit.loop.turn()
+        assert program.process.returncode == 0 and successor.address() == at
+        said = program.log.decode()
+        assert "ops_aborted" not in said and "ops_rejected" not in said and "why=successor" in said
+        site.wait(lambda clients=clients: all(client.data.endswith(b"ok") for client in clients))
+        program = successor
+        for client in clients:
+            client.close()
+    assert sent > 20 * turns
+
+
+def test_a_predecessor_that_hangs_is_no_reason_to_wait_for_ever(site):
+    office = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    office.bind(str(site.folder / "successor"))
+    office.listen(1)
+    program = Process(site.kit.loop, WORDS + (str(site.path),))
+    site.programs.append(program)
+    site.wait(program.ended)
+    assert program.process.returncode == 1 and "can't listen" in program.log.decode()
+    office.close()
+
+
+@pytest.mark.parametrize("old, new, says", [
+    ("listen = 127.0.0.1:0", "listen = here", "line 2, [relay], field listen: expected an IPv4 address"),
+    ("zone = a\n", "", "line 1, [relay]: field zone of [relay]: missing"), ("slices = 4", "slices = 0", "field slices"),
+    ("target = 200ms", "target = 400ms", "field target: expected within the op timeout"),
+    ("effect = retryable", "effect = twice", "field effect"), ("hub = 127.0.0.1:1\n", "", ""),
+    ("hub = 127.0.0.1:1\nnumber = 3\nzone = a\nslices = 4\nstate = x/state\n", "zone = a\nslices = 4\n", "neither a hub nor kept tables")])
+def test_a_relays_file_that_cannot_be_used_names_its_line(old, new, says):
+    text = FILE % ("127.0.0.1:1", "x", "x")
+    assert old in text
+    if not says:
+        assert config.read(Ini("r.ini", text.replace(old, new))).place.hub == ""
+        return
+    with pytest.raises(Unusable) as found:
+        config.read(Ini("r.ini", text.replace(old, new)))
+    assert says in str(found.value)
+
+
+def test_the_kept_state_is_whole_json_with_its_checksum(site):
+    program = site.start()
+    client = site.client(program, GET)
+    site.wait(lambda: client.data == OK and (site.folder / "state").exists())
+    kept = json.loads((site.folder / "state").read_text().splitlines()[0])
+    assert kept["form"] == 1 and kept["tables"]["lines"] == [{"s-1": 1.0}] * 4 and kept["addresses"] == {"s-1": site.node.at}
--- a/tests/state/test_intake.py
+++ b/tests/state/test_intake.py
@@ -6,6 +6,7 @@
 from kestrelplank.state.guards import Terms
 from kestrelplank.state.intake import ACCEPTED, PATIENCE, REFUSED, SAME, SETTLED, WAITING, Intake, Settling, restored
 from kestrelplank.state.nodeset import Line, Listed, Part
+from kestrelplank.state.sealed import digest_of
 
 S = 1_000_000_000
 TERMS = Terms(0.25, 60 * S, False)
@@ -139,8 +140,6 @@
 
 
 def test_a_form_that_is_not_known_is_refused_by_name():
-    from kestrelplank.state.intake import digest_of
-
     body = b'{"form":9}'
     with pytest.raises(Malformed, match="form 9 is not known, 1 is"):
         restored(body + b"\n" + digest_of(body).encode() + b"\n")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import pytest
 from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
 
+from kestrelplank.lab.live import CONDUCTOR, Process
 from kestrelplank.net import resp
 from kestrelplank.net.counters import Output
 from kestrelplank.net.discovery import Discovery
@@ -32,34 +33,19 @@
     made.loop.close()
 
 
-class Program:
-    """The real program. Whoever waits for it turns the loop of its stand-ins meanwhile: nothing here blocks, as a
-    call that goes unanswered for that would be trouble of our own making. Lines of its log are waited for by what
-    they say."""
+class Program(Process):
+    """A conductor, waited for until it listens, and a collector of ours connected to it."""
 
     def __init__(self, kit, path, **config):
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": SETTINGS, **config}
         path.write_text(json.dumps(config))
-        self.loop, self.log, self.answers = kit.loop, b"", b""
-        self.process = subprocess.Popen([sys.executable, "-m", "kestrelplank"], stderr=subprocess.PIPE,
-                                        env=os.environ | {"NODE_CONFIG": str(path)})
-        self._watch(self.process.stderr, self._read_log)
-        until(self.loop, lambda: self.lines("event=started") or self.process.poll() is not None)
-        assert self.process.poll() is None, f"the program ended before it listened: {self.log}"
-        host, port = self.lines("event=started")[0].split("listen=")[1].split()[0].split(":")
-        self.collector = socket.create_connection((host, int(port)), timeout=20)
-        self._watch(self.collector, self._read_answer)
-
-    def _watch(self, file, callback):
-        os.set_blocking(file.fileno(), False)
-        self.loop.watch(file, READ, callback)
-
-    def _read_log(self, events):
-        data = self.process.stderr.read()
-        self.log += data or b""
-        if data == b"":
-            self.loop.forget(self.process.stderr)
-            self.process.stderr.close()
+        super().__init__(kit.loop, CONDUCTOR, NODE_CONFIG=str(path))
+        self.loop, self.answers = kit.loop, b""
+        until(self.loop, lambda: self.address() or self.process.poll() is not None)
+        assert self.address(), f"the program ended before it listened: {self.log}"
+        self.collector = socket.create_connection(self.address(), timeout=20)
+        self.collector.setblocking(False)
+        self.loop.watch(self.collector, READ, self._read_answer)
 
     def _read_answer(self, events):
         try:
@@ -68,14 +54,13 @@
             data = b""
         self.answers += data
         if not data:
+            self._leave()
+
+    def _leave(self):
+        if self.collector.fileno() >= 0:
             self.loop.forget(self.collector)
             self.collector.close()
 
-    def lines(self, what):
-        """Whole lines of its log so far that say that."""
-        whole = self.log[:self.log.rfind(b"\n") + 1].decode()
-        return [line for line in whole.splitlines() if what in line]
-
     def hb(self):
         self.answers = b""
         self.collector.send(resp.encode(b"hb"))
@@ -83,11 +68,9 @@
         return self.answers
 
     def end(self, number):
-        self.process.send_signal(number)
-        until(self.loop, lambda: self.process.poll() is not None and self.process.stderr.closed)
-        if self.collector.fileno() >= 0:
-            self.loop.forget(self.collector)
-            self.collector.close()
+        self.kill(number)
+        until(self.loop, self.ended)
+        self._leave()
         return self.process.returncode, self.log.decode()
 
 
