--- a/kestrelplank/lab/score.py
+++ b/kestrelplank/lab/score.py
@@ -23,6 +23,7 @@
         self._timeline: list[dict[int, list[int]]] = [{} for _ in range(script.site.nodes)]
         self.events: list[list] = []
         self.falls: list[int] = []
+        self.ends, self.latest = 0, 0  # of a relay's ops; by how much the latest came after its op timeout (ns)
         self.unproved = 0  # acked ops that no node ran: there must be none
 
     def _window(self, begun: int) -> list[float]:
@@ -46,6 +47,10 @@
                 self._value_in_time += kind.value
                 self._window(begun)[1] += kind.value
 
+    def ended(self, late: int) -> None:
+        self.ends += 1
+        self.latest = max(self.latest, late)
+
     def lost(self, now: int, op_type: int, verdict: str, why: str) -> None:
         if now >= self._counts_from:
             self._by_type[self._names[op_type]][verdict] += 1
@@ -70,7 +75,8 @@
             name: {**{key: counts[key] for key in ("asked", "in_time", "acked", "rejected", "aborted")},
                    **{f"p{part:g}_ms": quantile(times, part) for part in (50, 95, 99)}}
             for (name, counts), times in zip(self._by_type.items(), map(sorted, self._times))},
-            "lost": dict(sorted(self.lost_for.items())), "fallen_nodes": self.falls}
+            "ended": self.ends, "latest_end_ms": self.latest / 1e6, "lost": dict(sorted(self.lost_for.items())),
+            "fallen_nodes": self.falls}
 
     def timelines(self) -> list[list[list]]:
         """By node, rows of second, tries, failures and mean ms of the good."""
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -655,6 +655,7 @@
         run again."""
         del self.where[op.number]
         now, clients = self.clock.now(), self.script.clients
+        self.score.ended(now - op.deadline)
         kind = self.op_types[ask.op_type]
         if verdict == "acked":
             self.score.acked(now, ask.op_type, ask.begun, self.rules.runs(op.number))
--- a/kestrelplank/relay/node.py
+++ b/kestrelplank/relay/node.py
@@ -19,6 +19,7 @@
 
     def on_head(self, status: int, reason: bytes, headers: list[Header], length: int | None, chunked: bool) -> None: ...
     def on_part(self, data: bytes) -> None: ...
+    def flush(self) -> None: ...
     def on_whole(self, keep: bool) -> None: ...
     def on_lost(self, why: str) -> None: ...
 
@@ -77,6 +78,8 @@
             self._broken = self._broken or f"unreadable: {err}"
         if not self._headed and self._size > MOST_HEAD:
             self._broken = "its head is too long"
+        if self.sink is not None:
+            self.sink.flush()
         # Not from inside the parser: whoever hears of the end may send the next op on this connection at once, and
         # what the node wrote behind its answer must not be taken for that op's.
         if self._whole is not None:
--- a/kestrelplank/relay/proxy.py
+++ b/kestrelplank/relay/proxy.py
@@ -90,6 +90,7 @@
         self.record: list[bytes] | None = None  # of an answer that is to be kept
         self._swallow = self._chunk_out = self._quiet = self._early = False
         self._status = self._recorded = 0
+        self._out: list[bytes] = []
 
     # From the client.
 
@@ -157,18 +158,25 @@
         framed = passed_on(headers), None if chunked and not bare else length, self._chunk_out
         if self.record is not None:  # without what is said of this connection alone
             self.record = [head(first, *framed)] if length is not None or self._chunk_out else None
-        self.client.write(head(first, *framed, more))
+        self._out.append(head(first, *framed, more))
 
     def on_part(self, data: bytes) -> None:
-        if self._swallow:
-            return
-        self._write(chunk(data) if self._chunk_out else data)
-        if self.client.connection.waiting() > HIGH:
-            self.node.connection.read(False)
+        if not self._swallow:
+            self._write(chunk(data) if self._chunk_out else data)
+
+    def flush(self) -> None:
+        """What one read of the node brought goes out as one write."""
+        if self._out:
+            data = b"".join(self._out)
+            self._out.clear()
+            self.client.write(data)
+            if self.client.connection.waiting() > HIGH and self.node is not None:
+                self.node.connection.read(False)
 
     def on_whole(self, keep: bool) -> None:
         if self._chunk_out and not self._swallow:
             self._write(LAST)
+        self.flush()
         node, self.node = self.node, None
         self.proxy.tried(self, node, keep and self.body_whole,
                          NOT_STARTED if self._swallow else FAILED if self._status >= 500 else GOOD)
@@ -185,7 +193,7 @@
             self._recorded += len(data)
             if self._recorded > self.proxy.bounds.answer:
                 self.record = None
-        self.client.write(data)
+        self._out.append(data)
 
     def answer(self, data: bytes) -> None:
         """An answer of the relay's own, or one that was kept."""
--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -1,6 +1,7 @@
 import os
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -218,6 +219,15 @@
         read("kind = edit, who = nodes, start = 3s, length = 3s")
 
 
+def test_every_op_of_every_relay_ends_once_and_none_after_its_op_timeout():
+    world = World(read("kind = lost, who = nodes 45%, start = 4s, length = 2s", load="90%"), 1, clock := Clock(10**12))
+    world.start()
+    clock.run(world.over + 10**9)
+    counts = sum((relay.attempts.counts for relay in world.relays), start=Counter())
+    assert counts["asked"] == world.score.ends == sum(counts[word] for word in ("acked", "rejected", "aborted")) > 500
+    assert world.score.latest <= 0 and not any(relay.ops for relay in world.relays)
+
+
 def test_load_follows_the_script_over_time():
     made = script(Ini("s.ini", SITE + "\n[load more]\nat = 5s\nload = 100%\n[load none]\nat = 10s\nload = 0\n"))
     world = World(made, 1, Clock(10**12))
