Zones: relay prefers near zones under spill limits, conductors know each other, kestrelplank zones

Need: a lost zone's work must go to nearby zones first, under limits, and come back gently; conductors must be able to tell who is there. All off unless the operator's or the relay's file says so.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -131,6 +131,12 @@
     def on_listed(event: tuple) -> None:
         (files.on_event if files else on_event)(event)
 
+    def on_datagram(event: tuple) -> None:
+        if members:
+            members.take(*event[1:])
+        else:
+            on_event(event)
+
     discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_listed)
     probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
                     found["load_by"] != "none", on_event)
@@ -139,17 +145,27 @@
         peers = None
         if found["may_tell"] and config.get("peer_listen"):
             peers = Peers(loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "",
-                          on_event)
+                          on_datagram)
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
-    conductor = Conductor(loop, counters, Policy(loop.now(), config["seed"], found), found["tick"], orders,
-                          discovery, probes, peers)
+    policy = Policy(loop.now(), config["seed"], found)
+    conductor = Conductor(loop, counters, policy, found["tick"], orders, discovery, probes, peers)
     if extras and extras.nodes.files:
         from kestrelplank.files.source import Source
 
         files = Source(loop, counters, extras.nodes, found["grace"], ids, discovery.addresses, on_event)
         conductor.holders.append(files)
+    members = status = None
+    if extras and (extras.members.on or extras.status.socket):
+        from kestrelplank.net.extras import membership, shown
+
+        members = membership(loop, counters, extras.members, found, policy, peers)
+        try:
+            status = shown(loop, extras.status, policy, ids, members)
+        except OSError as err:
+            print(f"kestrelplank: can't listen at {extras.status.socket}: {err.strerror}", file=sys.stderr)
+            return 1
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
     signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop, signal.SIGHUP: reload,
@@ -157,7 +173,7 @@
     counters.info("started", listen="%s:%d" % front.at)
     gc.freeze()  # what start-up made stays, and need not be looked through again
     loop.run()
-    for part in (front, news, orders, discovery, files, probes, peers, signals, loop):
+    for part in (front, news, orders, discovery, files, members, status, probes, peers, signals, loop):
         if part is not None:
             part.close()
     counters.report()
--- a/kestrelplank/cli/__init__.py
+++ b/kestrelplank/cli/__init__.py
@@ -9,6 +9,7 @@
     "config": ("config", "What the operator's file says, and where each value came from."),
     "nodes": ("nodes", "Node lists in files, and the set that is in force."),
     "relay": ("relay", "Run a relay: an HTTP/1.1 proxy that obeys the conductors' tables."),
+    "zones": ("zones", "Each zone as a running conductor sees it."),
     "rehearse": ("rehearse", "Play a scripted incident with the real decisions, and hold the rules against it."),
 }
 EXTRA = "kestrelplank: this command needs the 'cli' extra: pip install 'kestrelplank[cli]'"
--- a/kestrelplank/cli/config.py
+++ b/kestrelplank/cli/config.py
@@ -9,18 +9,18 @@
 from kestrelplank.config.ini import UNITS, Ini, Unusable
 
 
-def shown(value: object, field: str) -> str:
+def shown(value: object, field: str, section: str) -> str:
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, tuple):
         return ", ".join(map(str, value))
-    if isinstance(value, int) and field in TIMES:
+    if isinstance(value, int) and field in TIMES and section != "[members]" or field == "every":
         unit = next((unit for unit, size in reversed(UNITS.items()) if value and not value % size), "s")
         return f"{value // UNITS[unit]}{unit}"
     return "" if value is None else str(value)
 
 
-TIMES = ("quiet", "poll", "stand", "grace")
+TIMES = ("quiet", "poll", "stand", "grace", "every")
 
 
 @click.group(name="config")
@@ -43,4 +43,4 @@
         click.echo(msgspec.json.encode([dict(zip(("section", "field", "value", "from"), row)) for row in ini.origins]))
         return
     for section, field, value, where in ini.origins:
-        click.echo(f"{section:<10} {field:<16} {shown(value, field):<28} {where}")
+        click.echo(f"{section:<10} {field:<16} {shown(value, field, section):<28} {where}")
--- a/kestrelplank/config/operator.py
+++ b/kestrelplank/config/operator.py
@@ -4,7 +4,7 @@
 
 from msgspec import Meta, Struct
 
-from kestrelplank.config.ini import Count, Flag, Ini, Share, Span, Words
+from kestrelplank.config.ini import Count, Flag, Ini, Number, Share, Span, Words
 
 MS = 1_000_000
 VARIABLE = "KESTRELPLANK_INI"  # names the file where no option does
@@ -29,12 +29,33 @@
     state: str = ""  # a file that keeps what stood over a restart; none: nothing is kept
 
 
+class Members(Struct, frozen=True, kw_only=True):
+    """[members]: what conductors know of each other, over datagrams, where the platform's settings allow them."""
+
+    on: Flag = False
+    every: Annotated[Span, Meta(ge=20 * MS)] = 200 * MS
+    suspect: Annotated[Number, Meta(ge=0.5)] = 3.0  # phi from which a member is suspected
+    dead: Annotated[Number, Meta(ge=0.5)] = 8.0
+    grace: Annotated[Count, Meta(ge=1)] = 5  # beats missed before which nobody is dead
+
+
+class Status(Struct, frozen=True, kw_only=True):
+    """[status]: a Unix socket that shows a running conductor's state to its owner."""
+
+    socket: str = ""
+
+
 class Operator(Struct, frozen=True, kw_only=True):
     nodes: Nodes
+    members: Members
+    status: Status
 
 
 def read(ini: Ini) -> Operator:
     """What the operator's file says; Unusable where any of it can't be used."""
-    made = Operator(nodes=ini.one("nodes", Nodes))
+    made = Operator(nodes=ini.one("nodes", Nodes), members=ini.one("members", Members),
+                    status=ini.one("status", Status))
+    if made.members.suspect > made.members.dead:
+        raise ini.fail(ini.find("members"), "suspect", "nobody is dead before being suspected")
     ini.finish()
     return made
--- a/kestrelplank/config/relay.py
+++ b/kestrelplank/config/relay.py
@@ -4,7 +4,7 @@
 
 from msgspec import Meta, Struct
 
-from kestrelplank.config.ini import Count, Flag, Ini, Number, Share, Span, Spans
+from kestrelplank.config.ini import Count, Flag, Ini, Number, Share, Span, Spans, Words, share
 from kestrelplank.net.connection import address
 
 MS = 1_000_000
@@ -74,6 +74,23 @@
     cold_from: Share = 0.2
 
 
+class Zones(Struct, frozen=True, kw_only=True):
+    """[zones]"""
+
+    prefer: Flag = False  # own zone first, then nearer ones; needs `limited` in [tries]
+    spill: Words = ("80%", "50%")  # by tier, the share of a node's room that spill may take
+    near: Span = 500_000  # zones whose distance differs by no more are one tier
+    begins: Share = 0.9  # of own room out, from which work goes elsewhere
+    ends: Share = 0.7
+    panic: Share = 0.5  # with fewer ready than that share of the nodes, zones are no longer asked
+    strikes: Some = 8  # tries in a row that met nobody, after which a zone counts as lost
+    window: Span = 60_000 * MS
+    free: Count = 1  # losses within the window that cost nothing
+    first: Span = 5_000 * MS  # the first hold, doubled with each loss,
+    longest: Span = 120_000 * MS  # up to that
+    quiet: Span = 180_000 * MS  # without a loss, after which all is forgotten
+
+
 class OpType(Struct, frozen=True, kw_only=True):
     """[op NAME]; the first that fits a request's method and path is its type."""
 
@@ -90,13 +107,14 @@
     tries: Tries
     clients: Clients
     nodes: Nodes
+    zones: Zones
     op_types: dict[str, OpType]
 
 
 def read(ini: Ini) -> RelayFile:
     """What a relay's file says; Unusable where any of it can't be used."""
     made = RelayFile(place=ini.one("relay", Place), tries=ini.one("tries", Tries), clients=ini.one("clients", Clients),
-                     nodes=ini.one("nodes", Nodes),
+                     nodes=ini.one("nodes", Nodes), zones=ini.one("zones", Zones),
                      op_types={section.name: op for section, op in ini.each("op", OpType)})
     ini.finish()
     for field in ("listen", "hub"):
@@ -108,6 +126,16 @@
             raise ini.fail(ini.find("relay"), field, str(err)) from None
     if not (made.place.hub or made.place.state):
         raise ini.fail(ini.find("relay"), None, "neither a hub nor kept tables: nothing to serve from")
+    here = ini.find("zones")
+    try:
+        for word in made.zones.spill:
+            share(word)
+    except ValueError as err:
+        raise ini.fail(here, "spill", str(err)) from None
+    if made.zones.ends > made.zones.begins:
+        raise ini.fail(here, "ends", "spill ends at no more than where it begins")
+    if made.zones.prefer and not made.tries.limited:
+        raise ini.fail(here, "prefer", "zones need `limited` in [tries], as its limits tell when one is full")
     if not made.op_types:
         raise ini.fail(None, None, "no section [op NAME]")
     for section in ini.sections:
--- /dev/null
+++ b/kestrelplank/net/extras.py
@@ -0,0 +1,66 @@
+"""Parts of a conductor that only an operator's file brings, made here, so that without one none of them is loaded."""
+
+import time
+
+from kestrelplank.config.operator import Members as MembersFile
+from kestrelplank.config.operator import Status as StatusFile
+from kestrelplank.decode import Ids
+from kestrelplank.net.counters import Counters
+from kestrelplank.net.loop import Loop
+from kestrelplank.net.members import Members
+from kestrelplank.net.peers import Peers
+from kestrelplank.net.status import Status
+from kestrelplank.policy import Conductor
+from kestrelplank.state.digest import Seen, zone_sums
+from kestrelplank.state.membership import Membership, Terms
+
+
+def seen(policy: Conductor, now: int) -> list[Seen]:
+    """The module's nodes, as sums over its reports."""
+    found = []
+    for node in policy.nodes.values():
+        seconds = max(1, len(node.past)) * policy.period / 1e9
+        tries, failed = node.sums()[:2]
+        found.append(Seen(node.zone, node.live(now), tries / seconds, (tries - failed) / seconds))
+    return found
+
+
+def best(policy: Conductor) -> float:
+    """Acks a second that a live node was seen to do at its best."""
+    return policy.levels.best / (policy.period / 1e9)
+
+
+def membership(loop: Loop, counters: Counters, file: MembersFile, settings: dict, policy: Conductor,
+               peers: Peers | None) -> Members | None:
+    """Membership, where the operator wants it and the platform's settings allow datagrams."""
+    if not file.on:
+        return None
+    if peers is None:
+        counters.trouble("members_off", "the settings allow no datagrams between conductors")
+        return None
+    terms = Terms(file.every, file.suspect, file.dead, file.grace)
+    life = int(time.time()) & 0xffffffff  # higher than in any former one, unless the clock has been set back past it
+    core = Membership(loop.now(), settings["ordinal"], life, settings["conductors"], terms)
+    return Members(loop, counters, core, file.every, peers.tell, lambda: seen(policy, loop.now()),
+                   lambda: best(policy))
+
+
+def shown(loop: Loop, file: StatusFile, policy: Conductor, ids: Ids, members: Members | None) -> Status | None:
+    """The status socket, where the operator names one. Raises OSError."""
+    if not file.socket:
+        return None
+
+    def state() -> dict:
+        now = loop.now()
+        names = {index: name for name, index in ids.zones.items()}
+        zones: dict[str, dict] = {names[one.zone]: one._asdict() for one in zone_sums(seen(policy, now), best(policy))}
+        for node in policy.nodes.values():
+            if node.zone is not None:
+                held = zones[names[node.zone]]
+                held.pop("zone", None)
+                for what, is_so in (("listed", node.state == "up"), ("withdrawn", node.out),
+                                    ("barred", now < node.barred_until), ("cold", policy.warmth(node, now) < 1.0)):
+                    held[what] = held.get(what, 0) + is_so
+        return {"slices": len(policy.slices), "zones": zones, "members": members.shown() if members else None}
+
+    return Status(loop, file.socket, state)
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -16,6 +16,7 @@
 
 from kestrelplank.plan.limits import Limits, Queue
 from kestrelplank.plan.picks import Rotation, idler, keyed, weighted
+from kestrelplank.plan.zones import Preference
 from kestrelplank.state.tables import Tables
 
 ACKED, REJECTED, ABORTED = "acked", "rejected", "aborted"
@@ -32,6 +33,7 @@
 
 # That a try never ran is proved by these alone. A time-out proves nothing: the node may be about to run it.
 PROOFS = (NOT_STARTED, REFUSED, UNSENT)
+NOBODY = (REFUSED, SILENT)  # a try that met nobody: of a zone that is lost, no other
 
 
 class Avoidance:
@@ -104,16 +106,16 @@
     random, rotate, two or key. `proofs` may be widened only by tests, which plant a relay that repeats without proof.
 
     A relay may also have a `budget` for second tries, `limits` on what is out at a node with a `queue` of those who
-    wait for room, and `weigh(node)`, the share of its weight that a node is given as yet. Where it has a queue, call
-    `settled` after each of the calls below: what one op does may settle others."""
+    wait for room, `weigh(node)`, the share of its weight that a node is given as yet, and `zones`, which are preferred.
+    Where it has a queue, call `settled` after each of the calls below: what one op does may settle others."""
 
     def __init__(self, random: Random, tables: Tables, op_timeouts: Sequence[int], pick: str, hold: int,
                  avoidance: Avoidance, proofs: Sequence[str] = PROOFS, budget: Budget | None = None,
                  limits: Limits | None = None, queue: Queue | None = None,
-                 weigh: Callable[[int], float] | None = None) -> None:
+                 weigh: Callable[[int], float] | None = None, zones: Preference | None = None) -> None:
         self._random, self._tables, self._pick, self._hold = random, tables, pick, hold
         self._op_timeouts, self._avoidance, self._proofs = op_timeouts, avoidance, proofs
-        self._budget, self._limits, self._queue, self._weigh = budget, limits, queue, weigh
+        self._budget, self._limits, self._queue, self._weigh, self._zones = budget, limits, queue, weigh, zones
         self._queued: dict[int, Op] = {}
         self._steps: list[tuple[Op, tuple]] = []
         self._rotations: dict[int, Rotation] = {}
@@ -145,7 +147,7 @@
 
     def ended(self, now: int, op: Op, outcome: str) -> tuple:
         """The try that was out has ended so."""
-        self._back(now, op, outcome == GOOD)
+        self._back(now, op, outcome)
         if outcome == GOOD:
             return self._end(op, ACKED, "")
         if outcome not in self._proofs:
@@ -168,7 +170,7 @@
         if op.node is None:
             self._forget(op)
             return self._end(op, REJECTED, why)
-        self._back(now, op, False)
+        self._back(now, op, SILENT)
         return self._end(op, ABORTED, why)
 
     def expire(self, now: int, op: Op) -> tuple:
@@ -226,6 +228,8 @@
         lines: Sequence[tuple[int, float]] = self._tables.open(op.table)
         if op.tried:
             lines = [line for line in lines if line[0] not in op.tried]
+        if self._zones is not None and lines:
+            lines = self._zones.narrow(now, lines)
         if self._limits:
             lines = [line for line in lines if self._limits.room(line[0], op.op_type)]
         if not lines:
@@ -246,9 +250,14 @@
         self.own[node] += 1
         if self._limits:
             self._limits.began(node, op.op_type)
+        if self._zones is not None:
+            self._zones.began(node)
         return "send", node
 
-    def _back(self, now: int, op: Op, good: bool) -> None:
+    def _back(self, now: int, op: Op, outcome: str) -> None:
+        good = outcome == GOOD
+        if self._zones is not None:
+            self._zones.ended(now, op.node, outcome not in NOBODY)
         if self._limits:
             self._limits.ended(op.node, op.op_type, now - op.sent_at if good else None)
         self.own[op.node] -= 1
--- a/kestrelplank/plan/limits.py
+++ b/kestrelplank/plan/limits.py
@@ -99,6 +99,11 @@
     def ended(self, node: int, op_type: int, time: int | None) -> None:
         self._of(node, op_type).ended(time)
 
+    def room_of(self, node: int, op_types: int) -> tuple[float, int]:
+        """Over all op types: how many a node may have out, and how many it has."""
+        found = [self._of(node, op_type) for op_type in range(op_types)]
+        return sum(one.limit for one in found), sum(one.out for one in found)
+
     def forget(self, node: int) -> None:
         """A node that is in no table any more; what is out there ends unseen."""
         for key in [key for key in self._held if key[0] == node and not self._held[key].out]:
--- a/kestrelplank/plan/tiers.py
+++ b/kestrelplank/plan/tiers.py
@@ -92,7 +92,7 @@
             wanted: dict[tuple[int, int], float] = {}
             for zone in zones:
                 held = tiers.get(zone, ())
-                targets = [other for other in (held[tier] if tier < len(held) else ()) if room.get(other, 0.0) > 0]
+                targets = [other for other in (held[tier] if tier < len(held) else ()) if room.get(other, 0.0) > 1e-9]
                 total = sum(room[other] for other in targets)
                 if left[zone] > 1e-9 and total > 0:
                     for other in targets:
--- a/kestrelplank/relay/control.py
+++ b/kestrelplank/relay/control.py
@@ -35,10 +35,11 @@
 
     def __init__(self, loop: Loop, pool: Pool, counters: Counters, hub: str, number: int, zone: str, ids: Ids,
                  tables: Tables, op_types: list[str], addresses: dict[int, str],
-                 on_change: Callable[[list[int]], None]) -> None:
+                 on_change: Callable[[list[int]], None],
+                 on_node: Callable[[int, int], None] = lambda *_: None) -> None:
         self._loop, self._counters, self._ids, self._tables = loop, counters, ids, tables
         self._number, self._zone, self._op_types = number, zone, op_types
-        self.addresses, self._on_change = addresses, on_change
+        self.addresses, self._on_change, self._on_node = addresses, on_change, on_node
         self.joined_at: int | None = None
         self._posts: deque[tuple[str, bytes]] = deque()
         self._tries: dict[tuple[int, int], list[int]] = {}
@@ -80,7 +81,10 @@
 
     def _take(self, kind: Any, fields: dict) -> None:
         if kind == "node":
-            self.addresses[self._ids.node(fields.get("name"))] = text(fields.get("address"))
+            node = self._ids.node(fields.get("name"))
+            self.addresses[node] = text(fields.get("address"))
+            if fields.get("zone") is not None:
+                self._on_node(node, self._ids.zone(fields["zone"]))
         elif kind == "joined":
             self._tables.joined(whole(fields.get("source")))
         elif kind == "table":
--- a/kestrelplank/relay/program.py
+++ b/kestrelplank/relay/program.py
@@ -8,7 +8,7 @@
 
 from kestrelplank.__main__ import Signals
 from kestrelplank.config import relay as config
-from kestrelplank.config.ini import Ini, Unusable
+from kestrelplank.config.ini import Ini, Unusable, share
 from kestrelplank.decode import Ids, Malformed, text
 from kestrelplank.files.whole import write_whole
 from kestrelplank.net.buffers import Pool
@@ -17,7 +17,10 @@
 from kestrelplank.net.loop import Loop
 from kestrelplank.plan import admission, limits, pools
 from kestrelplank.plan.attempts import Attempts, Avoidance, Budget
-from kestrelplank.relay.control import Control
+from kestrelplank.plan.returning import Damping
+from kestrelplank.plan.tiers import Distances
+from kestrelplank.plan.zones import Preference, Terms
+from kestrelplank.relay.control import PERIOD, Control
 from kestrelplank.relay.message import one
 from kestrelplank.relay.proxy import Bounds, Exchange, Kind, Proxy
 from kestrelplank.relay.takeover import Office, listens, take
@@ -58,15 +61,18 @@
         self.pool, self.ids = Pool(BUFFER, BUFFERS), Ids(text)
         self.tables = Tables(place.slices, len(ops), int(tries.again))
         self.addresses: dict[int, str] = {}
+        self._zone_of: dict[int, int] = {}
         self._dirty = False
         random = Random(place.seed)
+        held = limits.Limits(limits.Terms(tries.first, tries.least, tries.most, tries.tolerance))
+        self.zones = self._preference(held) if file.zones.prefer else None
+        self.distances = Distances()
         values, targets = [op.value for op in ops], [op.target for op in ops]
         self.attempts = Attempts(
             random, self.tables, [op.timeout for op in ops], tries.pick, tries.hold,
             Avoidance(random, tries.strikes, tries.avoid), budget=Budget(len(ops), tries.budget, tries.budget_saved),
-            limits=limits.Limits(limits.Terms(tries.first, tries.least, tries.most, tries.tolerance))
-            if tries.limited else None, queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
-            weigh=self._weigh if file.nodes.warm_up else None)
+            limits=held if tries.limited else None, queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
+            weigh=self._weigh if file.nodes.warm_up else None, zones=self.zones)
         self._by = b"" if place.block_by == "path" else place.block_by.lower().encode()
         self.kept_at: float | None = self._restore()
         clients = file.clients
@@ -77,9 +83,32 @@
         self.control = None
         if place.hub:
             self.control = Control(loop, self.pool, counters, place.hub, place.number, place.zone, self.ids,
-                                   self.tables, list(file.op_types), self.addresses, self._changed)
+                                   self.tables, list(file.op_types), self.addresses, self._changed, self._placed)
+        self._looks = loop.at(loop.now() + PERIOD, self._look_at_distances)
         self._timer = loop.at(loop.now() + place.state_every, self._keep)
 
+    def _preference(self, held: limits.Limits) -> Preference:
+        file, own = self.file.zones, self.ids.zone(self.file.place.zone)
+        terms = Terms(tuple(map(share, file.spill)), file.near, file.begins, file.ends, file.panic)
+        damping = Damping(file.window, file.free, file.first, file.longest, file.quiet)
+        count = len(self.file.op_types)
+        return Preference(own, terms, damping, file.strikes, lambda node: held.room_of(node, count))
+
+    def _placed(self, node: int, zone: int) -> None:
+        self._zone_of[node] = zone
+        if self.zones:
+            self.zones.placed(node, zone)
+
+    def _look_at_distances(self) -> None:
+        """What the last second's answers say of how far zones are."""
+        self._looks = self.loop.at(self.loop.now() + PERIOD, self._look_at_distances)
+        self.distances.close()
+        own = self.ids.zones.get(self.file.place.zone, 0)
+        for zone in self.ids.zones.values():
+            distance = self.distances.between(own, zone) if self.zones and zone != own else None
+            if distance is not None:
+                self.zones.far(zone, distance)
+
     def _weigh(self, node: int) -> float:
         pool = self.proxy.pools.get(node)
         return 1.0 if pool is None else pool.share(self.loop.now())
@@ -89,9 +118,11 @@
         found = one(exchange.headers, self._by) if self._by else exchange.target.partition(b"?")[0]
         return crc32(found or b"") % self.tables.size
 
-    def _on_try(self, *told: object) -> None:
+    def _on_try(self, table: int, node: int, op_type: int, good: bool, time: int) -> None:
         if self.control:
-            self.control.on_try(*told)
+            self.control.on_try(table, node, op_type, good, time)
+        if self.zones and good and node in self._zone_of:
+            self.distances.seen(self.ids.zone(self.file.place.zone), self._zone_of[node], 1, time)
 
     def _on_op(self, *told: object) -> None:
         if self.control:
@@ -149,6 +180,7 @@
 
     def close(self) -> None:
         self._timer.cancel()
+        self._looks.cancel()
         self.keep()
         if self.control:
             self.control.close()
@@ -211,6 +243,8 @@
     loop.close()
     for verdict, number in sorted(relay.proxy.outcomes.items()):
         counters.add(f"ops_{verdict}", number)
+    for name, number in sorted(relay.zones.counts.items()) if relay.zones else ():
+        counters.add(name, number)
     counters.add("second_tries", relay.attempts.counts["second_tries"])
     counters.report()
     return 0
