--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -23,6 +23,7 @@
 BATCH = 20  # a turn moves at most one in this many of the conductor's slices
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
+FLAPS = 60 * S  # a node that starts more than once within that is given nothing for a while, see `flapped`
 GONE = ("draining", "removed")
 
 
@@ -40,6 +41,7 @@
         self.now, self.past = [0.0] * 8, deque(maxlen=REPORTS)
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
+        self.starts, self.held_until = (), 0  # when its last starts were told; given nothing until then
         self.fresh = False  # new or restarted, and not up to its part of the load yet
         self.stripped = True  # since its last start it has been rid of what it held before
 
@@ -273,10 +275,18 @@
             if started and now - boot < self.warm_up:
                 node.stripped, node.fresh = False, True
                 node.past.clear()
+                self.flapped(now, node)
             if condition == "removed" or node.state != "draining" or started:
                 node.state = self.removed(node) if condition == "removed" else condition
             node.zone, node.weight, node.boot = zone, weight or 1.0, boot if started else node.boot
 
+    def flapped(self, now, node):
+        """Guards against slices that follow a flapping node, or a zone's nodes, back each time, onto cold caches, and
+        are lost with it again. Harm: after its second start in a minute a sound node stands idle for twice BAR."""
+        node.starts = (*(at for at in node.starts if now - at < FLAPS), now)
+        if len(node.starts) > 1:
+            node.held_until = now + min(2 * BAR_MOST, BAR << len(node.starts) - 1)
+
     def removed(self, node):  # where only draining binds, lists drop sound nodes: these work until they fail
         return "dropped" if self.only_draining and node.state in ("up", "dropped") else "removed"
 
@@ -373,6 +383,8 @@
             warmth = self.warmth(node, now)
             worth[node.index] = node.weight * warmth * min(FASTEST, max(SLOWEST, speed)) ** DAMPED
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
+            if now < node.held_until:  # only where nothing else lives
+                most[node.index] = -1.0
         return worth, loads, most
 
     # What is decided.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -293,3 +293,27 @@
         node.past.append((20.0, 20.0 if node.index % 3 == 0 else 0.0, 9.0, 0.0, 0.0, 0.0, 0.0, 0.0))
     conductor.health.judge(0, conductor.nodes.values(), False)
     assert sum(node.shut(1) for node in conductor.nodes.values()) == barred
+
+
+@pytest.mark.parametrize("starts, now, held_for", [
+    ((5,), 6, 0), ((5, 20), 21, 12), ((5, 20, 40), 41, 24), ((5, 20, 40, 50), 51, 48), ((5, 20, 40, 50, 58), 59, 48),
+    ((5, 80), 81, 0)])
+def test_a_node_that_starts_more_than_once_in_a_minute_is_given_nothing_for_longer_each_time(starts, now, held_for):
+    conductor = fleet(["up", "up"], {})
+    for start in starts:
+        conductor.on_roster(start * S + 1, "delta", [(0, "up", 0, 0, 1.0, start * S)])
+    held = conductor.nodes[0].held_until
+    assert max(0, held - (starts[-1] * S + 1)) == held_for * S
+    conductor.nodes[0].stripped, conductor.moves_from = True, 0
+    conductor.slices[3] = kept = Slice(3)
+    kept.past.extend([4.0] * 5)
+    conductor.nodes[1].past.append((100.0, 0.0, 1.0) * 2 + (0.0, 0.0))
+    conductor.evacuate(now * S)
+    assert list(kept.want) == ([1] if held_for else [0])
+
+
+def test_a_flapping_node_is_used_where_nothing_else_lives():
+    conductor = fleet(["up", "removed"], {3: {1: 1.0}})
+    conductor.nodes[0].held_until = 99 * S
+    conductor.evacuate(0)
+    assert list(conductor.slices[3].want) == [0]
