--- a/kestrelplank/cli/rehearse.py
+++ b/kestrelplank/cli/rehearse.py
@@ -52,16 +52,17 @@
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="Of all chance in it.")
 @click.option("--live", is_flag=True, help="Over real sockets on loopback, with conductors as processes, in real time.")
 @click.option("--baseline", is_flag=True, help="Conductors that leave each slice until it has lost its node.")
+@click.option("--knowing", is_flag=True, help="Slices placed by who knows the truth at once: the upper mark.")
 @click.option("--json", "to", type=click.Path(), help="Also write the whole report, with a timeline of each node.")
-def command(path: str, seed: int, live: bool, baseline: bool, to: str | None) -> None:
+def command(path: str, seed: int, live: bool, baseline: bool, knowing: bool, to: str | None) -> None:
     """Play a scripted incident with the real decisions, and hold the rules against it."""
     from kestrelplank.lab import rehearsal
     from kestrelplank.lab.script import script
     from kestrelplank.lab.world import Standing
     from kestrelplank.policy import Conductor
 
-    if live and baseline:
-        raise click.UsageError("--live runs the real program, which has no baseline")
+    if live + baseline + knowing > 1:
+        raise click.UsageError("--live, --baseline and --knowing exclude each other")
     try:
         read = script(Ini.of(path))
     except Unusable as err:
@@ -76,7 +77,7 @@
             from kestrelplank.lab.live import play as play_live
             found = play_live(read, seed, progress)
         else:
-            found = rehearsal.play(read, seed, Standing if baseline else Conductor, progress=progress)
+            found = rehearsal.play(read, seed, Standing if baseline else Conductor, progress=progress, knowing=knowing)
     click.echo("\n".join(table(found)))
     if to:
         try:
--- a/kestrelplank/lab/node.py
+++ b/kestrelplank/lab/node.py
@@ -75,6 +75,10 @@
         self._faults.pop(name, None)
         self._fill()
 
+    def faults(self) -> list[tuple[str, float]]:
+        """Kind and strength of what holds now."""
+        return list(self._faults.values())
+
     def _has(self, *kinds: str) -> bool:
         return any(kind in kinds for kind, _ in self._faults.values())
 
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -568,6 +568,12 @@
         place = bisect(loads, now - self.begun, key=lambda load: load[0]) - 1
         return loads[place][1] * self._per_load
 
+    def heats(self, now: int) -> list[float]:
+        """The work a second that clients ask of each slice, as it truly is."""
+        sums = self._slices
+        work = self.rate(now) * sum(op.share * op.work for op in self.op_types) / 1e9 / sums[-1]
+        return [work * (whole - before) for whole, before in zip(sums, [0.0, *sums])]
+
     def due(self, table: int) -> bool:
         """Whether rule 1 binds for a slice: somebody alive has charge, and lists a warm node as up."""
         charge, now = self.hub.charge[table], self.clock.now()
