One listener for Unix sockets; the membership bench can be read again

Cause: a line of benchmarks/membership.py had been broken in wrapping, and two parts made their Unix sockets alike. Change: net/local.LocalListener serves the status socket and the relay's office; the bench's line is mended.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -51,8 +51,9 @@
 
 
 def main(runs: int) -> None:
-    print(f"{'conductors':>10} {'loss':>5}  {'death seen: p50':>16} {'p90':>6} {'latest':>7}  {'false an hour':>14}
-    {'bytes/s':>8}") for count in (2, 3, 8, 40):
+    print(f"{'conductors':>10} {'loss':>5}  {'death seen: p50':>16} {'p90':>6} {'latest':>7}  {'false an hour':>14}"
+          f" {'bytes/s':>8}")
+    for count in (2, 3, 8, 40):
         for loss in (0.0, 0.1, 0.2, 0.3, 0.4):
             times, false, rate, quiet = [], 0, 0.0, 30 * S
             tries = max(1, runs if count < 40 else runs // 10)
--- a/kestrelplank/relay/takeover.py
+++ b/kestrelplank/relay/takeover.py
@@ -5,10 +5,10 @@
 """
 
 import errno
-import os
 import socket
 from collections.abc import Callable
 
+from kestrelplank.net.local import LocalListener
 from kestrelplank.net.loop import READ, Loop
 
 WITHIN = 2.0  # s for a predecessor to hand over; it may be gone, or hang
@@ -45,28 +45,11 @@
     listens, and the office closes. Who connects and says nothing changes nothing."""
 
     def __init__(self, loop: Loop, path: str, descriptor: Callable[[], int], on_taken: Callable[[], None]) -> None:
-        self._loop, self._path, self._descriptor, self._on_taken = loop, path, descriptor, on_taken
+        self._loop, self._descriptor, self._on_taken = loop, descriptor, on_taken
         self._links: list[socket.socket] = []
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        temporary = f"{path}.{os.getpid()}"  # renamed over: whoever connects finds the old office or the new
-        try:
-            self._sock.bind(temporary)
-            os.chmod(temporary, 0o600)
-            self._sock.listen(4)
-            os.replace(temporary, path)
-        except OSError:
-            self._sock.close()
-            raise
-        self._identity = os.stat(path).st_ino
-        self._sock.setblocking(False)
-        loop.watch(self._sock, READ, self._accept)
+        self._listener = LocalListener(loop, path, self._accept)
 
-    def _accept(self, events: int) -> None:
-        try:
-            link, _ = self._sock.accept()
-        except OSError:
-            return
-        link.setblocking(False)
+    def _accept(self, link: socket.socket) -> None:
         try:
             socket.send_fds(link, [b"0"], [self._descriptor()])
         except OSError:
@@ -90,16 +73,8 @@
             self._on_taken()
 
     def close(self) -> None:
-        if self._sock.fileno() < 0:
-            return
-        self._loop.forget(self._sock)
-        self._sock.close()
+        self._listener.close()
         for link in self._links:
             self._loop.forget(link)
             link.close()
         self._links.clear()
-        try:
-            if os.stat(self._path).st_ino == self._identity:  # else a successor's
-                os.unlink(self._path)
-        except OSError:
-            pass
--- a/tests/net/test_extras.py
+++ b/tests/net/test_extras.py
@@ -114,7 +114,7 @@
     until(kit.loop, lambda: True)
     kit.loop.at(kit.loop.now(), lambda: None)
     kit.loop.turn()
-    status._shown = lambda: {"little": 1}
+    status.shown = lambda: {"little": 1}
     assert ask(kit, path) == {"little": 1} and os.stat(path).st_mode & 0o777 == 0o600
     silent.close()
     status.close()
