--- a/kestrelplank/state/membership.py
+++ b/kestrelplank/state/membership.py
@@ -99,7 +99,8 @@
     def __init__(self, now: int, me: int, incarnation: int, count: int, terms: Terms) -> None:
         self._me, self.incarnation, self._count, self._terms = me, incarnation, count, terms
         self._members: dict[int, Member] = {}
-        self._beat, self._next, self._turn = 0, now, 0
+        # Members are named in turn; were all to begin with the same one, who does not fit would be named by nobody.
+        self._beat, self._next, self._turn = 0, now, me
         self._sums: list[Sums] = []
         self._view = View(1, (me,))
 
