--- a/benchmarks/watched_files.py
+++ b/benchmarks/watched_files.py
@@ -10,8 +10,10 @@
 import tempfile
 import time
 import tracemalloc
+from collections.abc import Callable
 from pathlib import Path
 
+from kestrelplank import decode
 from kestrelplank.config.operator import MS, Nodes
 from kestrelplank.decode import Ids, text
 from kestrelplank.files import nodelist
@@ -19,6 +21,7 @@
 from kestrelplank.files.whole import write_whole
 from kestrelplank.lab.parties import Kit
 from kestrelplank.net.counters import Counters
+from kestrelplank.policy import Conductor as Policy
 from kestrelplank.state.guards import Terms, judge
 from kestrelplank.state.nodeset import Listed, NodeSet, assemble
 from kestrelplank.state.roster import Roster
@@ -68,26 +71,54 @@
     timed("what to tell of a set that lacks a hundredth", lambda: (roster.accept(1, fewer), roster.advance(1)), 1)
 
 
+class Orders:
+    """The module's writer: when it ordered a withdrawal, or let a node back."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.at: list[int] = []
+        self._clock = clock
+
+    def take_out(self, node: int, out: bool) -> None:
+        self.at.append(self._clock())
+
+    def __getattr__(self, word: str) -> Callable[..., None]:
+        return lambda *_: None
+
+
 def saves(number: int, events: bool) -> None:
-    """From the end of a save to the module's hearing of it, less the quiet time."""
+    """From the end of a save that drains a node, or ends its drain, to the module's order for it, less the quiet
+    time."""
     with tempfile.TemporaryDirectory() as folder:
-        kit, heard = Kit(), []
+        kit = Kit()
+        conf = {"Areas": ["zone0", "zone1", "zone2"], "Categories": [{"Name": "look"}],
+                "Specifics": {"Shards": 1, "MostWaiting": 9e6}, "Rules": {"ColdFrom": 1.0, "FallMultiple": 3.0}}
+        settings = decode.settings(conf, Ids(text), "bench")
+        policy, orders = Policy(kit.loop.now(), 1, settings), Orders(kit.loop.now)
+        policy.on_tenure(0, 0, True)
+        heard = orders.at
+        whole = texts(300, 1)[0]
+        lines = whole.splitlines()
+        drained = "\n".join([lines[0], lines[1] + " draining", *lines[2:]]) + "\n"
+
+        def on_event(event: tuple) -> None:
+            policy.round(kit.loop.now(), [event], orders)
+            policy.round(kit.loop.now(), [], orders)  # a node let back is told a round after its lines are away
         path, quiet = str(Path(folder) / "a.ini"), 20 * MS
-        write_whole(path, texts(300, 1)[0].encode())
-        settings = Nodes(files=(path,), quiet=quiet, poll=100 * MS, events=events, weight_step=0.0)
-        source = Source(kit.loop, Counters(Quiet(), kit.loop.now), settings, 1, Ids(text), {},
-                        lambda event: heard.append(kit.loop.now()))
+        write_whole(path, whole.encode())
+        nodes = Nodes(files=(path,), quiet=quiet, poll=100 * MS, events=events, weight_step=0.0)
+        source = Source(kit.loop, Counters(Quiet(), kit.loop.now), nodes, 1, Ids(text), {}, on_event)
         took = []
+        while source.intake.force is None:
+            kit.loop.at(kit.loop.now() + MS, lambda: None)
+            kit.loop.turn()
+        heard.clear()
         for turn in range(number):
+            write_whole(path, (whole if turn % 2 else drained).encode())
+            took.append(kit.loop.now())
             while len(heard) <= turn:
                 kit.loop.at(kit.loop.now() + MS, lambda: None)
                 kit.loop.turn()
-            write_whole(path, texts(301 + turn, 1)[0].encode())
-            took.append(kit.loop.now())
-        while len(heard) <= number:
-            kit.loop.at(kit.loop.now() + MS, lambda: None)
-            kit.loop.turn()
-        late = sorted(at - begun - quiet for begun, at in zip(took, heard[1:]))
+        late = sorted(at - begun - quiet for begun, at in zip(took, heard))
         source.close()
         kit.loop.close()
     print(f"{number} saves, {'events' if events else 'looking every 100 ms'}: after the quiet time "
--- a/tests/files/test_source.py
+++ b/tests/files/test_source.py
@@ -348,7 +348,7 @@
 def test_relays_only_see_whole_valid_tables_over_a_thousand_rewrites(site, seed, events):
     here = site(text_of(range(1, 17)), trailer=True, events=events, quiet=2 * MS, poll=3 * MS)
     here.wait(lambda: len(here.in_force()) == 16 and here.calls)
-    rewrites(here, Random(seed), 500)
+    rewrites(here, Random(seed), int(os.environ.get("REWRITES", 500)))
     last = text_of(range(1, 17))
     here.write("a.ini", f"[list]\nconfirm = {here.source.intake.force.short}\n{last}")
     here.wait(lambda: written(NodeSet(here.in_force())) == last)
