A lead of a transaction tells whom it waits for, and for how long

Need: an operator must see why a change stands still. Change: Leader.shown: phase, versions, the relays that have not answered and the time left.

--- a/kestrelplank/state/transactions.py
+++ b/kestrelplank/state/transactions.py
@@ -99,6 +99,20 @@
         return (self.epoch, self.phase, self.version, self.content, self.joined, self._wanted, self._mine,
                 tuple(sorted(self._answers.items())), tuple(sorted(self._staged)), tuple(sorted(self._uses.items())))
 
+    def shown(self, now: int) -> dict:
+        """What an operator is told of a lead: phase, versions, whom it waits for, and for how long yet (ns)."""
+        if self.phase == ASKING:
+            waits = [relay for relay in self._terms.voters if relay not in self._answers]
+        elif self.phase == STAGING:
+            waits = [relay for relay in self.joined if relay not in self._staged]
+        else:
+            waits = [relay for relay in self.joined if self._uses.get(relay, 0) < self.version]
+        busy = self.phase in (ASKING, STAGING)
+        return {"epoch": self.epoch, "phase": self.phase, "version": self.version,
+                "staging": self._wanted[0] if self._wanted else None,
+                "taken over": bool(self._wanted) and not self._mine,
+                "waits for": waits, "left": max(0, self._deadline - now) if busy else 0}
+
     def _quorum(self) -> int:
         return len(self._terms.voters) // 2 + 1
 
--- a/tests/state/test_transactions.py
+++ b/tests/state/test_transactions.py
@@ -133,6 +133,19 @@
     assert site.uses()[:2] == [(1, "A")] * 2
 
 
+def test_an_operator_is_told_whom_a_lead_waits_for_and_for_how_long():
+    site = Site()
+    leader = Leader(1, TERMS)
+    asked = leader.take_over(0, (0, 1, 2))
+    assert leader.shown(S // 2)["waits for"] == [0, 1, 2] and leader.shown(S // 2)["left"] == S // 2
+    site.run(leader, asked)
+    site.run(leader, leader.propose(0, 0, "A"), lose=(2,))
+    assert leader.shown(2 * S) == {"epoch": 1, "phase": "staging", "version": 0, "staging": 1, "taken over": False,
+                                   "waits for": [2], "left": 0}
+    site.run(leader, leader.tick(0))
+    assert leader.shown(0)["waits for"] == [] and leader.shown(0)["version"] == 1
+
+
 def test_a_lost_word_to_use_it_followed_by_a_reconnect():
     site = Site()
     leader = site.lead(1)
