The gate tells how near its verdict is

Need: who watches a change wants to see where it stands before it is decided. Change: Gate.shown: ops on either side, their shares in time, and how near either end is. Measured: asserted before the first op and after a verdict.

--- a/tests/plan/test_gate.py
+++ b/tests/plan/test_gate.py
@@ -29,7 +29,9 @@
 
 def test_what_was_decided_stays_and_without_ops_nothing_is():
     gate = Gate(Terms(), 0.97)
+    assert gate.shown() == {"verdict": WAIT, "ops": 0, "others": 0, "near": None, "in_time": None, "usual": 0.97}
     assert gate.with_it(0, 0) == WAIT and gate.with_it(400, 200) == UNDO and gate.with_it(9000, 9000) == UNDO
+    assert gate.shown()["near"] == 1.0 and gate.shown()["in_time"] == 0.5
 
 
 def test_the_undecided_is_kept_in_the_end():
