--- a/tests/relay/test_relay_program.py
+++ b/tests/relay/test_relay_program.py
@@ -1,6 +1,7 @@
 """The relay as a process: kept tables, reload, stop, and a successor that takes its socket over under load."""
 
 import json
+import os
 import signal
 import socket
 
@@ -124,7 +125,7 @@
 
 
 def test_a_successor_takes_the_socket_over_under_load_and_no_op_fails(site):
-    program, sent, turns = site.start(), 0, 6
+    program, sent, turns = site.start(), 0, int(os.environ.get("TAKEOVERS", 6))
     at = program.address()
 
     def ask(client):
