--- a/benchmarks/fuzz_relay.py
+++ b/benchmarks/fuzz_relay.py
@@ -2,8 +2,9 @@
 
     python benchmarks/fuzz_relay.py -max_total_time=60      # with the extras test and fuzz
 
-The first byte says where to cut, the second how much is the client's; the rest goes to the proxy as a client's bytes and as
-a node's answer. Whatever raises in the loop ends the run, as does an op without exactly one end, or anything held after it.
+The first byte says where to cut, the second how much is the client's; the rest goes to the proxy as a client's bytes
+and as a node's answer. Whatever raises in the loop ends the run, as does an op without exactly one end, or anything
+held after it.
 """
 
 import sys
@@ -23,7 +24,8 @@
         return
     cut = 2 + data[1] * (len(data) - 2) // 255
     sent, reply = data[2:cut], data[cut:]
-    here = Site(lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), timeouts=(30 * MS,) * 3, hold=0)
+    here = Site(lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), hold=0,
+                timeouts=(30 * MS,) * 3)
     client = here.client()
     client.send(GET[:data[0] % len(GET)] + sent)
     here.pass_time(2 * MS)
