Read once more: one relay stand-in for two tests, no second loop, lines let go by their key

Cause: two tests wrote the same relay; live rehearsals and the relay's bench made a second loop over the one they had and left its selector open; each answer of a live op rebuilt the map of all tries; a word of the INI's units was read by nobody. Change: one stand-in in tests/test_program, the loop of the kit as it is, the try taken out by its key, the word gone.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -22,7 +22,6 @@
 from kestrelplank.lab.parties import Kit, Party, fail
 from kestrelplank.net.buffers import Pool
 from kestrelplank.net.connection import Connection, Dialled, Listener, address
-from kestrelplank.net.loop import Loop
 
 MS = 1_000_000
 ROOT = str(Path(__file__).parents[1])
@@ -73,7 +72,6 @@
 def serve(what: str, to: str) -> None:
     """Runs the nodes or the pass-through, and prints where."""
     kit = Kit()
-    kit.loop = Loop(fail)
     kit.pool = Pool(1 << 16, 64)
     if what == "node":
         def accept(sock: object) -> None:
@@ -126,7 +124,6 @@
 def load(to: str, connections: int, size: int, seconds: float) -> tuple[float, list[float]]:
     """Ops a second, and the time at percentiles in ms."""
     kit, times = Kit(), HdrHistogram(1, 60_000_000, 3)
-    kit.loop = Loop(fail)
     kit.pool = Pool(1 << 16, 64)
     askers = [Asker(kit, to, b"/look/%d" % size, times) for _ in range(connections)]
     end = time.monotonic() + 0.5
--- a/kestrelplank/config/ini.py
+++ b/kestrelplank/config/ini.py
@@ -84,18 +84,18 @@
     return text
 
 
-def unit(reader: Callable[[str], Any], says: str) -> Meta:
-    return Meta(extra={"reader": reader, "says": says})
+def unit(reader: Callable[[str], Any]) -> Meta:
+    return Meta(extra={"reader": reader})
 
 
 # The types of fields. Further bounds go on top: Annotated[Count, Meta(ge=1)].
-Span = Annotated[int, unit(span, "a time, as 200ms")]
-Spans = Annotated[tuple[int, int], unit(spans, "a range of times, as 4s..7s")]
-Share = Annotated[float, unit(share, "a share, as 10%")]
-Number = Annotated[float, unit(number, "a number")]
-Count = Annotated[int, unit(whole, "a whole number")]
-Flag = Annotated[bool, unit(flag, "yes or no")]
-Words = Annotated[tuple[str, ...], unit(words, "words between commas")]
+Span = Annotated[int, unit(span)]
+Spans = Annotated[tuple[int, int], unit(spans)]
+Share = Annotated[float, unit(share)]
+Number = Annotated[float, unit(number)]
+Count = Annotated[int, unit(whole)]
+Flag = Annotated[bool, unit(flag)]
+Words = Annotated[tuple[str, ...], unit(words)]
 
 
 def reader_of(kind: Any) -> Callable[[str], Any]:
--- a/kestrelplank/lab/live.py
+++ b/kestrelplank/lab/live.py
@@ -18,7 +18,7 @@
 from kestrelplank.interface import ALL_TABLES
 from kestrelplank.lab.node import FAILED as ERROR
 from kestrelplank.lab.node import NOT_STARTED as FULL
-from kestrelplank.lab.parties import MS, Kit, Party, Visitor, fail, news
+from kestrelplank.lab.parties import MS, Kit, Party, Visitor, news
 from kestrelplank.lab.rehearsal import report
 from kestrelplank.lab.script import Script, conf
 from kestrelplank.lab.world import Ask, Relay, World
@@ -401,6 +401,7 @@
     def on_answer(self, status: int, body: bytes) -> None:
         outcome = {200: "acked", 503: NOT_STARTED, 500: FAILED}.get(status, CUT)
         number, self.number = self.number, -1
+        self.world.lines.pop((self.relay.number, number), None)
         self.world.idle(self)
         self._end(number, outcome)
 
@@ -444,7 +445,6 @@
         line.ask(number, ask, knowing)
 
     def idle(self, line: Line) -> None:
-        self.lines = {key: held for key, held in self.lines.items() if held is not line}
         line.idle_since = self.clock.now()
         self._idle.setdefault((line.relay.number, line.node), []).append(line)
 
@@ -474,7 +474,6 @@
 def play(script: Script, seed: int, progress: Callable[[float], None] = lambda done: None) -> dict:
     """Plays a script in real time and returns its report. Everything it started has ended by then."""
     kit = Kit()
-    kit.loop = Loop(fail)
     with tempfile.TemporaryDirectory() as folder:
         world = LiveWorld(script, seed, kit, folder)
         try:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -74,6 +74,15 @@
         return self.process.returncode, self.log.decode()
 
 
+def relay_does(visitor, path, body):
+    """A relay that tells what stands and takes every order."""
+    if path == "/api/stream":
+        visitor.begin()
+        visitor.tell(*STANDING)
+    else:
+        visitor.reply({"ok_count": len(json.loads(body)["ops"])})
+
+
 def closed_port():
     with socket.create_server(("127.0.0.1", 0)) as server:
         return "127.0.0.1:%d" % server.getsockname()[1]
@@ -143,13 +152,6 @@
 
 
 def test_a_new_configuration_moves_all_parties_and_a_bad_one_changes_nothing(kit, tmp_path):
-    def relay_does(visitor, path, body):
-        if path == "/api/stream":
-            visitor.begin()
-            visitor.tell(*STANDING)
-        else:
-            visitor.reply({"ok_count": len(json.loads(body)["ops"])})
-
     def agent_does(visitor, path, body):
         if "follow" in path:
             visitor.begin()
@@ -194,13 +196,6 @@
 
 def test_with_an_operators_file_nodes_come_from_watched_files_and_a_bad_one_is_refused(kit, tmp_path, monkeypatch):
     """Discovery says nothing at all; a drain saved in the list reaches the relay, on SIGHUP terms are read anew."""
-    def relay_does(visitor, path, body):
-        if path == "/api/stream":
-            visitor.begin()
-            visitor.tell(*STANDING)
-        else:
-            visitor.reply({"ok_count": len(json.loads(body)["ops"])})
-
     relay, ini = Party(kit, relay_does), tmp_path / "k.ini"
     (tmp_path / "nodes.ini").write_text(NODES % "")
     good = f"[nodes]\nfiles = {tmp_path}/nodes.ini\nquiet = 20ms\npoll = 50ms\nstate = {tmp_path}/state\n"
