--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -145,7 +145,7 @@
         peers = None
         if found["may_tell"] and config.get("peer_listen"):
             peers = Peers(loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "",
-                          on_datagram)
+                          ids, on_datagram, on_event)
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -5,8 +5,10 @@
 configuration.
 """
 
-from collections.abc import Callable
+import struct
+from collections.abc import Callable, Mapping
 from typing import Any
+from zlib import crc32
 
 import msgspec
 
@@ -14,6 +16,10 @@
 MOST_NAMES = 65_536  # of nodes or zones held: against a party that never names the same one twice
 LARGEST = 1e300  # what cannot be reckoned with further; no comparison holds for what is not a number
 MOST_TOLD = 1e9  # that one report may count, or last in ms: far above any, and sums of it stay sound
+SHARES = 2  # the first byte of datagrams that tell loads; membership's begin with another
+SHARE = struct.Struct("!Ie")  # checksum of a node's name, ops a second as a half-precision float: three digits
+MOST_SHARES = (256 - 1) // SHARE.size  # in a datagram
+MOST_OPS = 65_504.0  # the largest of that form
 EFFECTS = {"pure": "retryable", "token": "deduplicated", "side_effect": "once-only"}
 PICKS = {"random": "random", "rotate": "rotate", "p2c": "two"}
 LEVELS = {"fraction": "share", "per_second": "rate", "none": ""}
@@ -23,6 +29,12 @@
     """A line, or one field of it, that the wire does not allow; the text says which and why."""
 
 
+def checksum(name: Any) -> int:
+    """What a node goes by between conductors, as each numbers nodes in its own way; `name` is the wire's, a text or
+    a number. Two of 200 nodes share one on a day in two hundred thousand: each one's figures pass for the other's."""
+    return crc32(str(name).encode())
+
+
 class Ids:
     """Small indices for one instance's nodes, zones and op types, given out in order of appearance, and never
     twice: what is still under way for a node that was forgotten must not meet another. What a node is called on
@@ -32,6 +44,7 @@
         self._read_node = read_node
         self.nodes: dict[Any, int] = {}
         self.node_ids: dict[int, Any] = {}
+        self.checksums: dict[int, int] = {}  # what nodes go by between conductors, to their indices
         self._given = 0
         self.zones: dict[str, int] = {}
         self.op_types: dict[str, int] = {}
@@ -43,11 +56,14 @@
                 raise Malformed(f"more than {MOST_NAMES} nodes have been named")
             index = self.nodes[value] = self._given
             self.node_ids[index] = value
+            self.checksums[checksum(value)] = index
             self._given += 1
         return index
 
     def forget(self, index: int) -> None:
-        del self.nodes[self.node_ids.pop(index)]
+        name = self.node_ids.pop(index)
+        del self.nodes[name]
+        self.checksums.pop(checksum(name), None)
 
     def zone(self, value: Any) -> int:
         if text(value) not in self.zones and len(self.zones) >= MOST_NAMES:
@@ -196,3 +212,19 @@
         "may_probe": read("Permissions.Probes", flag, False),
         "may_tell": read("Permissions.MayTell", flag, False),
     }
+
+
+def shares(parts: Mapping[int, float], names: Mapping[int, Any]) -> list[bytes]:
+    """Datagrams of at most 256 bytes that tell other conductors `parts`, node to ops a second; `names` has the nodes'
+    names. Each stands for itself, as any may be lost: it names some nodes, and says nothing of the others."""
+    told = [SHARE.pack(checksum(names[node]), min(ops, MOST_OPS)) for node, ops in parts.items()]
+    return [bytes([SHARES]) + b"".join(told[at:at + MOST_SHARES]) for at in range(0, len(told), MOST_SHARES)]
+
+
+def shared(body: bytes, ids: Ids) -> list[tuple[int, float]] | None:
+    """(node, ops a second) of the nodes in such a datagram that are known; None for what is none. A figure that can't
+    be is passed over."""
+    if body[:1] != bytes([SHARES]) or (len(body) - 1) % SHARE.size:
+        return None
+    found = ((ids.checksums.get(name), ops) for name, ops in SHARE.iter_unpack(body[1:]))
+    return [(node, ops) for node, ops in found if node is not None and 0.0 <= ops <= MOST_OPS]
--- a/kestrelplank/drill/host.py
+++ b/kestrelplank/drill/host.py
@@ -3,7 +3,7 @@
 import sys
 from typing import Any
 
-from kestrelplank.decode import Ids, Malformed, parsed, settings, time, whole
+from kestrelplank.decode import Ids, Malformed, parsed, settings, shared, time, whole
 from kestrelplank.drill import wire
 from kestrelplank.policy import Conductor
 
@@ -56,7 +56,10 @@
         elif instance not in self._instances:
             raise Malformed(f"{name}, field Conductor: instance {instance} has not been created")
         else:
-            decoded = wire.event(message, self._instances[instance][1])
+            ids = self._instances[instance][1]
+            decoded = wire.event(message, ids)
+            if decoded[0] == "peer" and (parts := shared(decoded[2] or b"", ids)) is not None:
+                decoded = "shared", decoded[1], parts
             self._events.setdefault(instance, []).append(decoded)
         return None
 
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -14,6 +14,7 @@
     flag,
     mapping,
     number,
+    shares,
     text,
     time,
     told,
@@ -142,6 +143,10 @@
     def tell(self, peer: int | None, body: bytes) -> None:
         self._put("BROADCAST_TO", peer, base64.b64encode(body).decode())
 
+    def share(self, parts: dict[int, float]) -> None:
+        for datagram in shares(parts, self._ids.node_ids):
+            self.tell(None, datagram)
+
     def watch(self, on: bool) -> None:
         self._put("KEEP_INFORMED", on)
 
--- a/kestrelplank/interface.py
+++ b/kestrelplank/interface.py
@@ -15,6 +15,7 @@
     demand   proxy, op_type, ops, aborted, window
     probed   node, verdict, time, load     verdict "ok", or what went wrong
     peer     sender, body
+    shared   sender, parts        what another conductor's slices bring to nodes: (node, ops a second) of those known
     timer    name
 
 Settings arrive as one flat mapping when a conductor is made; `kestrelplank.decode.settings` lists them.
@@ -52,6 +53,9 @@
     def tell(self, peer: int | None, body: bytes) -> None:
         """Send a short message to a peer, or to all of them."""
 
+    def share(self, parts: dict[int, float]) -> None:
+        """Tell all peers what this conductor's slices bring to each node, ops a second."""
+
     def watch(self, on: bool) -> None:
         """Ask for changes of the node list from now on, or no longer."""
 
--- a/kestrelplank/net/conductor.py
+++ b/kestrelplank/net/conductor.py
@@ -59,6 +59,10 @@
         else:
             self._counters.trouble("datagrams_not_sent", "not allowed")
 
+    def share(self, parts: dict[int, float]) -> None:
+        if self._peers:
+            self._peers.share(parts)
+
     def watch(self, on: bool) -> None:
         """Discovery is watched from the start."""
 
--- a/kestrelplank/net/peers.py
+++ b/kestrelplank/net/peers.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 
+from kestrelplank.decode import Ids, shared, shares
 from kestrelplank.net.connection import address
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.loop import READ, Loop
@@ -13,8 +14,9 @@
 
 class Peers:
     def __init__(self, loop: Loop, counters: Counters, listen: str, peers: list[str], everyone: str,
-                 on_event: Callable[[tuple], None]) -> None:
-        self._loop, self._counters, self._on_event = loop, counters, on_event
+                 ids: Ids, on_event: Callable[[tuple], None], on_shared: Callable[[tuple], None]) -> None:
+        self._loop, self._counters, self._ids = loop, counters, ids
+        self._on_event, self._on_shared = on_event, on_shared
         self._peers, self._everyone = [address(peer) for peer in peers], address(everyone) if everyone else None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
@@ -32,6 +34,10 @@
         except OSError as err:  # they may be lost anyway
             self._counters.trouble("datagrams_not_sent", err)
 
+    def share(self, parts: dict[int, float]) -> None:
+        for body in shares(parts, self._ids.node_ids):
+            self.tell(None, body)
+
     def _ready(self, events: int) -> None:
         for _ in range(MOST_AT_ONCE):
             try:
@@ -45,7 +51,11 @@
                 self._counters.trouble("datagrams_skipped", f"{len(body)} bytes from {sender}")
                 continue
             self._counters.add("peer_in")
-            self._on_event(("peer", self._peers.index(sender), body))
+            parts = shared(body, self._ids)
+            if parts is None:
+                self._on_event(("peer", self._peers.index(sender), body))
+            else:
+                self._on_shared(("shared", self._peers.index(sender), parts))
 
     def close(self) -> None:
         self._loop.forget(self._sock)
--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -24,6 +24,7 @@
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 FLAPS = 60 * S  # a node that starts more than once within that is given nothing for a while, see `flapped`
+HEARD = 3 * TURN  # what another conductor told of its slices holds for so long
 GONE = ("draining", "removed")
 
 
@@ -41,6 +42,7 @@
         self.now, self.past = [0.0] * 8, deque(maxlen=REPORTS)
         self.barred_until, self.bar_for = -BAR_MOST, BAR
         self.settles_at = 0  # takes part in no further move until then
+        self.told = {}  # by other conductor: ops a second that its slices bring here, and when it said so
         self.starts, self.held_until = (), 0  # when its last starts were told; given nothing until then
         self.fresh = False  # new or restarted, and not up to its part of the load yet
         self.stripped = True  # since its last start it has been rid of what it held before
@@ -60,6 +62,9 @@
         self.stale = False
         return 1
 
+    def others(self, now):
+        return sum(ops for ops, at in self.told.values() if now - at < HEARD)
+
     def sums(self, last=REPORTS):
         recent = list(self.past)[-last:]
         return [sum(part) for part in zip(*recent)] if recent else [0.0] * 8
@@ -211,6 +216,7 @@
         leisure = settings["grace"] / S * settings["lines_per_s"] / max(1, settings["most_waiting"]) / 3
         self.leisure = min(0.65, max(0.3, leisure))  # of the queue, for what is ordinary: a drain must pass
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
+        self.tells, self.tells_at, self.heard = settings["may_tell"] and settings["conductors"] > 1, now, {}
 
     def round(self, now, events, out):
         for word, *fields in events:
@@ -226,8 +232,10 @@
             self.usual_again = AGAIN
         self.evacuate(now)
         if now >= self.next_turn:
-            self.next_turn = now + TURN
+            # Where conductors hear each other, turns are spread by chance: each sees what others have moved.
+            self.next_turn = now + (TURN // 2 + int(self.random.random() * TURN) if self.tells else TURN)
             self.turn(now)
+            self.tells_at = now
         for index, node in self.nodes.items():
             if node.shut(now) != node.out and not (node.out and any(
                     index in kept.sent and index not in kept.want for kept in self.slices.values())):
@@ -238,6 +246,10 @@
             self.tidy(now, out)
         if self.slices:  # else nobody would get or prove it
             self.flush(now, out)
+        if self.tells and now >= self.tells_at:
+            self.tells_at = now + TURN
+            held = self.held()
+            out.share({node.index: held[node.index] for node in self.nodes.values() if node.state == "up"})
 
     def tidy(self, now, out):
         """Nodes long gone, in no table and met by nobody, are let in, for who may come under that name later,
@@ -281,8 +293,8 @@
             node.zone, node.weight, node.boot = zone, weight or 1.0, boot if started else node.boot
 
     def flapped(self, now, node):
-        """Guards against slices that follow a flapping node, or a zone's nodes, back each time, onto cold caches, and
-        are lost with it again. Harm: after its second start in a minute a sound node stands idle for twice BAR."""
+        """Guards against slices that follow a flapping node, or a zone's, back each time, onto cold caches,
+        and are lost with it again. Harm: after its second start in a minute a sound node idles for 2 BAR."""
         node.starts = (*(at for at in node.starts if now - at < FLAPS), now)
         if len(node.starts) > 1:
             node.held_until = now + min(2 * BAR_MOST, BAR << len(node.starts) - 1)
@@ -332,6 +344,12 @@
             self.slices[number].now += ops
             self.levels.came[op_type] += 0 if self.levels.shed else ops
 
+    def on_shared(self, now, sender, parts):
+        self.heard[sender] = now
+        for index, ops in parts:
+            if index in self.nodes:
+                self.nodes[index].told[sender] = ops, now
+
     # What is known.
 
     def node(self, index, now):
@@ -353,6 +371,13 @@
             return 1.0
         return self.cold_from + (1 - self.cold_from) * max(0, now - node.boot) / self.warm_up
 
+    def held(self):  # ops a second that come for the slices of each node
+        held = dict.fromkeys(self.nodes, 0.0)
+        for kept in self.slices.values():
+            for index in kept.want:
+                held[index] += kept.heat(self.period) / len(kept.want)
+        return held
+
     def survey(self, now):
         """The weight that each live node surely is worth by now, the ops a second that each node counts for,
         and the most that each may be given. A node counts for what its reports show, or for what comes for
@@ -365,17 +390,17 @@
                  index: busy / tries for index, (tries, failed, busy, *_) in sums.items()
                  if tries - failed >= EVIDENCE and busy}
         usual = sorted(times.values())[len(times) // 2] if times else 0.0
-        held = dict.fromkeys(self.nodes, 0.0)
-        for kept in self.slices.values():
-            for index in kept.want:
-                held[index] += kept.heat(self.period) / len(kept.want)
+        held = self.held()
         loads = {index: max(sums[index][0] / max(1, len(node.past)) / seconds, held[index])
                  for index, node in self.nodes.items()}
+        own = sum(loads.values())
+        loads = {index: ops + self.nodes[index].others(now) for index, ops in loads.items()}
         up, worth, most = [node for node in self.nodes.values() if node.live(now)], {}, {}
         # What pushes a cold node over (rule 4) is told by what the fleet acks. All conductors count alike, so
         # their parts add up; while heat is not known, a cold node gets nothing unless nothing else lives.
         weight = sum(node.weight for node in up)
         acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
+        acked *= sum(loads.values()) / own if own else 1.0
         known = up and now >= self.moves_from
         can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight if known else -1.0
         for node in up:
@@ -407,13 +432,16 @@
             return
         # Slices of a take-over count like the mean until reports are in: else all go to the idlest node.
         usual = sum(kept.heat(self.period) for kept in self.slices.values()) / len(self.slices) or 1.0
+        # Whoever was told the same does the same now, unseen as yet: each slice stands for theirs too.
+        crowd = 1 + sum(now - at < HEARD for at in self.heard.values())
+        self.tells_at = min(self.tells_at, now + BEAT)
         for kept in movers:
             kept.want = {index: weight for index, weight in kept.want.items() if index not in flee}
             if not kept.want:  # else its other line serves it, and the pass splits it again if need be
                 heat = kept.heat(self.period) if len(kept.past) == REPORTS else usual
-                fits = [index for index in worth if loads[index] + heat <= most[index]] or worth
-                new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
-                loads[new] += heat
+                fits = [index for index in worth if loads[index] + crowd * heat <= most[index]] or worth
+                new = min(fits, key=lambda index: (loads[index] + crowd * heat) / worth[index])
+                loads[new] += crowd * heat
                 kept.want[new] = 1.0
 
     def turn(self, now):
@@ -438,17 +466,20 @@
             loads[target] += heat
             place[target] += heat / worth[target]
 
-        # Each fresh node gains the hottest slice that keeps it under the mean, from the fullest, uncapped.
+        # Each fresh node gains the hottest line that keeps it under the mean, from the fullest with one,
+        # uncapped. The fullest of all may have none: then fresh nodes stood idle beside full ones.
+        lines = sorted(((place[index], heats[kept.number] / len(kept.want), -kept.number, index, kept)
+                        for kept in self.slices.values() for index in kept.want
+                        if place.get(index, 0) > mean), reverse=True, key=lambda line: line[:3])
         for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
-            source = max(place, key=place.get)
-            fits = [kept for kept in self.slices.values()
-                    if kept.owner() == source and fitting(heats[kept.number], [index], mean) is not None]
-            if self.nodes[index].fresh and fits and place[source] > mean:
-                kept = max(fits, key=lambda kept: (heats[kept.number], -kept.number))
-                del kept.want[source]
-                give(kept, heats[kept.number], index)
-                place[source] -= heats[kept.number] / worth[source]
+            for _, heat, _, source, kept in lines if self.nodes[index].fresh else ():
+                if source in kept.want and index not in kept.want and place[source] > mean and fitting(
+                        heat, [index], mean) is not None:
+                    del kept.want[source]
+                    give(kept, heat, index)
+                    place[source] -= heat / worth[source]
+                    break
 
         # A slice hotter than the band pins its node, and moving it moves the trouble: it gets another line,
         # more where proxies pick the idler of two; cooled, it leaves a node above the band. Harm: caches.
--- /dev/null
+++ b/tests/test_decode.py
@@ -0,0 +1,49 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kestrelplank.decode import SHARE, SHARES, Ids, checksum, shared, shares, text
+from kestrelplank.state import membership
+
+
+def known(names):
+    ids = Ids(text)
+    for name in names:
+        ids.node(name)
+    return ids
+
+
+@given(st.lists(st.floats(0, 60_000), max_size=300), st.data())
+def test_what_arrives_is_what_was_told_whatever_is_lost_doubled_or_out_of_order(figures, data):
+    told = known(f"s-{place}" for place in range(len(figures)))
+    heard = known(f"s-{place}" for place in reversed(range(len(figures))))
+    bodies = shares(dict(enumerate(figures)), told.node_ids)
+    assert all(len(body) <= 256 for body in bodies)
+    arrived = data.draw(st.lists(st.sampled_from(bodies), max_size=20)) if bodies else []
+    found = {}
+    for body in arrived:
+        found.update(shared(body, heard))
+    for node, ops in found.items():
+        assert ops == pytest.approx(figures[told.nodes[heard.node_ids[node]]], rel=1e-3, abs=1e-3)
+    if set(arrived) == set(bodies):
+        assert len(found) == len(figures)
+
+
+@pytest.mark.parametrize("body", [b"", b"hello", bytes([SHARES, 1, 2, 3]), membership.encode(1, [(1, 2, 3)], [])])
+def test_what_is_no_such_datagram_is_left_to_others(body):
+    assert shared(body, known([])) is None
+
+
+@pytest.mark.parametrize("ops", [float("nan"), float("inf"), -1.0])
+def test_a_node_not_known_and_a_figure_that_cannot_be_are_passed_over(ops):
+    ids = known(["a", "b"])
+    body = bytes([SHARES]) + b"".join(
+        SHARE.pack(name, figure) for name, figure in
+        [(checksum("a"), ops), (checksum("b"), 2.0), (checksum("c"), 3.0)])
+    assert shared(body, ids) == [(1, 2.0)]
+
+
+def test_a_node_that_is_forgotten_is_known_by_its_checksum_no_more():
+    ids = known(["a"])
+    ids.forget(0)
+    assert shared(shares({0: 1.0}, {0: "a"})[0], ids) == []
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -706,7 +706,8 @@
         sock.bind(("127.0.0.1", 0))
         sock.settimeout(5)
     at = ["%s:%d" % sock.getsockname() for sock in others]
-    peers = Peers(kit.loop, kit.counters, "127.0.0.1:0", at[:2], at[2], kit.events.append)
+    ids = names()
+    peers = Peers(kit.loop, kit.counters, "127.0.0.1:0", at[:2], at[2], ids, kit.events.append, kit.events.append)
     peers.tell(1, b"one")
     peers.tell(None, b"all")
     peers.tell(7, b"nobody")
@@ -715,8 +716,11 @@
     others[2].sendto(b"stranger", peers._sock.getsockname())
     others[0].sendto(b"x" * 257, peers._sock.getsockname())
     others[1].sendto(b"peer", peers._sock.getsockname())
-    until(kit.loop, lambda: kit.events)
-    assert kit.events == [("peer", 1, b"peer")] and kit.counters.counts["datagrams_skipped"] == 2
+    peers.share({1: 7.5})
+    others[0].sendto(others[2].recv(300), peers._sock.getsockname())
+    until(kit.loop, lambda: len(kit.events) == 2)
+    assert kit.events == [("peer", 1, b"peer"), ("shared", 0, [(1, 7.5)])]
+    assert kit.counters.counts["datagrams_skipped"] == 2
     peers.close()
     for sock in others:
         sock.close()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,8 @@
 S = 1_000_000_000
 SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
                 report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1,
-                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[], pick="random", lines_per_s=6000)
+                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[], pick="random", lines_per_s=6000,
+                may_tell=False, conductors=2)
 
 
 class Orders(list):
@@ -317,3 +318,50 @@
     conductor.nodes[0].held_until = 99 * S
     conductor.evacuate(0)
     assert list(conductor.slices[3].want) == [0]
+
+
+def meeting(states, tables, heats):
+    """A fleet whose slices have five reports of so many ops a second each, among conductors that hear each other."""
+    conductor = fleet(states, tables)
+    conductor.tells, conductor.period = True, S
+    for number, ops in heats.items():
+        conductor.slices[number].past.extend([ops] * 5)
+    return conductor
+
+
+@pytest.mark.parametrize("told_at, loads", [(0, {0: 20, 1: 5, 2: 30}), (-10 * S, {0: 20, 1: 0, 2: 0})])
+def test_what_other_conductors_bring_to_a_node_counts_while_it_is_new(told_at, loads):
+    conductor = meeting(["up", "up", "up"], {3: {0: 1.0}, 4: {0: 1.0}}, {3: 10, 4: 10})
+    conductor.on_shared(told_at, 7, [(0, 0.0), (1, 5.0), (2, 30.0), (99, 1.0)])
+    assert conductor.survey(0)[1] == loads
+
+
+def test_slices_that_all_conductors_evacuate_at_once_do_not_all_go_to_the_idlest_node():
+    conductor = meeting(["removed", *["up"] * 4], {number: {0: 1.0} for number in range(8)}, dict.fromkeys(range(8), 2))
+    for sender in range(4):
+        conductor.on_shared(0, sender, [(1, 0.0), (2, 1.0), (3, 2.0), (4, 4.0)])
+    conductor.evacuate(0)
+    owners = [kept.owner() for kept in conductor.slices.values()]
+    assert max(map(owners.count, owners)) <= 3  # alone it would give the idlest five of the eight
+
+
+def test_fresh_nodes_are_filled_though_the_fullest_node_has_no_line_that_fits():
+    # Node 0 has one slice that is too hot for any; the others' slices fit.
+    conductor = meeting(["up"] * 6, {0: {0: 1.0}, 1: {1: 1.0}, 2: {1: 1.0}, 3: {2: 1.0}, 4: {2: 1.0}},
+                        {0: 40, 1: 9, 2: 9, 3: 9, 4: 9})
+    for index in (3, 4):
+        conductor.nodes[index].fresh = True
+    conductor.most_lines = 1
+    conductor.turn(0)
+    owners = [kept.owner() for kept in conductor.slices.values()]
+    assert {3, 4} <= set(owners)
+
+
+@pytest.mark.parametrize("may_tell, conductors, shared", [(True, 2, 1), (True, 1, 0), (False, 2, 0)])
+def test_loads_are_told_once_a_turn_where_there_is_somebody_to_hear_them(may_tell, conductors, shared):
+    conductor = Conductor(0, 1, {**SETTINGS, "may_tell": may_tell, "conductors": conductors})
+    conductor.node(0, 0).state = "up"
+    out = Orders()
+    for now in range(0, S, S // 50):
+        conductor.round(now, [], out)
+    assert [order[0] for order in out].count("share") == shared
