--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -24,7 +24,7 @@
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 FLAPS = 60 * S  # a node that starts more than once within that is given nothing for a while, see `flapped`
-HEARD = 3 * TURN  # what another conductor told of its slices holds for so long
+HEARD = 2 * TURN  # what another conductor told of its slices holds for so long
 GONE = ("draining", "removed")
 
 
@@ -86,6 +86,9 @@
     def heat(self, period):  # ops a second that come for it
         return sum(self.past) / max(1, len(self.past)) / (period / S)
 
+    def newest(self):  # ops that came for it by the newest report
+        return max(self.now, self.past[-1] if self.past else 0.0)
+
     def owner(self):
         return next(iter(self.want), None)
 
@@ -216,6 +219,7 @@
         leisure = settings["grace"] / S * settings["lines_per_s"] / max(1, settings["most_waiting"]) / 3
         self.leisure = min(0.65, max(0.3, leisure))  # of the queue, for what is ordinary: a drain must pass
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
+        self.heated = False  # a report of heat has come in
         self.tells, self.tells_at, self.heard = settings["may_tell"] and settings["conductors"] > 1, now, {}
 
     def round(self, now, events, out):
@@ -231,6 +235,9 @@
             out.level(ALL_TABLES, 0, 1.0, AGAIN)
             self.usual_again = AGAIN
         self.evacuate(now)
+        if self.heated and now >= self.moves_from:
+            self.heated = False
+            self.relieve(now)
         if now >= self.next_turn:
             # Where conductors hear each other, turns are spread by chance: each sees what others have moved.
             self.next_turn = now + (TURN // 2 + int(self.random.random() * TURN) if self.tells else TURN)
@@ -247,7 +254,7 @@
         if self.slices:  # else nobody would get or prove it
             self.flush(now, out)
         if self.tells and now >= self.tells_at:
-            self.tells_at = now + TURN
+            self.tells_at = now + TURN // 2
             held = self.held()
             out.share({node.index: held[node.index] for node in self.nodes.values() if node.state == "up"})
 
@@ -342,6 +349,7 @@
     def on_heat(self, now, number, op_type, ops, aborted, window):
         if number in self.slices:
             self.slices[number].now += ops
+            self.heated = True
             self.levels.came[op_type] += 0 if self.levels.shed else ops
 
     def on_shared(self, now, sender, parts):
@@ -402,7 +410,8 @@
         acked = sum(sums[node.index][0] - sums[node.index][1] for node in up) / REPORTS / seconds
         acked *= sum(loads.values()) / own if own else 1.0
         known = up and now >= self.moves_from
-        can = min(acked * self.fall_multiple * SPARE, sum(loads.values())) / weight if known else -1.0
+        falls = acked * self.fall_multiple * SPARE / weight if known else -1.0
+        can = min(falls, sum(loads.values()) / weight) if known else -1.0
         for node in up:
             speed = usual / times[node.index] if node.index in times else 1.0
             warmth = self.warmth(node, now)
@@ -410,7 +419,7 @@
             most[node.index] = float("inf") if warmth >= 1.0 else can * node.weight * warmth
             if now < node.held_until:  # only where nothing else lives
                 most[node.index] = -1.0
-        return worth, loads, most
+        return worth, loads, most, falls
 
     # What is decided.
 
@@ -424,7 +433,7 @@
         movers = [kept for kept in self.slices.values() if not kept.want or not flee.isdisjoint(kept.want)]
         if not movers:
             return
-        worth, loads, most = self.survey(now)
+        worth, loads, most, _ = self.survey(now)
         if not worth:  # better a cold or suspect node than none (rule 1)
             for node in self.nodes.values():
                 if node.state == "up":
@@ -444,10 +453,33 @@
                 loads[new] += crowd * heat
                 kept.want[new] = 1.0
 
+    def relieve(self, now):
+        """Slices that heat up on a cold node cost infinity too, the hottest first: by the newest report,
+        as five tell of it when the node has fallen (rule 4). Harm: a burst beyond chance costs a move."""
+        cold = [node for node in self.nodes.values() if node.live(now) and self.warmth(node, now) < 1.0]
+        worth, loads, most, falls = self.survey(now) if cold else ({}, {}, {}, 0.0)
+        seconds = self.period / S
+        for node in cold:
+            limit = max(0.0, falls) * node.weight * self.warmth(node, now)
+            limit += CHANCE * (limit / seconds) ** 0.5
+            lines = sorted(((kept.newest() / len(kept.want) / seconds, -kept.number, kept) for kept in
+                            self.slices.values() if node.index in kept.want), key=lambda line: line[:2])
+            newest = sum(heat for heat, *_ in lines) + node.others(now)
+            while lines and newest > limit > 0:
+                heat, _, kept = lines.pop()
+                fits = [index for index in worth if loads[index] + heat <= most[index]
+                        and index not in kept.want]
+                if fits:
+                    new = min(fits, key=lambda index: (loads[index] + heat) / worth[index])
+                    kept.want = {**{index: 1.0 for index in kept.want if index != node.index}, new: 1.0}
+                    loads[new] += heat
+                    newest -= heat
+                    self.tells_at = now
+
     def turn(self, now):
         """The ordinary pass: slices on nodes above the band, costliest first, in a capped batch. Before it,
         fresh nodes gain a slice each, and slices too hot to be moved are split."""
-        worth, loads, most = self.survey(now)
+        worth, loads, most, _ = self.survey(now)
         if now < self.moves_from or not worth:
             return
         place = {index: loads[index] / worth[index] for index in worth}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -323,7 +323,7 @@
 def meeting(states, tables, heats):
     """A fleet whose slices have five reports of so many ops a second each, among conductors that hear each other."""
     conductor = fleet(states, tables)
-    conductor.tells, conductor.period = True, S
+    conductor.tells, conductor.period, conductor.levels.came = True, S, [0.0]
     for number, ops in heats.items():
         conductor.slices[number].past.extend([ops] * 5)
     return conductor
@@ -365,3 +365,24 @@
     for now in range(0, S, S // 50):
         conductor.round(now, [], out)
     assert [order[0] for order in out].count("share") == shared
+
+
+@pytest.mark.parametrize("newest, cold, leaves", [(3, True, False), (9, True, True), (9, False, False)])
+def test_a_slice_that_heats_up_leaves_a_cold_node_on_the_first_report_of_it(newest, cold, leaves):
+    conductor = meeting(["up", "up"], {3: {0: 1.0}, 4: {1: 1.0}}, {3: 1, 4: 20})
+    for node, tries in zip(conductor.nodes.values(), (1, 20)):
+        node.past.extend([(tries, 0, tries / 10, 0, 0, 0, 0, 0)] * 5)
+    conductor.nodes[0].boot = 0 if cold else -20 * S
+    conductor.on_heat(0, 3, 0, newest, 0, S)
+    conductor.round(0, [], Orders())
+    assert (conductor.slices[3].owner() == 1) is leaves
+
+
+def test_what_one_node_of_a_cold_fleet_is_given_stays_where_no_other_may_take_it():
+    conductor = meeting(["up", "up"], {3: {0: 1.0}, 4: {1: 1.0}}, {3: 20, 4: 20})
+    for node in conductor.nodes.values():
+        node.past.extend([(10, 0, 1.0, 0, 0, 0, 0, 0)] * 5)
+        node.boot = 0
+    conductor.on_heat(0, 3, 0, 50, 0, S)
+    conductor.round(0, [], Orders())
+    assert conductor.slices[3].owner() == 0
