A call of unknown outcome waits for the longest transit and for what is before it

At fault: net/orders.py, _again; __main__.py gave it the mean transit. Change: the module says with each mark how long what waits before it takes to leave; a call of unknown outcome is sent again after that and the longest transit, unless proved.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -125,7 +125,7 @@
             files.reload(more.nodes)
 
     orders = Orders(loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS,
-                    found["transit"])
+                    found["longest_transit"])
     files = None
 
     def on_listed(event: tuple) -> None:
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -131,7 +131,7 @@
     def level(self, table: int, op_types: int, share: float, again: int) -> None:
         self._put("ADMIT", EVERY_TABLE if table == ALL_TABLES else table, op_types, share, again)
 
-    def mark(self, number: int, everyone: bool) -> None:
+    def mark(self, number: int, everyone: bool, behind: int = 0) -> None:
         self._put("NONCE", number, everyone)
 
     def bind(self, proxy: int, table: int, op_types: int) -> None:
--- a/kestrelplank/interface.py
+++ b/kestrelplank/interface.py
@@ -41,8 +41,9 @@
     def level(self, table: int, op_types: int, share: float, again: int) -> None:
         """Set the share let in and the way of trying again; op_types is a bit mask, 0 for all."""
 
-    def mark(self, number: int, everyone: bool) -> None:
-        """Ask proxies to answer `applied` once they have applied what this round orders."""
+    def mark(self, number: int, everyone: bool, behind: int = 0) -> None:
+        """Ask proxies to answer `applied` once they have applied what this round orders; `behind`: how long (ns) what
+        waits in the channel before it takes to leave, as nobody can answer sooner."""
 
     def bind(self, proxy: int, table: int, op_types: int) -> None:
         """Put a joined proxy on a table (sites without slices only)."""
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -233,7 +233,7 @@
     def level(self, table: int, op_types: int, share: float, again: int) -> None:
         self._orders.append(("level", table, op_types, share, again))
 
-    def mark(self, number: int, everyone: bool) -> None:
+    def mark(self, number: int, everyone: bool, behind: int = 0) -> None:
         self._orders.append(("mark", number))
 
     def timer(self, at: int, name: str) -> None:
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -55,6 +55,7 @@
         self._store: dict[int, dict[int, float]] = {}  # lines of our slices, as told and as answered for
         self._waiting, self._pause, self._tries, self._held = 0, PAUSES[0], 0, True
         self._last_mark: int | None = None
+        self._behind: dict[bytes, int] = {}  # a mark that waits here, to how long nobody can answer it once it is sent
         self._outdated: set[int] = set()  # slices lost or given while the call that may order for them is out
         self._timer = None
         self._answer: tuple[int, bytes] | None = None  # came while the news was away
@@ -85,10 +86,11 @@
             order["for"] = [name for place, name in enumerate(self._op_types) if op_types >> place & 1]
         self._order(order, table, None, 1.0)
 
-    def mark(self, number: int, everyone: bool) -> None:
+    def mark(self, number: int, everyone: bool, behind: int = 0) -> None:
         self._last_mark = number
         stamp = (number + self._first_mark) % MARKS
         self._order(fence(stamp, everyone))
+        self._behind[self._round[-1][0]] = behind
 
     def marked(self, stamp: int) -> int:
         """The mark that the module knows by that stamp."""
@@ -182,6 +184,8 @@
     def _next(self) -> None:
         while self._queue and not self._queue[0]:
             self._queue.popleft()
+        if not self._queue:
+            self._behind.clear()
         if self._queue and not self._client.busy and self._timer is None and not self._held:
             self._counters.add("calls_sent")
             body = HEAD + b",".join(order[0] for order in self._queue[0]) + TAIL
@@ -201,7 +205,11 @@
         self._shed(self._queue[0], self._outdated)
         self._outdated.clear()
         self._counters.trouble(name, why, waiting=len(self._queue))
-        pause = max(self._pause, self._transit)  # time enough for a proxy to prove that it was carried out
+        # Time enough for a proxy to prove that it was carried out: `transit` is the longest way, as the first answer
+        # often takes more than the mean. To wait for what is before it in the channel costs nothing, as that must
+        # leave first in either case.
+        last = self._queue[0][-1][0] if self._queue[0] else b""
+        pause = max(self._pause, self._transit + self._behind.get(last, 0))
         self._timer = self._loop.at(self._loop.now() + pause, self._resume)
         self._pause = min(2 * self._pause, PAUSES[1])
 
--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -97,8 +97,8 @@
     """Keeps the queue short (rule 5). Messages leave in order, so any proxy's answer proves that all older
     ones have left; what is not proved counts as waiting. Who stands still holds back its part of the last."""
 
-    def __init__(self, envelope, most_waiting, most_messages, messages_span):
-        self.envelope, self.most_waiting = envelope, most_waiting
+    def __init__(self, envelope, most_waiting, most_messages, messages_span, lines_per_s):
+        self.envelope, self.most_waiting, self.pace = envelope, most_waiting, max(1.0, lines_per_s)
         self.most_messages, self.span = most_messages, messages_span
         self.waiting = {}  # proxy to the marks it has not answered
         self.unproved = {}  # mark to lines of one of its messages, and how many of those are not proved
@@ -127,14 +127,18 @@
             return 1e9
         if self.most_messages and len(self.messages) + spare >= self.most_messages:
             return 0
-        waiting = sum(lines * proxies for lines, proxies in self.unproved.values())
+        waiting = self.unproven()
         most = self.most_waiting * share / len(self.waiting) - self.envelope - 1
         room = most - waiting / len(self.waiting)
         return room if room >= min(due, most / 2) else 0
 
+    def unproven(self):  # lines that wait, as far as is known
+        return sum(lines * proxies for lines, proxies in self.unproved.values())
+
     def send(self, now, lines, out):
         self.messages.append(now)
-        out.mark(self.mark, True)  # also where no table names the node: else no proof comes, and room never
+        # To everyone, also where no table names the node: else no proof comes, and room never.
+        out.mark(self.mark, True, int(self.unproven() / self.pace * S))
         self.unproved[self.mark] = [lines + self.envelope + 1, len(self.waiting)]
         for queue in self.waiting.values():
             queue.append(self.mark)
@@ -207,7 +211,7 @@
     def __init__(self, now, seed, settings):
         self.random, self.nodes, self.slices = Random(seed), {}, {}
         self.channel = Channel(settings["envelope"], settings["most_waiting"], settings["most_messages"],
-                               settings["messages_span"])
+                               settings["messages_span"], settings["lines_per_s"])
         self.subscribe, self.ask_at, self.listed = settings["subscribe"], now, False
         self.period, self.closes_at = settings["report_every"], now + settings["report_every"]
         self.fall_multiple, self.only_draining = settings["fall_multiple"], settings["only_draining_binds"]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -346,10 +346,10 @@
     made.on_answer(200, outcome) if isinstance(outcome, bytes) else made.on_broken("silent")
 
 
-def ordered(made, *tables):
+def ordered(made, *tables, behind=0):
     for table in tables:
         made.line(table, 0, 1.0)
-    made.mark(tables[-1], True)
+    made.mark(tables[-1], True, behind)
     made.close_round()
 
 
@@ -366,12 +366,13 @@
     assert made._client.bodies == [first, first, [("put", 3), ("fence", 3)]]
 
 
+@pytest.mark.parametrize("transit, behind", [(20_000 * MS, 0), (0, 20_000 * MS)])
 @pytest.mark.parametrize("answered", [6, 7])
-def test_a_call_of_unknown_outcome_that_a_proxy_proves_is_not_sent_again(kit, answered):
-    """Nothing newer goes before that, or before it was sent again."""
+def test_a_call_of_unknown_outcome_that_a_proxy_proves_is_not_sent_again(kit, answered, transit, behind):
+    """Nothing newer goes before that, or before it was sent again; no proof comes before what waits has left."""
     relay, told, made = relayed(kit, *STANDING)
-    made._transit = 20_000 * MS
-    ordered(made, 7)
+    made._transit = transit
+    ordered(made, 7, behind=behind)
     ordered(made, 8)
     end(made, None)
     relay.visitors[-1].tell(news("done", node=1, nonce=answered, latency=1.0))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -165,7 +165,7 @@
 
 @pytest.mark.parametrize("proofs, lines", [([], 60), ([(4, 2)], 20), ([(4, 2), (5, 2), (6, 2)], 0)])
 def test_one_proxys_proof_shows_that_all_older_messages_have_left(proofs, lines):
-    channel = Channel(4, 600, 0, S)
+    channel = Channel(4, 600, 0, S, 100)
     channel.waiting = {4: deque([1, 2]), 5: deque([1, 2]), 6: deque([1, 2])}
     channel.unproved = {1: [10, 3], 2: [10, 3]}
     for proxy, mark in proofs:
@@ -173,9 +173,17 @@
     assert sum(cost * left for cost, left in channel.unproved.values()) == lines
 
 
+@pytest.mark.parametrize("unproved, behind", [({}, 0), ({1: [10, 3], 2: [20, 1]}, S // 2)])
+def test_a_message_says_how_long_what_waits_before_it_takes_to_leave(unproved, behind):
+    channel, out = Channel(4, 600, 0, S, 100), Orders()
+    channel.waiting, channel.unproved = {4: deque()}, unproved
+    channel.send(0, 5, out)
+    assert out == [("mark", 0, True, behind)]
+
+
 @pytest.mark.parametrize("waiting, due, enough", [(0, 40, True), (0, 5, True), (20, 40, False), (20, 9, True)])
 def test_orders_are_gathered_until_their_envelopes_pay(waiting, due, enough):
-    channel = Channel(8, 100, 0, S)
+    channel = Channel(8, 100, 0, S, 100)
     channel.waiting[4] = deque()
     channel.unproved = {1: [waiting, 1]}
     assert (channel.room(0, 0.4, 0, due) > 0) is enough
