--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -24,6 +24,7 @@
 SICK, EVIDENCE = 0.5, 4  # bar a node failing by so much more than the median, at least so many failures
 BAR, BAR_MOST = 6 * S, 24 * S  # for so long at first, at the most
 FLAPS = 60 * S  # a node that starts more than once within that is given nothing for a while, see `flapped`
+MARKS_KEPT = 4096  # of which the time is known; who left with an older one unanswered is told all anew
 HEARD = 2 * TURN  # what another conductor told of its slices holds for so long
 GONE = ("draining", "removed")
 
@@ -36,6 +37,7 @@
         self.state = "unlisted"  # or up, draining, removed; dropped where only draining binds
         self.out, self.since = False, now  # to be withdrawn from proxies, since when; ordered unless stale
         self.stale = False  # some joined proxy may hold another withdrawal than that
+        self.told_at = None  # when it was last withdrawn or let in by order
         self.untold = False  # a proxy has joined that may hold another
         # Of the running report period, and the same of those before: tries, failures, busy seconds; these as
         # its own zone saw them; and utilization and ops acked a second, as the node itself tells them.
@@ -57,9 +59,9 @@
     def shut(self, now):
         return self.bound() or now < self.barred_until
 
-    def tell(self, out):
+    def tell(self, now, out):
         out.take_out(self.index, self.out)
-        self.stale = False
+        self.stale, self.told_at = False, now
         return 1
 
     def others(self, now):
@@ -103,8 +105,16 @@
         self.waiting = {}  # proxy to the marks it has not answered
         self.unproved = {}  # mark to lines of one of its messages, and how many of those are not proved
         self.messages, self.mark = deque(), 0  # the mark to be sent next
+        self.sent_at = {}  # mark to when its message was sent, of the last few thousand
+        self.known = {}  # proxy that was here to the time: what was sent before it has applied
 
-    def left(self, proxy):
+    def gone(self, now, proxy):
+        queue = self.waiting.get(proxy)
+        if queue is not None:
+            self.known[proxy] = self.sent_at.get(queue[0], -1) if queue else now
+
+    def left(self, now, proxy):
+        self.gone(now, proxy)
         for mark in self.waiting.pop(proxy, ()):
             if mark in self.unproved:
                 self.unproved[mark][1] -= 1
@@ -137,6 +147,10 @@
 
     def send(self, now, lines, out):
         self.messages.append(now)
+        self.sent_at.pop(self.mark, None)
+        self.sent_at[self.mark] = now
+        if len(self.sent_at) > MARKS_KEPT:
+            del self.sent_at[next(iter(self.sent_at))]
         # To everyone, also where no table names the node: else no proof comes, and room never.
         out.mark(self.mark, True, int(self.unproven() / self.pace * S))
         self.unproved[self.mark] = [lines + self.envelope + 1, len(self.waiting)]
@@ -330,13 +344,17 @@
 
     def on_joined(self, now, proxy, zone, rate, fresh):
         # A proxy keeps withdrawals over a broken stream and over our own death: one not taken back could
-        # leave it without a line (rule 1), and one it missed would let it send (rule 3).
+        # leave it without a line (rule 1), and one it missed would let it send (rule 3). Who was here before
+        # may have missed what was told since, no more: all told anew fills the channel before what binds.
+        self.channel.gone(now, proxy)
+        since = self.channel.known.get(proxy, -1)
         self.channel.waiting[proxy] = deque()
         for node in self.nodes.values():
-            node.untold = node.untold or node.out or not fresh
+            missed = since < 0 or node.told_at is not None and node.told_at >= since
+            node.untold = node.untold or node.out or not fresh and missed
 
     def on_left(self, now, proxy):
-        self.channel.left(proxy)
+        self.channel.left(now, proxy)
         self.quiet_at = now + self.lease  # it goes on sending writes for so long
 
     def on_applied(self, now, proxy, mark, wait):
@@ -572,7 +590,7 @@
         for node in stale:
             soon = not node.stripped or node.bound() and now - node.since > self.grace // 4
             if lines < room and (soon or not node.out):
-                lines += node.tell(out)
+                lines += node.tell(now, out)
         for kept in urgent:
             if lines < room:
                 lines += self.publish(now, kept, shut, out)
@@ -581,7 +599,7 @@
                 bare.update(kept.sent)
         for node in stale:
             if lines < room and node.stale and node.index not in bare:
-                lines += node.tell(out)
+                lines += node.tell(now, out)
         if self.levels.active and lines < room:
             for kind, share in self.levels.wanted().items():
                 if self.levels.sent.get(kind, 1.0) != share:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -394,3 +394,26 @@
     conductor.on_heat(0, 3, 0, 50, 0, S)
     conductor.round(0, [], Orders())
     assert conductor.slices[3].owner() == 0
+
+
+@pytest.mark.parametrize("answered, told_at, untold", [
+    (True, 1 * S, False), (True, 4 * S, True), (False, 1 * S, False), (False, 2 * S, True), (False, None, False)])
+def test_a_proxy_that_was_here_is_told_of_no_more_than_it_may_have_missed(answered, told_at, untold):
+    conductor = fleet(["up"], {})
+    conductor.on_joined(0, 4, 0, 1.0, True)
+    conductor.channel.send(2 * S, 1, Orders())
+    if answered:
+        conductor.on_applied(int(2.5 * S), 4, 0, 0)
+    conductor.on_left(3 * S, 4)
+    conductor.nodes[0].told_at = told_at
+    conductor.on_joined(5 * S, 4, 0, 1.0, False)
+    assert conductor.nodes[0].untold is untold
+
+
+def test_a_proxy_told_as_joined_once_more_counts_from_its_last_proof():
+    conductor = fleet(["up", "up"], {})
+    conductor.on_joined(0, 4, 0, 1.0, True)
+    conductor.channel.send(2 * S, 1, Orders())
+    conductor.nodes[0].told_at, conductor.nodes[1].told_at = 2 * S, S
+    conductor.on_joined(5 * S, 4, 0, 1.0, False)
+    assert [node.untold for node in conductor.nodes.values()] == [True, False]
