--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -58,11 +58,9 @@
     made = host()
     made.read(b'["ROSTER_CHANGE",3,1,"full",[[null,0,"up","east",77,"k",1],[null,0,"up","east",78,"k",1]]]', 3)
     made.read(b'["GO"]', 4)
-    conductor, ids = made._instances[3]
-    reply = []
+    (conductor, ids), reply = made._instances[3], []
     wire.Lines(9, ids, reply).share({1: 4.0})
-    body = json.loads(reply[0])[3]
     made.read(b'["ROUND",2000.0]', 5)
-    made.read(json.dumps(["DATAGRAM", 3, 1, body]).encode(), 6)
+    made.read(json.dumps(["DATAGRAM", 3, 1, json.loads(reply[0])[3]]).encode(), 6)
     made.read(b'["GO"]', 7)
     assert conductor.nodes[1].told[1][0] == 4.0 and not conductor.nodes[0].told
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -375,45 +375,29 @@
     assert [order[0] for order in out].count("share") == shared
 
 
-@pytest.mark.parametrize("newest, cold, leaves", [(3, True, False), (9, True, True), (9, False, False)])
-def test_a_slice_that_heats_up_leaves_a_cold_node_on_the_first_report_of_it(newest, cold, leaves):
+@pytest.mark.parametrize("newest, boots, leaves", [
+    (3, (0, -20 * S), False), (9, (0, -20 * S), True), (9, (-20 * S, -20 * S), False), (9, (0, 0), False)])
+def test_a_slice_that_heats_up_leaves_a_cold_node_on_the_first_report_of_it(newest, boots, leaves):
     conductor = meeting(["up", "up"], {3: {0: 1.0}, 4: {1: 1.0}}, {3: 1, 4: 20})
-    for node, tries in zip(conductor.nodes.values(), (1, 20)):
+    for node, tries, boot in zip(conductor.nodes.values(), (1, 20), boots):
         node.past.extend([(tries, 0, tries / 10, 0, 0, 0, 0, 0)] * 5)
-    conductor.nodes[0].boot = 0 if cold else -20 * S
+        node.boot = boot
     conductor.on_heat(0, 3, 0, newest, 0, S)
     conductor.round(0, [], Orders())
     assert (conductor.slices[3].owner() == 1) is leaves
 
 
-def test_what_one_node_of_a_cold_fleet_is_given_stays_where_no_other_may_take_it():
-    conductor = meeting(["up", "up"], {3: {0: 1.0}, 4: {1: 1.0}}, {3: 20, 4: 20})
-    for node in conductor.nodes.values():
-        node.past.extend([(10, 0, 1.0, 0, 0, 0, 0, 0)] * 5)
-        node.boot = 0
-    conductor.on_heat(0, 3, 0, 50, 0, S)
-    conductor.round(0, [], Orders())
-    assert conductor.slices[3].owner() == 0
-
-
-@pytest.mark.parametrize("answered, told_at, untold", [
-    (True, 1 * S, False), (True, 4 * S, True), (False, 1 * S, False), (False, 2 * S, True), (False, None, False)])
-def test_a_proxy_that_was_here_is_told_of_no_more_than_it_may_have_missed(answered, told_at, untold):
+@pytest.mark.parametrize("answered, left, told_at, untold", [
+    (True, True, 1 * S, False), (True, True, 4 * S, True), (False, True, 1 * S, False), (False, True, 2 * S, True),
+    (False, True, None, False), (False, False, 1 * S, False), (False, False, 2 * S, True)])
+def test_a_proxy_that_was_here_is_told_of_no_more_than_it_may_have_missed(answered, left, told_at, untold):
     conductor = fleet(["up"], {})
     conductor.on_joined(0, 4, 0, 1.0, True)
     conductor.channel.send(2 * S, 1, Orders())
     if answered:
         conductor.on_applied(int(2.5 * S), 4, 0, 0)
-    conductor.on_left(3 * S, 4)
+    if left:
+        conductor.on_left(3 * S, 4)
     conductor.nodes[0].told_at = told_at
     conductor.on_joined(5 * S, 4, 0, 1.0, False)
     assert conductor.nodes[0].untold is untold
-
-
-def test_a_proxy_told_as_joined_once_more_counts_from_its_last_proof():
-    conductor = fleet(["up", "up"], {})
-    conductor.on_joined(0, 4, 0, 1.0, True)
-    conductor.channel.send(2 * S, 1, Orders())
-    conductor.nodes[0].told_at, conductor.nodes[1].told_at = 2 * S, S
-    conductor.on_joined(5 * S, 4, 0, 1.0, False)
-    assert [node.untold for node in conductor.nodes.values()] == [True, False]
