Nodes first heard of while a restart settles are told to all; a test's wait no longer rests on over-telling

Seen: two tests of watched files waited for a first call, which came only as proxies told as joined once more had every node told anew; since that is gone nothing is owed there. The wait is now for the slices; its checks stand as they were. Seen on reading for that: a proxy that holds a withdrawal of a former life, for a node that the new life hears of only after the proxy has joined, was told nothing until it joined again. At fault, policy.py, on_joined: it marks only nodes known by then. Change: where proxies came with something of a former life, nodes first heard of before the settling wait is over are told too.

--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -237,7 +237,7 @@
         leisure = settings["grace"] / S * settings["lines_per_s"] / max(1, settings["most_waiting"]) / 3
         self.leisure = min(0.65, max(0.3, leisure))  # of the queue, for what is ordinary: a drain must pass
         self.write_life, self.lease, self.grace = settings["write_life"], settings["lease"], settings["grace"]
-        self.heated = False  # a report of heat has come in
+        self.heated = self.former = False  # a report of heat has come in; a former life had proxies
         self.tells, self.tells_at, self.heard = settings["may_tell"] and settings["conductors"] > 1, now, {}
 
     def round(self, now, events, out):
@@ -349,6 +349,7 @@
         self.channel.gone(now, proxy)
         since = self.channel.known.get(proxy, -1)
         self.channel.waiting[proxy] = deque()
+        self.former = self.former or not fresh and since < 0
         for node in self.nodes.values():
             missed = since < 0 or node.told_at is not None and node.told_at >= since
             node.untold = node.untold or node.out or not fresh and missed
@@ -383,7 +384,10 @@
     # What is known.
 
     def node(self, index, now):
-        return self.nodes.setdefault(index, Node(index, now))
+        if index not in self.nodes:  # as this life settles, proxies may hold a former one's withdrawal of it
+            self.nodes[index] = Node(index, now)
+            self.nodes[index].untold = self.former and now < self.moves_from
+        return self.nodes[index]
 
     def close_period(self, now):
         self.closes_at += self.period
--- a/tests/files/test_source.py
+++ b/tests/files/test_source.py
@@ -355,7 +355,7 @@
 @pytest.mark.parametrize("seed, events", [(1, True), (2, False)])
 def test_relays_only_see_whole_valid_tables_over_a_thousand_rewrites(site, seed, events):
     here = site(text_of(range(1, 17)), trailer=True, events=events, quiet=2 * MS, poll=3 * MS)
-    here.wait(lambda: len(here.in_force()) == 16 and here.calls)
+    here.wait(lambda: len(here.in_force()) == 16 and len(here.policy.slices) == SLICES)
     nodes = rewrites(here, Random(seed), int(os.environ.get("REWRITES", 500)))
     last = text_of(range(1, 17))
     here.write("a.ini", f"[list]\nconfirm = {here.source.intake.force.short}\n{last}")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -401,3 +401,11 @@
     conductor.nodes[0].told_at = told_at
     conductor.on_joined(5 * S, 4, 0, 1.0, False)
     assert conductor.nodes[0].untold is untold
+
+
+@pytest.mark.parametrize("fresh, at, untold", [(False, 1, True), (True, 1, False), (False, 9, False)])
+def test_a_node_first_heard_of_while_a_restart_settles_is_told_too(fresh, at, untold):
+    conductor = fleet([], {})
+    conductor.on_joined(0, 4, 0, 1.0, fresh)
+    conductor.on_tenure(0, 3, True)
+    assert conductor.node(7, at * S).untold is untold
