Read once more: datagrams reach the module one way; lines are sorted only where a node is fresh

Need: Peers took two callbacks for what one tells apart by its word, and a turn sorted all lines of full nodes also where no fresh node could take one. Behaviour is as before.

--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -132,7 +132,7 @@
         (files.on_event if files else on_event)(event)
 
     def on_datagram(event: tuple) -> None:
-        if members:
+        if members and event[0] == "peer":
             members.take(*event[1:])
         else:
             on_event(event)
@@ -145,7 +145,7 @@
         peers = None
         if found["may_tell"] and config.get("peer_listen"):
             peers = Peers(loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "",
-                          ids, on_datagram, on_event)
+                          ids, on_datagram)
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
--- a/kestrelplank/net/peers.py
+++ b/kestrelplank/net/peers.py
@@ -14,9 +14,8 @@
 
 class Peers:
     def __init__(self, loop: Loop, counters: Counters, listen: str, peers: list[str], everyone: str,
-                 ids: Ids, on_event: Callable[[tuple], None], on_shared: Callable[[tuple], None]) -> None:
-        self._loop, self._counters, self._ids = loop, counters, ids
-        self._on_event, self._on_shared = on_event, on_shared
+                 ids: Ids, on_event: Callable[[tuple], None]) -> None:
+        self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
         self._peers, self._everyone = [address(peer) for peer in peers], address(everyone) if everyone else None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
@@ -51,11 +50,8 @@
                 self._counters.trouble("datagrams_skipped", f"{len(body)} bytes from {sender}")
                 continue
             self._counters.add("peer_in")
-            parts = shared(body, self._ids)
-            if parts is None:
-                self._on_event(("peer", self._peers.index(sender), body))
-            else:
-                self._on_shared(("shared", self._peers.index(sender), parts))
+            parts, number = shared(body, self._ids), self._peers.index(sender)
+            self._on_event(("peer", number, body) if parts is None else ("shared", number, parts))
 
     def close(self) -> None:
         self._loop.forget(self._sock)
--- a/kestrelplank/policy.py
+++ b/kestrelplank/policy.py
@@ -526,10 +526,11 @@
 
         # Each fresh node gains the hottest line that keeps it under the mean, from the fullest with one,
         # uncapped. The fullest of all may have none: then fresh nodes stood idle beside full ones.
+        fresh = sorted((index for index in worth if self.nodes[index].fresh), key=place.get)
         lines = sorted(((place[index], heats[kept.number] / len(kept.want), -kept.number, index, kept)
-                        for kept in self.slices.values() for index in kept.want
+                        for kept in (self.slices.values() if fresh else ()) for index in kept.want
                         if place.get(index, 0) > mean), reverse=True, key=lambda line: line[:3])
-        for index in sorted((index for index in worth if self.nodes[index].fresh), key=place.get):
+        for index in fresh:
             self.nodes[index].fresh = place[index] < mean * (1 - BAND)
             for _, heat, _, source, kept in lines if self.nodes[index].fresh else ():
                 if source in kept.want and index not in kept.want and place[source] > mean and fitting(
