--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -707,8 +707,7 @@
         sock.bind(("127.0.0.1", 0))
         sock.settimeout(5)
     at = ["%s:%d" % sock.getsockname() for sock in others]
-    ids = names()
-    peers = Peers(kit.loop, kit.counters, "127.0.0.1:0", at[:2], at[2], ids, kit.events.append)
+    peers = Peers(kit.loop, kit.counters, "127.0.0.1:0", at[:2], at[2], names(), kit.events.append)
     peers.tell(1, b"one")
     peers.tell(None, b"all")
     peers.tell(7, b"nobody")
