Interlocking: changed lines told alone, leaving ones before their release, cool neighbours joined

Need: edges were sent all lines at each record (92 lines, 5 KB), learnt of a move only after the release, and cuts were never undone. A renewal's answer called the pass anew: at 500 servers that was most of the decider's processor.

Change: Holders.under lays changes over what is known, by record; lines that leave are told at once, so requests wait at the edge instead of being turned away; cool neighbours join under a higher fence laid down first; first keys are dealt out by weight; time without a holder is counted and logged by line; fences leap where servers have seen those of a system whose disks are all lost. Renewals' answers no longer call the pass, keys are sorted once a period.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -36,12 +36,12 @@
     placing = Placing(now, 1, lines, S // 2)
     met, spent, names = dict.fromkeys(lines.servers, 0), 0.0, [(number, 1.0) for number in range(count)]
     for half, keys in enumerate(stream(random, per_s, seconds)):
-        began, by_server = time.process_time(), {}
+        firsts, by_server = [line.first for line in lines.lines], {}
         for key in keys:
             if moves == "hash":
                 name = f"s{keyed(str(key), names)}"
             else:
-                name = next(line.server for line in lines.lines if line.first <= key <= line.last)
+                name = lines.lines[bisect(firsts, key) - 1].server
             by_server[name] = by_server.get(name, 0) + 1
             if half > 2 * seconds // 3:
                 met[name] = met.get(name, 0) + 1
@@ -54,7 +54,7 @@
                 for effect in lines.tick(now):
                     if effect[0] == "lay":
                         lines.laid(now)
-                    else:
+                    elif effect[0] in ("grant", "release"):
                         lines.called(now, effect[0], effect[3], True, 200, "h")
         spent += time.process_time() - began
     mean = sum(met.values()) / count
--- a/kestrelplank/interlocking/claims.py
+++ b/kestrelplank/interlocking/claims.py
@@ -10,7 +10,7 @@
     ("send", member, frame)              to a member, to ourselves too
     ("register", service, register, member, frame)    write the register to disk, then send the frame
     ("office", record)                   we decide from now on, and this is what was laid down last (None: nothing yet)
-    ("recorded", seq)                    a majority has what was laid down
+    ("recorded", seq, record)            a majority has what was laid down
     ("lost",)                            we decide no longer
 """
 
@@ -160,7 +160,7 @@
         return effects
 
     def lay_down(self, now: int, record: Any) -> list[Effect]:
-        """A new record; ("recorded", seq) follows once a majority has it."""
+        """A new record; ("recorded", seq, record) follows once a majority has it."""
         self.seq += 1
         return self._ask(now, "record", {"seq": self.seq, "record": record})
 
@@ -204,7 +204,7 @@
             if not self.in_office:
                 self.in_office = True
                 return [("office", self._found)]
-            return [("recorded", round_.frame["seq"])]
+            return [("recorded", round_.frame["seq"], round_.frame["record"])]
         return []
 
     def _ask(self, now: int, word: str, more: dict[str, Any]) -> list[Effect]:
--- a/kestrelplank/interlocking/lines.py
+++ b/kestrelplank/interlocking/lines.py
@@ -4,6 +4,8 @@
     ("grant", server, address, line)      call the server; then `called`
     ("release", server, address, line)    the same
     ("lay", record)                       have a majority know the record, then call `laid`
+    ("leaving", [line])                   these were just taken from their servers: who sends them requests may know
+    ("bare", line, ns)                    these keys had no holder for so long, and have one now
 
 What keeps two servers from holding a key at once:
 
@@ -26,6 +28,7 @@
 MARGIN = 100_000_000
 RELEASE = 2 * S  # a release is answered when running work has ended; after that only time helps
 BALLOT_FENCES = 1_000_000
+LEAPS = 24  # refusals, each answered with a higher fence, before a line is given to another server
 HELD, LEAVING, FREE = "held", "leaving", "free"
 Effect = tuple[Any, ...]
 
@@ -49,10 +52,10 @@
 class Line:
     """Keys `first` to `last` (both included). `server` may hold them, `until` at the latest; `flying`: calls that have
     not ended. `fence` is the grant's, `handover` what it carries. LEAVING: taken from `server`, for `heir` if one is
-    known. FREE: `server` surely holds nothing."""
+    known. FREE: `server` surely holds nothing. `bare_at`: since when nobody serves its keys, as far as is known."""
 
     __slots__ = ("first", "last", "server", "address", "fence", "handover", "state", "until", "flying", "due", "heir",
-                 "laid", "refused")
+                 "laid", "refused", "bare_at")
 
     def __init__(self, first: int, last: int, server: str, address: str, fence: int,
                  handover: str | None = None) -> None:
@@ -60,6 +63,7 @@
         self.fence, self.handover = fence, handover
         self.state, self.until, self.flying, self.due, self.refused = HELD, 0, 0, 0, 0
         self.heir: str | None = None
+        self.bare_at: int | None = None
         self.laid = True
 
     def record(self) -> list[Any]:
@@ -69,7 +73,7 @@
         """Gives away the keys from `at` on, as a line of their own with all that holds of this one."""
         other = Line(at, self.last, self.server, self.address, self.fence, self.handover)
         other.state, other.until, other.due, other.heir = self.state, self.until, self.due, self.heir
-        other.laid = self.laid
+        other.laid, other.bare_at = self.laid, self.bare_at
         self.last = at - 1
         return other
 
@@ -78,7 +82,8 @@
     """All lines of one service while we decide for it. `found`: what was laid down last, or None."""
 
     def __init__(self, now: int, ballot: int, found: Any) -> None:
-        self.fence = ballot * BALLOT_FENCES
+        # Above all that former deciders laid down, though they had to leap over what servers had seen.
+        self.fence = max(ballot, *(parts[4] // BALLOT_FENCES + 1 for parts in found or ()), 0) * BALLOT_FENCES
         self.lines: list[Line] = []
         for parts in found or ():
             line = Line(*parts)
@@ -88,6 +93,8 @@
         self.servers: dict[str, Server] = {}
         self.gone: dict[str, int] = {}  # server that the platform no longer lists, since when
         self.moved = 0  # keys that changed hands
+        self.bare = 0  # ns that keys had no holder, times keys
+        self._news: list[Effect] = []
 
     # What is asked for.
 
@@ -107,17 +114,25 @@
                 continue
             server = self.servers.get(line.server)
             if server is None and lives.get(line.address, line.server) != line.server:
-                self._ended(line)  # another life answers at its address: this one holds nothing any more
+                self._ended(now, line)  # another life answers at its address: this one holds nothing any more
             elif line.state == HELD and (server is None or not server.ready):
                 self.leave(now, line, None)
+                if server is None:
+                    self._bared(now, line)
 
-    def _ended(self, line: Line) -> None:
+    def _ended(self, now: int, line: Line) -> None:
         line.state, line.until, line.handover = FREE, 0, None
+        self._bared(now, line)
+
+    @staticmethod
+    def _bared(now: int, line: Line) -> None:
+        line.bare_at = now if line.bare_at is None else line.bare_at
 
     def leave(self, now: int, line: Line, heir: str | None) -> None:
         """The line's keys shall go to another server."""
         if line.state == HELD:
             line.state, line.heir, line.due = LEAVING, heir, now
+            self._news.append(("leaving", [line]))
 
     def cut(self, line: Line, at: int) -> Line:
         """Cuts a line in two, the keys from `at` on being the other's. Not while a call is out."""
@@ -125,6 +140,19 @@
         self.lines.insert(self.lines.index(line) + 1, other)
         return other
 
+    def joinable(self, line: Line, other: Line) -> bool:
+        """Whether `other`, the one behind `line`, can be made a part of it: one server holds both, and nothing is
+        under way."""
+        return line.server == other.server and all(
+            one.state == HELD and one.laid and not one.flying and one.bare_at is None for one in (line, other))
+
+    def join(self, line: Line, other: Line) -> None:
+        """Makes two lines of one server one again, under a fence above both, which is laid down first."""
+        self.fence += 1
+        line.last, line.fence, line.laid, line.handover = other.last, self.fence, False, None
+        line.until = max(line.until, other.until)
+        self.lines.remove(other)
+
     def free(self) -> list[Line]:
         """Lines that nobody holds and that are not being laid down for anybody."""
         return [line for line in self.lines if line.state == FREE and line.laid]
@@ -144,10 +172,11 @@
 
     def tick(self, now: int) -> list[Effect]:
         """Renewals, releases and what must be laid down, as far as due."""
-        effects: list[Effect] = []
+        effects, self._news = self._news, []
         for line in self.lines:
             if line.state == LEAVING and not line.flying and now >= line.until:
                 line.state, line.handover = FREE, None
+                self._bared(now, line)
             if line.flying or not line.laid or now < line.due:
                 continue
             if line.state == HELD:
@@ -176,19 +205,24 @@
         if word == "grant":
             if status == 200:
                 line.until, line.handover, line.refused = max(line.until, runs_out(now)), None, 0
+                if line.bare_at is not None and line.state == HELD:
+                    spell, line.bare_at = now - line.bare_at, None
+                    self.bare += spell * (line.last - line.first + 1)
+                    self._news.append(("bare", line, spell))
             elif status is None and sent:
                 line.until = max(line.until, runs_out(now + SETTLE))
                 line.due = now + S // 5
             elif status == 409:  # a higher fence was seen there: ours must be higher yet
                 line.refused += 1
-                if line.refused > 2 and line.state == HELD:
+                if line.refused > LEAPS and line.state == HELD:
                     self.leave(now, line, None)
-                else:
-                    self.fence += 1
+                else:  # by leaps: it may have seen the fences of a system whose disks are all lost
+                    self.fence += 1 if line.refused == 1 else BALLOT_FENCES << line.refused
                     line.fence, line.laid = self.fence, False
             else:
                 line.due = now + S // 5
         elif status == 200 and line.state == LEAVING:
             line.state, line.until, line.handover = FREE, 0, handover
+            self._bared(now, line)
         elif line.state == LEAVING:
             line.due = now + S // 5
--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/interlocking/placing.py
@@ -6,9 +6,10 @@
 would only move the trouble. The part cut off goes to the server where it fits, as a slice without a line does.
 """
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Mapping
+from heapq import heapify, heapreplace
 from typing import Any
 
 from kestrelplank.interlocking.lines import FREE, HELD, KEYS, LEAVING, Interlocking, Line, Server
@@ -16,6 +17,7 @@
 
 S = 1_000_000_000
 PERIOD = S // 2  # of reports; the pass averages five
+ROUND = S // 10  # how often the pass looks at what is due, where nothing new was told
 WINDOW, NEWEST = 8 * S, 3 * S // 2  # heat is told from so much; from the newest where that is clearly more or less
 FORGETS = 0.985  # a period, of what is known of a server's speed
 KNOWN = 24.0  # answers that the usual time weighs against a server's own
@@ -25,6 +27,7 @@
 FLOOR = 0.02  # of all heat, spread evenly over the keys
 LEAST = 10  # requests of a line in the window before it is cut: fewer say nothing
 MOST_LINES = 6  # a server, before nothing is cut any more
+JOIN_FROM, COOL = 5, 0.1  # lines a server from which cool neighbours become one; part of a mean server's load
 COLD_FROM, WARM_UP = 0.5, 3 * S  # a server that has just started is slow for so long
 
 
@@ -70,17 +73,20 @@
         self._lines, self._orders = lines, Orders()
         self._seed, self._target = seed, target
         self._pass: Conductor | None = None  # made with the first lines: its periods count from then on
+        self._given = 0  # numbers of slices
         self._numbers: dict[int, Line] = {}
         self._of: dict[Line, int] = {}
         self._nodes: dict[str, int] = {}
         self._names: dict[int, str] = {}
         self._zones: dict[str, int] = {}
         self._keys: deque[tuple[int, list[int]]] = deque()  # when told, and the keys asked for
+        self._sorted: list[int] = []  # all of these
         self._met: deque[tuple[int, Mapping[str, tuple[int, int, float, int]]]] = deque()
         self._paces: dict[str, Pace] = {}
         self._speeds: dict[str, float] = {}
-        self._told_at, self._began = now, now
+        self._told_at, self._began, self._round_at = now, now, now
         self._roster_due = True
+        self._joining: dict[Line, Line] = {}  # line on its way to the server of the one before it
 
     def report(self, now: int, keys: list[int], servers: Mapping[str, tuple[int, int, float, int]]) -> None:
         """One edge member's: keys asked for; by server tries, failures, slots at work as told in sum, and how often."""
@@ -94,6 +100,7 @@
         """Tells the pass what has come, and gives its orders to the lines."""
         if self._pass is None:
             self._pass = Conductor(now, self._seed, settings(self._target))
+            self._deal()
         events: list[tuple[Any, ...]] = []
         if self._roster_due:
             self._roster_due = False
@@ -102,30 +109,49 @@
             # Where most are cold the service itself has just started: then cold ones are what there is.
             events.append(("roster", "full", [self._entry(now, server, 2 * cold < len(servers)) for server in servers]))
         for line in self._lines.lines:
-            if line not in self._of:
-                number = len(self._numbers)
-                self._numbers[number], self._of[line] = line, number
+            if line not in self._of and line not in self._joining:
+                number = self._number(line)
                 events.append(("tenure", number, True))
                 if line.server and line.state == HELD:
                     events.append(("line", number, self._node(line.server), 1.0))
         if now - self._told_at >= PERIOD:
             self._told_at = now
             events += self._told(now)
-        self._pass.round(now, events, self._orders)
-        for number, node in self._orders.lines.items():
-            self._order(now, self._numbers[number], self._names[node])
-        self._orders.lines.clear()
+        if events or now >= self._round_at:
+            self._round_at = now + ROUND
+            self._pass.round(now, events, self._orders)
+            for number, node in self._orders.lines.items():
+                self._order(now, self._numbers[number], self._names[node])
+                self._round_at = now  # a line that has one owner is given in two steps
+            self._orders.lines.clear()
         for line in self._lines.free():
             server = self._lines.servers.get(line.heir or "")
             if server is not None and server.ready:
                 self._lines.give(line, server)
 
+    def _deal(self) -> None:
+        """Keys that nobody ever held, and of which nobody knows anything yet: dealt out evenly by weight, neighbours to
+        different servers, as busy keys lie close together."""
+        servers = [server for server in self._lines.servers.values() if server.ready]
+        fullest = [((place + 1) / len(servers) / server.slots, place) for place, server in enumerate(servers)]
+        heapify(fullest)
+        for line in self._lines.lines if servers else ():
+            if not line.server:
+                load, place = fullest[0]
+                self._lines.give(line, servers[place])
+                heapreplace(fullest, (load + 1 / servers[place].slots, place))
+
     def _order(self, now: int, line: Line, name: str) -> None:
         if line.state == HELD and line.server != name:
             self._lines.leave(now, line, name)
         elif line.state == LEAVING or line.state == FREE:
             line.heir = name
 
+    def _number(self, line: Line) -> int:
+        self._given += 1
+        self._numbers[self._given], self._of[line] = line, self._given
+        return self._given
+
     def _node(self, name: str) -> int:
         if name not in self._nodes:
             self._nodes[name] = len(self._nodes)
@@ -148,13 +174,16 @@
             self._met.popleft()
         span = max(PERIOD, min(WINDOW, now - self._began))
         self._judge_speeds(now)
+        self._sorted = sorted(key for _, keys in self._keys for key in keys)
         heats, events = self._heats(now, span), []
         total = sum(heats.values())
         ready = sum(server.ready for server in self._lines.servers.values())
         if total and ready:
             events += self._cuts(now, heats, total / ready, span)
+            events += self._joins(now, heats, total / ready)
         for line, heat in heats.items():
-            events.append(("heat", self._of[line], 0, heat * PERIOD / S, 0, PERIOD))
+            if line in self._of:
+                events.append(("heat", self._of[line], 0, heat * PERIOD / S, 0, PERIOD))
         for name, (tries, failed) in self._sums(now - WINDOW).items():
             if name in self._lines.servers:
                 zone = self._zones.get(self._lines.servers[name].zone)
@@ -202,14 +231,9 @@
     def _heats(self, now: int, span: int) -> dict[Line, float]:
         """Requests a second by line."""
         lines = self._lines.lines
-        firsts = [line.first for line in lines]
-        counts, newest = [0] * len(lines), [0] * len(lines)
-        for at, keys in self._keys:
-            fresh = now - at <= NEWEST
-            for key in keys:
-                place = bisect_right(firsts, key) - 1
-                counts[place] += 1
-                newest[place] += fresh
+        ends = [line.last for line in lines]
+        counts = counted(self._sorted, ends)
+        newest = counted(sorted(key for at, keys in self._keys if now - at <= NEWEST for key in keys), ends)
         short = min(span, NEWEST)
         heats = {}
         for line, count, new in zip(lines, counts, newest):
@@ -225,9 +249,9 @@
         events: list[tuple[Any, ...]] = []
         room = MOST_LINES * max(1, len(self._lines.servers)) - len(self._lines.lines)
         hot = [line for line, heat in heats.items() if heat > CUT * mean and line.last > line.first
-               and line.state == HELD and line.laid and not line.flying]
+               and line.state == HELD and line.laid and not line.flying and line in self._of]
         for line in sorted(hot, key=lambda line: (-heats[line], line.first))[:max(0, room)]:
-            keys = sorted(key for at, keys in self._keys for key in keys if line.first <= key <= line.last)
+            keys = self._sorted[bisect_left(self._sorted, line.first):bisect_right(self._sorted, line.last)]
             if len(keys) < LEAST:
                 continue
             at = min(max(keys[len(keys) // 2], line.first + 1), line.last)
@@ -235,12 +259,47 @@
             if not 0.05 < share < 0.95:
                 continue  # one key has it all: nothing to be had by a cut
             other = self._lines.cut(line, at)
-            number = len(self._numbers)
-            self._numbers[number], self._of[other] = other, number
+            number = self._number(other)
             events.append(("cut", self._of[line], number, share))
             heats[other], heats[line] = heats[line] * share, heats[line] * (1 - share)
         return events
 
+    def _joins(self, now: int, heats: dict[Line, float], mean: float) -> list[tuple[Any, ...]]:
+        """Makes cool neighbours one line again, a pair a period, so that there is room for cuts where the heat goes
+        next. The pass knows no more of a line that goes to its neighbour's server for that."""
+        lines, place = self._lines.lines, {}
+        for at, line in enumerate(lines):
+            place[line] = at
+        for line, before in list(self._joining.items()):
+            at = place.get(line, 0)
+            stands = at > 0 and lines[at - 1] is before and before.state == HELD
+            if stands and self._lines.joinable(before, line):
+                self._lines.join(before, line)
+                del self._joining[line]
+                heats[before] += heats.pop(line)
+            elif not stands or line.state == HELD and line.server != before.server:
+                del self._joining[line]  # the other has gone elsewhere: the pass is told of this one anew
+        if self._joining or len(lines) <= JOIN_FROM * len(self._lines.servers):
+            return []
+        pairs = [(line.server != other.server, other.last - other.first, line.first, line, other)
+                 for line, other in zip(lines, lines[1:]) if heats[line] + heats[other] < COOL * mean
+                 and line.state == other.state == HELD and line.laid and other.laid and line in self._of]
+        if not pairs:
+            return []
+        *_, line, other = min(pairs, key=lambda pair: pair[:3])  # few keys change hands
+        self._joining[other] = line
+        if other.server != line.server:
+            self._lines.leave(now, other, line.server)
+        number = self._of.pop(other)
+        del self._numbers[number]
+        return [("tenure", number, False)]
+
+
+def counted(keys: list[int], ends: list[int]) -> list[int]:
+    """How many of the sorted keys lie in each line, given where lines end."""
+    below = [bisect_right(keys, end) for end in ends]
+    return [upto - before for before, upto in zip([0, *below], below)]
+
 
 def settings(target: int) -> dict[str, Any]:
     """What the pass is made with. Lines have one owner; there is no channel to keep short, and no level to set."""
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from kestrelplank.interlocking.claims import NO_BALLOT, Claimer, Promiser, Register
-from kestrelplank.interlocking.lines import Interlocking, Line, Server
+from kestrelplank.interlocking.lines import HELD, Interlocking, Line, Server
 from kestrelplank.interlocking.placing import Placing
 from kestrelplank.telegraph.roster import READY, Roster
 from kestrelplank.timetable.keeping import Keeper
@@ -27,12 +27,31 @@
 
 
 class Decision:
-    """One service that this member may decide for."""
+    """One service that this member may decide for. `told`: what edge members were last told to be recorded, and where
+    that stands among records."""
 
     def __init__(self, claimer: Claimer) -> None:
         self.claimer = claimer
         self.lines: Interlocking | None = None
         self.placing: Placing | None = None
+        self.told: list[Any] = []
+        self.told_at: tuple[Any, int] = (NO_BALLOT, 0)
+
+    def changed_frame(self, seq: int, record: list[Any]) -> dict[str, Any]:
+        """What differs between the last record told and this one, which is number `seq`: by the fence, as a line may
+        leave its server and come back to it. What is on its way to another server is told to be nobody's."""
+        known, now = {(parts[0], parts[1], parts[4]) for parts in self.told}, {}
+        for line in self.lines.lines:
+            now[line.first] = line.server if line.state == HELD else ""
+        since, self.told_at, self.told = self.told_at, (self.claimer.ballot, seq), record
+        changes = [parts[:4] if now.get(parts[0], parts[2]) == parts[2] else (*parts[:2], "", "")
+                   for parts in record if (parts[0], parts[1], parts[4]) not in known]
+        return {"t": "changed", "service": self.claimer.service, "since": since, "at": self.told_at, "lines": changes}
+
+    def leaving_frame(self, lines: list[Line]) -> dict[str, Any]:
+        """Lines that just leave their servers: requests for these keys had better wait."""
+        return {"t": "leaving", "service": self.claimer.service, "since": self.told_at, "at": self.told_at,
+                "lines": sorted((line.first, line.last, "", "") for line in lines)}
 
 
 class Box:
@@ -118,6 +137,8 @@
         if decision is None or decision.lines is None or line not in decision.lines.lines:
             return []
         decision.lines.called(now, word, line, sent, status, handover)
+        if line.state == HELD:
+            return []  # the next tick has it: a renewal's answer changes nothing that the pass need know
         return self._work(now, service, decision)
 
     def report(self, now: int, edge: str, frame: dict[str, Any]) -> None:
@@ -179,13 +200,19 @@
             lines.divide(PIECES * len(lines.servers))
         decision.placing.turn(now)
         effects: list[Effect] = []
+        leaving: list[Line] = []
         for effect in lines.tick(now):
             if effect[0] == "lay":
                 effects += self._done(now, claimer.lay_down(now, effect[1]), decision)
+            elif effect[0] == "leaving":
+                leaving += effect[1]
+            elif effect[0] == "bare":
+                _, line, spell = effect
+                effects.append(("log", f"{service}: keys {line.first}-{line.last} had no holder for {spell / S:.3f} s"))
             else:
                 word, server, address, line = effect
                 effects.append(("call", word, service, server, address, line, claimer.until))
-        return effects
+        return [("frames", [decision.leaving_frame(leaving)]), *effects] if leaving else effects
 
     # Between the parts.
 
@@ -210,14 +237,15 @@
                               if any(name == service for name, _ in route.split)), default=S)
                 decision.placing = Placing(now, self._random.getrandbits(32), decision.lines, target)
                 left.append(("log", f"deciding for {service} by ballot {decision.claimer.ballot[0]}"))
-                left.append(("frames", [self.lines_frame(service)]))
+                decision.told, decision.told_at = effect[1] or [], (decision.claimer.ballot, decision.claimer.seq)
+                left.append(("frames", [self.lines_frame(service, decision.told_at, decision.told)]))
             elif word == "lost":
                 decision.lines = None
                 left.append(("log", f"no longer deciding for {decision.claimer.service}"))
             elif word == "recorded":
                 if decision.lines is not None:
                     decision.lines.laid(now)
-                    left.append(("frames", [self.lines_frame(decision.claimer.service)]))
+                    left.append(("frames", [decision.changed_frame(effect[1], effect[2])]))
                     left += self._work(now, decision.claimer.service, decision)
             else:
                 left.append(effect)
@@ -256,10 +284,9 @@
         force = self.keeper.force
         return {"t": "word", "key": force.key, "text": force.text}
 
-    def lines_frame(self, service: str) -> dict[str, Any]:
-        register = self.promiser.registers.get(service, Register())
-        lines = [parts[:4] for parts in register.record or ()]
-        return {"t": "lines", "service": service, "at": register.newest(), "lines": lines}
+    @staticmethod
+    def lines_frame(service: str, at: tuple[Any, int], record: list[Any] | None) -> dict[str, Any]:
+        return {"t": "lines", "service": service, "at": at, "lines": [parts[:4] for parts in record or ()]}
 
     def beat_frame(self, edges: int) -> dict[str, Any]:
         """Told to an edge member in every beat: what this member vouches for, who
@@ -276,11 +303,11 @@
         if force is not None and (key is None or Key(*key) < force.key):
             frames.append(self.word_frame())
         for service in self._sharded():
-            newest = self.promiser.registers.get(service, Register()).newest()
+            register = self.promiser.registers.get(service, Register())
             told = frame.get("lines", {}).get(service)
             at = ((told[0][0], told[0][1]), told[1]) if told else (NO_BALLOT, -1)
-            if newest > at:
-                frames.append(self.lines_frame(service))
+            if register.newest() > at:
+                frames.append(self.lines_frame(service, register.newest(), register.record))
         if self.roster.fetched_at is not None and frame.get("roster") != self.roster.digest():
             frames.append(self.roster.frame(now))
         return frames
--- a/kestrelplank/telegraph/outlook.py
+++ b/kestrelplank/telegraph/outlook.py
@@ -20,13 +20,33 @@
     address: str
 
 
+At = tuple[tuple[int, str], int]  # ballot and number of a record
+
+
 class Holders:
     """The lines of one service, by the highest (ballot, number) that has come."""
 
-    def __init__(self, at: tuple[tuple[int, str], int], lines: list[Holder]) -> None:
+    def __init__(self, at: At, lines: list[Holder]) -> None:
         self.at, self.lines = at, lines
         self._firsts = [line.first for line in lines]
 
+    def under(self, at: At, changes: list[Holder]) -> "Holders":
+        """These lines with `changes`, in order and apart, laid over them."""
+        lines, left = [], changes[::-1]
+        for line in self.lines:
+            first = line.first
+            while left and left[-1].first <= line.last:
+                change = left[-1]
+                if first < change.first:
+                    lines.append(line._replace(first=first, last=change.first - 1))
+                first = max(first, change.last + 1)
+                if change.last > line.last:
+                    break  # it covers what follows too
+                lines.append(left.pop())
+            if first <= line.last:
+                lines.append(line._replace(first=first))
+        return Holders(at, lines + left[::-1])
+
     def of(self, key: int) -> Holder | None:
         place = bisect_right(self._firsts, key) - 1
         if place < 0 or self.lines[place].last < key or not self.lines[place].server:
@@ -65,17 +85,27 @@
             self.timetable = found
             self.vouched[member] = found.key
             return "word"
-        if word == "lines":
-            at = ((frame["at"][0][0], frame["at"][0][1]), frame["at"][1])
-            held = self.holders.get(frame["service"])
-            if held is not None and at <= held.at:
-                return None
-            self.holders[frame["service"]] = Holders(at, [Holder(*parts) for parts in frame["lines"]])
-            return "lines"
+        if word in ("lines", "changed", "leaving"):
+            return self._told_lines(frame)
         if word == "roster":
             return "roster" if self.roster.take(now, frame["age"], frame["list"]) else None
         return None
 
+    def _told_lines(self, frame: dict[str, Any]) -> str | None:
+        """All lines of a service, those that differ from an earlier record, or those that just leave their servers."""
+        word, service, held = frame["t"], frame["service"], self.holders.get(frame["service"])
+        at = ((frame["at"][0][0], frame["at"][0][1]), frame["at"][1])
+        lines = [Holder(*parts) for parts in frame["lines"]]
+        if word == "lines":
+            if held is not None and at <= held.at:
+                return None
+            self.holders[service] = Holders(at, lines)
+        elif held is None or held.at != ((frame["since"][0][0], frame["since"][0][1]), frame["since"][1]):
+            return None  # what came between is missed, or known already: our next beat says where we stand
+        else:
+            self.holders[service] = held.under(at, lines)
+        return "lines"
+
     def _told_members(self, members: list[str]) -> str | None:
         found = tuple(members)
         if not found or found == self.members and self.known:
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -8,6 +8,7 @@
 
 from kestrelplank.interlocking.lines import HOLD, KEYS
 from kestrelplank.signalbox.box import Box
+from kestrelplank.telegraph.outlook import Outlook
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import read
 
@@ -46,6 +47,7 @@
         self.servers = {f"i-{number}": Holding() for number in range(servers)}
         self.state = dict.fromkeys(self.servers, "ready")
         self.bare = 0
+        self.edge, self.hot = Outlook("edge", NAMES), None  # an edge member in session with all; where it sends most
         for name in NAMES:
             self.start(name, first=True)
 
@@ -83,6 +85,9 @@
                 _, word, service, server, address, line, until = effect
                 body = {"first": line.first, "last": line.last, "fence": line.fence}
                 self.later(self.random.choice((1, 3)) * MS, self.called, name, life, word, service, server, line, body, until)
+            elif effect[0] == "frames":
+                for frame in effect[1]:
+                    self.edge.frame(self.now, name, frame)
             elif effect[0] in ("answer", "show"):
                 self.ended[effect[1]] = effect[2]
 
@@ -151,11 +156,28 @@
                         (server, "views", f"{server}:80", "z", 2, state, 0) for server, state in self.state.items()])
                 if self.now % (50 * MS) == 0:
                     self.run(name, self.boxes[name].tick(self.now))
+        if self.now % (500 * MS) == 0 and self.hot is not None:
+            self.report()
         for key in PROBES:
             holders = [server for server, holding in self.servers.items() if holding.up and holding.until[key] > self.now]
             assert len(holders) <= 1, (key, holders, self.now)
             self.bare += not holders
 
+    def report(self):
+        """The edge member's beat and report to each: 40 requests, most of them for the keys from `hot` on."""
+        for name, box in self.boxes.items():
+            if name not in self.frozen:
+                for frame in box.lacking(self.now, self.edge.stand()):
+                    self.edge.frame(self.now, name, frame)
+                keys = [self.hot + self.random.randrange(300) if self.random.random() < 0.8 else
+                        self.random.randrange(KEYS) for _ in range(40)]
+                box.report(self.now, "edge", {"service": "views", "keys": keys, "servers": {}})
+
+    def lines(self):
+        """The decider's lines: key ranges and servers."""
+        return [(line.first, line.last, line.server) for decision in self.boxes[self.decider()].decisions.values()
+                for line in decision.lines.lines]
+
     def turn(self, seconds):
         for _ in range(round(seconds * 100)):
             self.step()
@@ -287,11 +309,30 @@
     assert yard.boxes[one].whole and {box.keeper.force.key.version for box in yard.boxes.values()} == {5}
 
 
+def test_lines_are_cut_where_the_heat_is_and_joined_where_it_was_and_an_edge_follows_by_what_changed():
+    yard, most = Yard(10), 0
+    yard.begin()
+    began = len(yard.lines())
+    for hot in (5_000, 30_000, 60_000):
+        yard.hot = hot
+        yard.turn(15)
+        lines = yard.lines()
+        most = max(most, len(lines))
+        assert len([line for line in lines if hot <= line[1] and line[0] < hot + 300]) >= 4
+        assert [line[0] for line in lines] == [0, *(line[1] + 1 for line in lines[:-1])] and lines[-1][1] == KEYS - 1
+    cool = [line for line in yard.lines() if line[1] < 31_000]
+    assert most > began and len(cool) < len(yard.lines()) / 2 and most <= 6 * len(yard.servers)
+    for key in PROBES:
+        held = yard.edge.holders["views"].of(key)
+        assert held is None or yard.servers[held.server].until[key] > yard.now
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_whatever_happens_no_key_is_held_twice_and_nothing_acknowledged_is_lost(seed):
     """Kills, empty disks within what is borne, cuts, freezes, servers that go, drain and come, for a minute."""
     yard, chance = Yard(seed), Random(seed)
     yard.begin()
+    yard.hot = seed * 5_000
     version, back, fresh = 1, {}, 0
     for second in range(60):
         kind = chance.randrange(9)
--- a/tests/telegraph/test_outlook.py
+++ b/tests/telegraph/test_outlook.py
@@ -1,10 +1,11 @@
 """What an edge member makes of what it is told, and which of two lists of servers is the newer."""
 
 import asyncio
+from random import Random
 
 from timetable.test_plan import encoded
 
-from kestrelplank.telegraph.outlook import Outlook
+from kestrelplank.telegraph.outlook import Holder, Holders, Outlook
 from kestrelplank.telegraph.roster import DRAINING, READY, Roster
 from kestrelplank.telegraph.wire import Wire
 
@@ -54,6 +55,36 @@
     assert outlook.holders["views"].of(7).server == "s" and outlook.decider("views") == "a:1"
 
 
+def test_lines_laid_over_others_cover_what_they_say_and_nothing_else():
+    random = Random(7)
+    for _ in range(300):
+        def some(most, name):
+            ends = sorted(random.sample(range(40), random.randrange(1, most)))
+            return [Holder(first, last - 1, f"{name}{first}", "") for first, last in zip([0, *ends], [*ends, 40])]
+
+        old = Holders(((1, "a"), 1), some(9, "old"))
+        changes = [line for line in some(12, "new") if random.random() < 0.4]
+        new = old.under(((1, "a"), 2), changes)
+        assert [line.first for line in new.lines] == [0, *(line.last + 1 for line in new.lines[:-1])]
+        for key in range(40):
+            over = next((line for line in changes if line.first <= key <= line.last), old.of(key))
+            assert new.of(key).server == over.server
+
+
+def test_changes_count_only_on_top_of_the_record_that_they_differ_from():
+    outlook = Outlook("edge-1", MEMBERS)
+    lines = [[0, 99, "s", "s:80"], [100, 65535, "t", "t:80"]]
+    outlook.frame(0, "a:1", {"t": "lines", "service": "views", "at": [[2, "a:1"], 1], "lines": lines})
+    leaving = {"t": "leaving", "service": "views", "since": [[2, "a:1"], 1], "at": [[2, "a:1"], 1], "lines": [[50, 99, "", ""]]}
+    assert outlook.frame(0, "a:1", leaving) == "lines"
+    assert outlook.holders["views"].of(49).server == "s" and outlook.holders["views"].of(50) is None
+    changed = {**leaving, "t": "changed", "at": [[2, "a:1"], 2], "lines": [[50, 99, "t", "t:80"]]}
+    assert outlook.frame(0, "a:1", changed) == "lines" and outlook.holders["views"].of(50).server == "t"
+    assert outlook.frame(0, "b:1", changed) is None  # it comes twice
+    late = {**changed, "since": [[2, "a:1"], 3], "at": [[2, "a:1"], 4], "lines": [[0, 9, "u", "u:80"]]}
+    assert outlook.frame(0, "a:1", late) is None and outlook.stand()["lines"]["views"] == ((2, "a:1"), 2)
+
+
 def test_of_two_lists_the_one_fetched_later_holds_whenever_it_comes():
     roster = Roster()
     assert roster.take(10 * S, 0, [entry("s"), entry("t")])
