--- a/kestrelplank/interlocking/claims.py
+++ b/kestrelplank/interlocking/claims.py
@@ -40,6 +40,10 @@
     def newest(self) -> tuple[Ballot, int]:
         return self.ballot, self.seq
 
+    def with_all_of(self, other: "Register") -> "Register":
+        """The higher promise and the newer record of both."""
+        return max(self, other, key=Register.newest)._replace(promised=max(self.promised, other.promised))
+
 
 class Promiser:
     """One member's promises, by service. A member that has just started is `quiet`: it may have promised in its former
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -334,9 +334,7 @@
         for told in self._joined.values():
             for service, parts in told["registers"].items():
                 other = Register(tuple(parts[0]), tuple(parts[1]), parts[2], parts[3])
-                held = registers.get(service, Register())
-                record = max(held, other, key=Register.newest)
-                registers[service] = record._replace(promised=max(held.promised, other.promised))
+                registers[service] = registers.get(service, Register()).with_all_of(other)
             found = read(told["text"]).value_or(None) if told["text"] else None
             if found is not None:
                 effects += self.keeper.take(now, found)
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from depot.memory import Memory
 from timetable.test_plan import encoded
 
 from kestrelplank.interlocking.lines import HOLD, KEYS
@@ -39,10 +40,10 @@
 class Yard:
     def __init__(self, seed, servers=4):
         self.random, self.now = Random(seed), 1000 * S
-        self.disks = {name: {"word": None, "registers": {}, "roll": False} for name in NAMES}
+        self.disks = {name: Memory() for name in NAMES}
         self.boxes, self.lives = {}, dict.fromkeys(NAMES, 0)
         self.events, self.count = [], 0
-        self.cut, self.frozen = set(), {}
+        self.cut, self.frozen, self.refuses = set(), {}, 0.0  # the last: part of all writes that a disk refuses
         self.ended, self.acknowledged = {}, 0
         self.servers = {f"i-{number}": Holding() for number in range(servers)}
         self.state = dict.fromkeys(self.servers, "ready")
@@ -56,16 +57,16 @@
     def start(self, name, first=False):
         disk = self.disks[name]
         self.lives[name] += 1
-        whole = disk["roll"] or first
-        disk["roll"] = whole
-        self.boxes[name] = Box(self.now, Random(self.random.random()), name, NAMES, whole, first, disk["word"],
-                               dict(disk["registers"]))
+        if first:
+            disk.keep_roll(NAMES)
+        self.boxes[name] = Box(self.now, Random(self.random.random()), name, NAMES, disk.roll() is not None, first,
+                               disk.word(), disk.registers())
 
     def kill(self, name, wipe=False):
         del self.boxes[name]
         self.lives[name] += 1
         if wipe:
-            self.disks[name] = {"word": None, "registers": {}, "roll": False}
+            self.disks[name] = Memory()
 
     def later(self, delay, what, *given):
         self.count += 1
@@ -102,12 +103,18 @@
         if self.lives[name] != life:
             return
         disk = self.disks[name]
+        if self.random.random() < self.refuses:
+            self.later(300 * MS, self.written, name, life, what, payload, then)  # tried again after later ones
+            return
         if what == "word":
-            disk["word"] = payload
+            disk.keep_word(payload)
         elif what == "register":
-            disk["registers"][payload[0]] = payload[1]
+            disk.keep_registers(dict([payload]))
         else:
-            disk["registers"], disk["word"], disk["roll"] = dict(payload[1]), payload[2], True
+            disk.keep_registers(payload[1])
+            if payload[2] is not None:
+                disk.keep_word(payload[2])
+            disk.keep_roll(NAMES)
         for effect in then:
             if effect[0] == "stored":
                 self.run(name, self.boxes[name].stored(self.now, effect[1]))
@@ -332,7 +339,7 @@
     """Kills, empty disks within what is borne, cuts, freezes, servers that go, drain and come, for a minute."""
     yard, chance = Yard(seed), Random(seed)
     yard.begin()
-    yard.hot = seed * 5_000
+    yard.hot, yard.refuses = seed * 5_000, 0.1 * (seed % 3)
     version, back, fresh = 1, {}, 0
     for second in range(60):
         kind = chance.randrange(9)
@@ -372,7 +379,7 @@
         for name in [name for name, at in back.items() if at <= second]:
             del back[name]
             yard.start(name)
-    yard.cut, yard.frozen = set(), {}
+    yard.cut, yard.frozen, yard.refuses = set(), {}, 0.0
     for name in back:
         yard.start(name)
     yard.turn(HOLD / S + 8)
