--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -141,7 +141,7 @@
             return []  # the next tick has it: a renewal's answer changes nothing that the pass need know
         return self._work(now, service, decision)
 
-    def report(self, now: int, edge: str, frame: dict[str, Any]) -> None:
+    def report(self, now: int, frame: dict[str, Any]) -> None:
         """What an edge member has seen of servers and keys."""
         decision = self.decisions.get(frame["service"])
         if decision is not None and decision.lines is not None:
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -19,6 +19,7 @@
 from kestrelplank.interlocking.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
+from kestrelplank.telegraph.sessions import Sessions
 from kestrelplank.telegraph.wire import Frame, Wire, packed
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import Timetable
@@ -101,8 +102,7 @@
         self.disk = ThreadPoolExecutor(1)
         self.box: Box | None = None
         self.peers: dict[str, Wire] = {}  # those we dialled, by member
-        self.edges: dict[str, Wire] = {}
-        self.versions: dict[str, int | None] = {}  # by edge in session: that of the configuration it goes by
+        self.edges, self.speakers = Sessions(), Sessions()  # edge members, and the other control members
         self.wires: dict[Wire, int] = {}  # all that came in, with when they last said anything
         self.callers: dict[str, Caller] = {}
         self.tickets: dict[int, asyncio.Future[Any]] = {}
@@ -123,7 +123,7 @@
                     wire.send({**effect[2], "from": self.me})
             elif word == "frames":
                 frames = [packed(frame) for frame in effect[1]]
-                for wire in self.edges.values():
+                for wire in self.edges.wires():
                     for frame in frames:
                         wire.send(frame)
             elif word == "disk":
@@ -202,9 +202,9 @@
         if self.box is None:
             return {"member": self.me, "state": "looking for the others"}
         now = time.monotonic_ns()
-        edges = {name: {"version": None if self.versions[name] is None else f"{self.versions[name]:08x}",
-                        "heard_s": round((now - self.wires.get(wire, now)) / S, 3)}
-                 for name, wire in sorted(self.edges.items())}
+        edges = {name: {"version": None if session.said is None else f"{session.said:08x}",
+                        "heard_s": round(session.silent_for(now) / S, 3)}
+                 for name, session in sorted(self.edges.by_name.items())}
         return {"member": self.me, "edges": edges, **self.box.status(now)}
 
     # Sessions.
@@ -219,26 +219,23 @@
         elif self.box is None:
             return
         elif "from" in frame:
-            if frame["from"] in self.box.members:
+            if frame["from"] in self.box.members and self.speakers.heard(now, wire, frame["from"]):
                 self.carry_out(self.box.frame(now, frame["from"], frame))
         elif word == "at":
-            if wire.peer is None:
-                wire.peer = frame["edge"]
-                old = self.edges.get(wire.peer)
-                self.edges[wire.peer] = wire
-                if old is not None:
-                    old.reset()
-            self.versions[wire.peer] = frame["key"][0] if frame.get("key") else None
-            wire.send(self.box.beat_frame(len(self.edges)))
+            session = self.edges.heard(now, wire, frame["edge"])
+            if session is None:
+                return
+            session.said = frame["key"][0] if frame.get("key") else None
+            wire.send(self.box.beat_frame(len(self.edges.by_name)))
             for answer in self.box.lacking(now, frame):
                 wire.send(answer)
         elif word == "report":
-            self.box.report(now, wire.peer or "", frame)
+            self.box.report(now, frame)
 
     def on_end(self, wire: Wire) -> None:
         self.wires.pop(wire, None)
-        if wire.peer is not None and self.edges.get(wire.peer) is wire:
-            del self.edges[wire.peer], self.versions[wire.peer]
+        for sessions in (self.edges, self.speakers):
+            sessions.ended(wire)
 
     def on_reply(self, wire: Wire, frame: Frame) -> None:
         """A frame on a connection that we dialled; only strangers to the roll are told anything there."""
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -178,7 +178,7 @@
                     self.edge.frame(self.now, name, frame)
                 keys = [self.hot + self.random.randrange(300) if self.random.random() < 0.8 else
                         self.random.randrange(KEYS) for _ in range(40)]
-                box.report(self.now, "edge", {"service": "views", "keys": keys, "servers": {}})
+                box.report(self.now, {"service": "views", "keys": keys, "servers": {}})
 
     def lines(self):
         """The decider's lines: key ranges and servers."""
