A slow server under load no longer looks fast: what an answer leaves behind counts the queue

Cause: speed is told by Little's law from requests at work when an answer leaves; a server with both slots busy and a queue counted as one at work, since only the running ones less one were taken, though the next in the queue has begun by then. So the slowest servers of the sharded service kept up to twice their part (probe: one of 23 held most requests that got no answer).

Ruled out: hot keys without a cut (its requests were for keys all over), QUEUE of the edges, cold starts.

--- a/kestrelplank/junction/stands.py
+++ b/kestrelplank/junction/stands.py
@@ -111,5 +111,6 @@
         if load is not None:
             stand.told, stand.told_at = max(0.0, load[0] + load[1] - stand.own - 1.0), now
             stand.slots = max(1, load[2])
-            stand.told_busy += min(max(0, load[0] - 1), stand.slots)  # what is left when this one has gone
+            # What is left at work when this one has gone: the next in its queue has begun by then.
+            stand.told_busy += min(max(0, load[0] + load[1] - 1), stand.slots)
             stand.told_times += 1
