Edge: connections shared by all edges, bodies within a bound, silent repeatable requests tried again, a trace by id

Need: 12 edges with up to 24 connections each to a server that accepts 110 from all callers; bodies of any number and 64 MB each were held in memory; an operator could not follow one request.

Refused for a full server: come back when its queue will have gone.

Tests: 150 mixtures of an answer's parts (hypothesis): what counts as a success is ours, stamped and whole.

--- a/kestrelplank/config/platform.py
+++ b/kestrelplank/config/platform.py
@@ -8,7 +8,7 @@
 import tomllib
 import types
 import typing
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cache
 from typing import Any, NamedTuple
 
@@ -20,6 +20,12 @@
 NS = 1_000_000_000
 
 
+@deserialize(type_check=disabled)
+@dataclass
+class Limits:
+    memory_mb: int | float = 256
+
+
 @deserialize(type_check=disabled)
 @dataclass
 class Local:
@@ -28,6 +34,7 @@
     zone: str
     initial_boot: bool = False
     data_directory: str | None = None
+    limits: Limits = field(default_factory=Limits)
 
 
 @deserialize(type_check=disabled)
--- a/kestrelplank/footplate/lines.py
+++ b/kestrelplank/footplate/lines.py
@@ -6,12 +6,11 @@
 import httpcore
 
 from kestrelplank.coupling.call import Answer, Line, TooLarge, dial
-from kestrelplank.junction.passage import ANSWERED, BROKEN, NOT_RUN, SILENT, UNSENT
+from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 from kestrelplank.plan.pools import DIAL, USE, Pool, Terms
 
 DIAL_WITHIN = 0.35  # s for a connection to come up
 IDLE = 8_500_000_000  # ns, well below what servers say in Keep-Alive: who ends it first must be us
-MOST = 24  # connections of this machine to one server
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
        b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"}
 FAILED = (OSError, TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, TooLarge)
@@ -45,25 +44,27 @@
         self._number = 0
 
     async def carry(self, address: str, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
-                    attempt: bytes, within: int) -> Outcome:
-        """One try at that server, within so many ns. Never raises but when cancelled."""
+                    attempt: bytes, within: int, most: int) -> Outcome:
+        """One try at that server, within so many ns, over one of at most so many connections. Never raises but when
+        cancelled."""
         try:
             async with asyncio.timeout(within / 1e9) as limit:
-                return await self._carry(address, method, target, headers, body, attempt)
+                return await self._carry(address, method, target, headers, body, attempt, most)
         except TimeoutError:
             return Outcome(SILENT if limit.expired() else UNSENT)
 
     async def _carry(self, address: str, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-                     body: bytes, attempt: bytes) -> Outcome:
+                     body: bytes, attempt: bytes, most: int) -> Outcome:
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(self._clock(), Terms(most=MOST, idle=IDLE))
+            pool = self._pools[address] = Pool(self._clock(), Terms(most=most, idle=IDLE))
             self._lines[address] = {}
+        pool.bound(most)
         lines = self._lines[address]
         number, line = self._kept(pool, lines)
         if line is None:
             if number is None:
-                return Outcome(UNSENT)  # all are busy
+                return Outcome(BUSY)
             host, _, port = address.rpartition(":")
             try:
                 line = await dial((host, int(port)), DIAL_WITHIN)
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -6,6 +6,7 @@
 import time
 from random import Random, SystemRandom
 from typing import Any
+from zlib import crc32
 
 from kestrelplank.config.platform import Settings, endpoint
 from kestrelplank.coupling.serve import listener, server
@@ -21,6 +22,7 @@
 BEAT = 0.4  # s between our words to each member
 REPORT = 0.5  # s between reports of load
 LEAVE = 2.3  # s after SIGTERM in which the platform learns that we take nothing new
+BODIES = 0.25  # of this machine's memory may be bodies that are on their way
 DEFAULT_WAIT = 30 * S  # of a client that does not say how long it waits
 log = logging.getLogger("footplate")
 
@@ -28,8 +30,8 @@
 class Footplate:
     """The program: one loop, one application for clients and for the platform's question."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, trace: int = 0) -> None:
+        self.settings, self.trace = settings, trace
         local, bounds = settings.local_system, settings.bounds
         self.random = Random(SystemRandom().getrandbits(64))
         self.outlook = Outlook(local.node_name, tuple(settings.network.seed_nodes))
@@ -43,6 +45,7 @@
         self.wires: dict[str, Wire] = {}
         self.heard: dict[Wire, int] = {}
         self.counts: dict[str, int] = {}
+        self.held, self.holds = 0, int(local.limits.memory_mb * (1 << 20) * BODIES)  # bytes of bodies, and their bound
 
     # Requests.
 
@@ -53,12 +56,19 @@
             return
         came = time.monotonic_ns()
         fields = dict(scope["headers"])
-        body = await self.body(receive)
-        if body is None:
-            return  # the client has gone
-        if isinstance(body, Fault):
-            await self.refuse(send, body, 0)
-            return
+        taken = [0]
+        try:
+            body = await self.body(receive, taken)
+            if isinstance(body, Fault):
+                await self.refuse(send, body, S // 2 if ANSWERS[body].promises else 0)
+            elif body is not None:  # else the client has gone
+                await self.pass_on(scope, fields, body, came, receive, send)
+        finally:
+            self.held -= taken[0]
+
+    async def pass_on(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, came: int, receive: Any,
+                      send: Any) -> None:
+        """A request that is here whole, and came at that time."""
         now = time.monotonic_ns()
         passage, step = self.junction.begin(now, fields.get(b"host", b"").decode("latin-1"), scope["path"],
                                             fields.get(b"x-shard-key", b"").decode("latin-1") or None,
@@ -67,13 +77,20 @@
             await self.refuse(send, step[1], step[2])
             return
         gone = asyncio.ensure_future(receive())
+        tries: list[dict[str, Any]] = []
         try:
-            await self.carry(scope, fields, body, passage, step, send, gone)
+            await self.carry(scope, fields, body, passage, step, send, gone, tries)
         finally:
             gone.cancel()
+            attempt = fields.get(b"x-attempt-id", b"")
+            if self.trace and crc32(attempt) % self.trace == 0:
+                log.info("Footplate: request", extra={
+                    "attempt": attempt.decode("latin-1"), "path": scope["path"], "service": passage.service,
+                    "key": passage.key, "tries": tries, "ms": (time.monotonic_ns() - came) // 1_000_000})
 
-    async def body(self, receive: Any) -> bytes | Fault | None:
-        """The whole body; a fault where it can't be taken, None where the client has gone."""
+    async def body(self, receive: Any, taken: list[int]) -> bytes | Fault | None:
+        """The whole body; a fault where it can't be taken, None where the client has gone. What it holds of the memory
+        for bodies is added to `taken`, for who gives it back."""
         parts, size = [], 0
         most = self.outlook.timetable.max_body if self.outlook.timetable else 1 << 20
         while True:
@@ -82,14 +99,18 @@
                 return None
             parts.append(message["body"])
             size += len(message["body"])
+            taken[0] += len(message["body"])
+            self.held += len(message["body"])
             if size > most:
                 return Fault.TOO_LARGE
+            if self.held > self.holds:
+                return Fault.NO_MEMORY
             if not message.get("more_body"):
                 return b"".join(parts)
 
     async def carry(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, passage: Passage,
-                    step: tuple[Any, ...], send: Any, gone: asyncio.Future[Any]) -> None:
-        """Does what the junction says until the request has its answer."""
+                    step: tuple[Any, ...], send: Any, gone: asyncio.Future[Any], tries: list[dict[str, Any]]) -> None:
+        """Does what the junction says until the request has its answer; `tries` tells them."""
         method = scope["method"].encode()
         target = scope["raw_path"] + (b"?" + scope["query_string"] if scope["query_string"] else b"")
         attempt = fields.get(b"x-attempt-id", b"")
@@ -105,7 +126,7 @@
                 headers = [*passed, (b"x-deadline-remaining", str(max(1, within // 1_000_000)).encode()),
                            (b"x-target-instance", stand.server.encode())]
                 trying = asyncio.ensure_future(self.lines.carry(stand.address, method, target, headers, body, attempt,
-                                                                within))
+                                                                within, self.junction.connections(passage.service)))
                 await asyncio.wait((trying, gone), return_when=asyncio.FIRST_COMPLETED)
                 if not trying.done():
                     if passage.route.repeatable:
@@ -117,6 +138,8 @@
                 status = outcome.answer.status if outcome.answer else 0
                 step = self.junction.ended(time.monotonic_ns(), passage, outcome.kind, status, outcome.load())
                 self.count(f"try {outcome.kind}")
+                tries.append({"server": stand.server, "ended": outcome.kind, "status": status, "ms": (
+                    time.monotonic_ns() - passage.sent_at) // 1_000_000})
                 self.wake()
             elif word == "wait":
                 self.count("wait")
@@ -149,6 +172,15 @@
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
 
+    def tell(self) -> None:
+        """What this member has counted and sees, as one line of the log."""
+        now = time.monotonic_ns()
+        log.info("Footplate: counts", extra={
+            "counts": self.counts, "held": self.held, "ready": self.outlook.ready(),
+            "sessions": {member: (now - self.heard.get(wire, now)) // 1_000_000 for member, wire in self.wires.items()},
+            "busy": {name: round(stand.load(now), 1) for name, stand in self.junction.stands.by_name.items()
+                     if stand.load(now) >= 1}})
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -244,6 +276,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGUSR1, self.tell)
         self.listen()
         self.meet()
         reporting = asyncio.create_task(self.reporting())
@@ -266,6 +299,6 @@
         return DEFAULT_WAIT
 
 
-async def run(settings: Settings) -> int:
-    """Runs the program until SIGTERM. Returns the exit code."""
-    return await Footplate(settings).run()
+async def run(settings: Settings, trace: int = 0) -> int:
+    """Runs the program until SIGTERM; `trace`: one in so many requests is logged, 0 for none. Returns the exit code."""
+    return await Footplate(settings, trace).run()
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -1,7 +1,7 @@
 """The gateway's programs: `python -m kestrelplank.gateway COMMAND`.
 
 Usage:
-  gateway footplate [--settings=FILE] [--level=LEVEL]
+  gateway footplate [--settings=FILE] [--level=LEVEL] [--trace=N]
   gateway signalbox [--settings=FILE] [--level=LEVEL]
   gateway rehearse [--requests=N] [--level=LEVEL] [--json]
   gateway status ADDRESS [--json]
@@ -23,6 +23,7 @@
   --settings=FILE       The settings file; else the one that KESTRELPLANK_SETTINGS names.
   --configuration=FILE  A configuration as the operator sends it.
   --level=LEVEL         What is logged [default: INFO].
+  --trace=N             Log one request in N with its tries, by X-Attempt-Id; 0 for none [default: 0].
   --wait=SECONDS        How long to wait for the last one [default: 5].
   --requests=N          Requests that clients send [default: 300].
   --json                Print one JSON object.
@@ -193,9 +194,11 @@
             return 0
         set_up(settings.local_system.node_name, words["--level"].upper())
         if words["footplate"]:
-            from kestrelplank.footplate.program import run
-        else:
-            from kestrelplank.signalbox.program import run
+            if not words["--trace"].isdecimal():
+                raise Unusable(f"--trace: {words['--trace']!r} is no whole number")
+            from kestrelplank.footplate.program import run as carry
+            return asyncio.run(carry(settings, int(words["--trace"])))
+        from kestrelplank.signalbox.program import run
         return asyncio.run(run(settings))
     except (Unusable, ValueError) as err:
         print(f"kestrelplank: {err}", file=sys.stderr)
--- a/kestrelplank/junction/kinds.py
+++ b/kestrelplank/junction/kinds.py
@@ -14,6 +14,7 @@
     BAD_REQUEST = "bad request"
     TOO_LARGE = "too large"
     NOT_READY = "not ready"
+    NO_MEMORY = "no memory for the body"
     NO_SERVER = "no server"
     NO_HOLDER = "nobody holds the key"
     FULL = "full"
@@ -37,6 +38,7 @@
     Fault.BAD_REQUEST: Reply(400),
     Fault.TOO_LARGE: Reply(413),
     Fault.NOT_READY: Reply(503, True),
+    Fault.NO_MEMORY: Reply(503, True),
     Fault.NO_SERVER: Reply(503, True),
     Fault.NO_HOLDER: Reply(503, True),
     Fault.FULL: Reply(503, True),
--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/junction/passage.py
@@ -28,11 +28,14 @@
 UNSENT = "unsent"  # no byte of it has left us
 BROKEN = "broken"  # no answer, a broken one, or one that is not this request's: it may have run
 SILENT = "silent"  # nothing in time: it may have run, or run yet
+BUSY = "busy"  # nothing was tried: all our connections there are in use
 
 DIALS = 4  # servers tried where nothing was sent
 KEYLESS = 250 * MS  # what a refusal says for a key that nobody holds
 SPREAD = 0.5  # of a time to come back: so that those who come back do not come together
 LOOK = 60 * MS  # how often a request looks again whether a server has room
+CONNECTIONS = 0.8  # of what a server accepts from all callers, shared by all edge members
+HUSH = 4, 0.6  # a repeatable request is silent after so many times what is usual there, and so much of its aim
 LAST = 30 * MS  # before the client's time is over, we answer it ourselves
 
 
@@ -114,6 +117,9 @@
               load: tuple[int, int, int] | None) -> Step:
         """The try that was out has ended so. `status` of an answer, else 0."""
         stand, passage.stand, passage.met = passage.stand, None, outcome
+        if outcome == BUSY:
+            self.stands.never_began(stand)
+            return self._crowded(now, passage, stand)
         good = outcome == ANSWERED and status < 500
         self.stands.ended(now, stand, good or outcome == NOT_RUN, now - passage.sent_at, load)
         if outcome == UNSENT:
@@ -169,13 +175,23 @@
         while its aim can still be met."""
         left = passage.came + passage.route.aim - int(stand.took * S)
         if now >= left:
-            return self._refuse(Fault.FULL, passage.route.aim // 2)
+            return self._refuse(Fault.FULL, min(passage.route.aim, int(stand.wait(now) * S)) // 2)
         return ("wait", min(left, now + LOOK))
 
     def _send(self, now: int, passage: Passage, stand: Stand) -> Step:
         passage.stand, passage.sent_at = stand, now
         self.stands.began(stand)
-        return ("send", stand, passage.deadline - now)
+        within = passage.deadline - now
+        # What is silent for long at a server that others stand beside is worth another try there; a key has one holder.
+        if passage.route.repeatable and passage.key is None and len(passage.tried) + 1 < passage.route.attempts \
+                and len(self.stands.services.get(passage.service, ())) > 1:
+            within = min(within, max(int(HUSH[0] * stand.took * S), int(HUSH[1] * passage.route.aim)))
+        return ("send", stand, within)
+
+    def connections(self, service: str) -> int:
+        """How many connections to one server of that service this member may have, with all edge members alike."""
+        most = self.outlook.timetable.services[service].connections if self.outlook.timetable else 0
+        return max(2, int(CONNECTIONS * most / self.outlook.edges))
 
     def _refuse(self, fault: Fault, after: int) -> Step:
         spread = int(after * (1 + SPREAD * self._random.random()))
--- a/kestrelplank/junction/stands.py
+++ b/kestrelplank/junction/stands.py
@@ -100,6 +100,11 @@
         stand.own += 1
         stand.tries += 1
 
+    def never_began(self, stand: Stand) -> None:
+        """What was begun there was not sent, for a reason of our own."""
+        stand.own -= 1
+        stand.tries -= 1
+
     def ended(self, now: int, stand: Stand, good: bool, took: int, load: tuple[int, int, int] | None) -> None:
         """A try there has ended. `took`: ns; `load`: running, waiting and slots, as the server told."""
         stand.own -= 1
--- a/kestrelplank/plan/pools.py
+++ b/kestrelplank/plan/pools.py
@@ -48,6 +48,11 @@
         self._dialling += 1
         return (DIAL,)
 
+    def bound(self, most: int) -> None:
+        """So many connections from now on; those beyond are let go as they end."""
+        if most != self._terms.most:
+            self._terms = self._terms._replace(most=most)
+
     def opened(self, connection: int) -> None:
         """What was dialled is up, and busy with the op that it was dialled for."""
         self._dialling -= 1
@@ -60,7 +65,8 @@
     def done(self, now: int, connection: int, keep: bool) -> bool:
         """The op on it has ended; `keep`: the other side lets it be used again. Returns whether it is kept."""
         uses = self._busy.pop(connection) + 1
-        if not keep or self.withdrawn_at is not None or self._terms.uses and uses >= self._terms.uses:
+        over = len(self._busy) + len(self._idle) + self._dialling >= self._terms.most
+        if not keep or over or self.withdrawn_at is not None or self._terms.uses and uses >= self._terms.uses:
             self._uses.pop(connection, None)
             return False
         self._uses[connection] = uses
--- a/tests/footplate/test_edge.py
+++ b/tests/footplate/test_edge.py
@@ -168,3 +168,46 @@
         assert [stand.own for stand in found.junction.stands.by_name.values()] == [0]
 
     run(play)
+
+
+def test_bodies_are_held_within_a_bound_and_given_back():
+    async def play():
+        async with edge() as (found, behind, port):
+            found.holds = 50_000
+            first = await asyncio.open_connection(IP, port)
+            first[1].write(head("/a/b/x", "Content-Length: 40000") + bytes(40_000))
+            await behind.arrived.wait()
+            second = await asyncio.open_connection(IP, port)
+            second[1].write(head("/a/b/x", "Content-Length: 20000") + bytes(20_000))
+            refused = await second[0].readuntil(b"\r\n\r\n")
+            behind.let.set()
+            served = await first[0].readuntil(b"\r\n\r\n")
+            while found.held:
+                await asyncio.sleep(0)
+            for _, writer in (first, second):
+                writer.close()
+            return refused, served, len(behind.bodies)
+
+    refused, served, met = asyncio.run(play())
+    assert refused.startswith(b"HTTP/1.1 503") and b"retry-after: 0.5" in refused
+    assert served.startswith(b"HTTP/1.1 200") and met == 1
+
+
+def test_one_request_is_traced_by_its_id(caplog):
+    async def play():
+        async with edge() as (found, behind, port):
+            found.trace = 1
+            behind.let.set()
+            reader, writer = await asyncio.open_connection(IP, port)
+            writer.write(head("/a/b/x", "Content-Length: 0"))
+            await reader.readuntil(b"\r\n\r\n")
+            while not caplog.records:
+                await asyncio.sleep(0)
+            found.tell()
+            writer.close()
+
+    with caplog.at_level("INFO", "footplate"):
+        asyncio.run(play())
+    traced = next(record for record in caplog.records if record.message == "Footplate: request")
+    assert traced.attempt == "me" and [one["server"] for one in traced.tries] == ["orders-0"]
+    assert next(record for record in caplog.records if record.message == "Footplate: counts").counts["try answered"] == 1
--- a/tests/footplate/test_lines.py
+++ b/tests/footplate/test_lines.py
@@ -4,9 +4,11 @@
 import time
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as some
 
 from kestrelplank.footplate.lines import Lines
-from kestrelplank.junction.passage import ANSWERED, BROKEN, NOT_RUN, SILENT, UNSENT
+from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 
 OURS = b"X-Attempt-Id: me\r\n"
 
@@ -48,7 +50,7 @@
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         lines, ended = Lines(time.monotonic_ns), []
         for _ in range(len(scripts)):
-            ended.append(await lines.carry(address, b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me", int(within * 1e9)))
+            ended.append(await lines.carry(address, b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me", int(within * 1e9), 24))
             await asyncio.sleep(wait)
         lines.tidy(set())
         server.close()
@@ -109,6 +111,48 @@
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         server.close()
         await server.wait_closed()
-        return await Lines(time.monotonic_ns).carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 10**9)
+        return await Lines(time.monotonic_ns).carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 10**9, 24)
 
     assert asyncio.run(play()).kind == UNSENT
+
+
+def test_more_requests_than_connections_are_not_sent():
+    async def play():
+        came = []
+
+        async def serve(reader, writer):
+            came.append(writer)
+            await reader.read()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        lines = Lines(time.monotonic_ns)
+        ended = await asyncio.gather(*(
+            lines.carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 200_000_000, 2) for _ in range(5)))
+        server.close()
+        for writer in came:
+            writer.close()
+        return sorted(one.kind for one in ended), len(came)
+
+    assert asyncio.run(play()) == ([BUSY] * 3 + [SILENT] * 2, 2)
+
+
+PIECES = [b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Full\r\n", b"HTTP/1.1 100 Continue\r\n\r\n", b"Content-Length: 5\r\n",
+          b"Content-Length: 50\r\n", b"Transfer-Encoding: chunked\r\n", b"X-Attempt-Id: me\r\n", b"X-Attempt-Id: other\r\n",
+          b"X-Server-Seal: s\r\n", b"X-Not-Executed: 1\r\n", b"Connection: close\r\n", b"\r\n", b"whole", b"5\r\nwhole\r\n",
+          b"0\r\n\r\n", b"\x00\xff", b"HTTP/1.1 ", b": \r\n"]
+
+
+@settings(max_examples=150, deadline=None)
+@given(some.lists(some.sampled_from(PIECES), max_size=14))
+def test_whatever_bytes_a_server_sends_a_success_is_ours_stamped_and_whole(pieces):
+    """Of 150 mixtures of an answer's parts; most end as broken."""
+    data = b"".join(pieces)
+    one = played(data + b"cut", within=0.5)[0][0]
+    if one.kind == ANSWERED:
+        assert one.answer.fields[b"x-attempt-id"] == b"me"
+        assert one.answer.status >= 300 or b"x-server-seal" in one.answer.fields
+        length = one.answer.fields.get(b"content-length")
+        assert length is None or len(one.answer.body) == int(length)
+    if one.kind == NOT_RUN:
+        assert b"X-Not-Executed" in data and b"HTTP/1.1" in data
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -6,7 +6,7 @@
 from timetable.test_plan import configuration, encoded, route
 
 from kestrelplank.junction.kinds import ANSWERS, Fault
-from kestrelplank.junction.passage import ANSWERED, BROKEN, NOT_RUN, SILENT, UNSENT, Budget, Junction
+from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
 from kestrelplank.telegraph.outlook import Outlook
 
 MS, S = 1_000_000, 1_000_000_000
@@ -142,3 +142,33 @@
     assert found.ended(NOW + MS, passage, BROKEN, 0, None)[1].service == "views"
     assert begin(found, key=None)[1][1].service == "orders"
     assert configuration()["config_version"] == "00000007"
+
+
+def test_connections_to_a_server_are_shared_by_all_edges():
+    found = junction(**{"service_table": [{"name": "views", "max_connections": 110, "sharded": True}, {"name": "orders"}]})
+    for edges, most in ((1, 88), (12, 7), (52, 2)):  # two at least: one in use and one that comes up
+        found.outlook.edges = edges
+        assert found.connections("views") == most
+
+
+def test_where_all_connections_are_in_use_a_request_waits_here_and_nothing_counts_against_the_server():
+    found = junction()
+    passage, step = begin(found)
+    stand = step[1]
+    step = found.ended(NOW, passage, BUSY, 0, None)
+    assert step[0] == "wait" and (stand.own, stand.tries, stand.failed, passage.dials) == (0, 0, 0, 0)
+    assert found.again(step[1], passage)[0] == "send"
+    step = found.ended(NOW + 599 * MS, passage, BUSY, 0, None)
+    assert step[:2] == ("refuse", Fault.FULL) and step[2] > 0
+
+
+def test_a_repeatable_request_that_any_server_may_run_is_not_waited_for_to_the_end_at_a_silent_one():
+    found = junction(virtual_hosts=[{"host_name": "shop.example", "host_routes": [
+        route("/c/", "idempotent", "orders"), route("/once/", "non_idempotent", "orders")]}])
+    passage, step = begin(found, "/c/x", None)
+    first = step[1].server
+    assert step[2] == 600 * MS  # four times what is usual
+    step = found.ended(NOW + 600 * MS, passage, SILENT, 0, None)
+    assert step[0] == "send" and step[1].server != first and step[2] == 900 * MS  # the last try has all that is left
+    assert begin(found, "/once/x", None)[1][2] == 1500 * MS
+    assert begin(junction())[1][2] == 1500 * MS  # a key has one holder
