Only the gateway's own start keeps numpy out: who imports its module keeps what it has

Cause: tests of the commands import the module, which kept numpy from loading for the whole process; hypothesis then failed in 36 tests after it.

--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -39,10 +39,9 @@
 
 from docopt import DocoptExit, docopt
 
-from kestrelplank.config import (
-    lean,  # noqa: F401 - before all that loads pyserde or httpcore
-    platform,
-)
+if __name__ == "__main__":  # before all that loads pyserde or httpcore; who imports this module keeps what it has
+    from kestrelplank.config import lean  # noqa: F401
+from kestrelplank.config import platform
 from kestrelplank.config.ini import Unusable
 from kestrelplank.config.logs import set_up
 
--- a/tests/footplate/test_lines.py
+++ b/tests/footplate/test_lines.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as some
 
 from kestrelplank.footplate.lines import Lines
@@ -143,7 +143,7 @@
           b"0\r\n\r\n", b"\x00\xff", b"HTTP/1.1 ", b": \r\n"]
 
 
-@settings(max_examples=150, deadline=None, derandomize=True, database=None, suppress_health_check=list(HealthCheck))
+@settings(max_examples=150, deadline=None, derandomize=True, database=None)
 @given(some.lists(some.sampled_from(PIECES), max_size=14))
 def test_whatever_bytes_a_server_sends_a_success_is_ours_stamped_and_whole(pieces):
     """Of 150 mixtures of an answer's parts; most end as broken."""
