A server's pace is told by its answers, not by what was sent there

Cause: Little's law wants what leaves: where more is asked than a server can do, tries overstate it, and it looks fast.

--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/interlocking/placing.py
@@ -48,22 +48,20 @@
 
 
 class Pace:
-    """How long a server works on a request, without its queue: requests at work over requests a second (Little's law),
+    """How long a server works on a request, without its queue: requests at work over answers a second (Little's law),
     as what leaves sees the same of its queue as time does (PASTA, and level crossing)."""
 
-    __slots__ = ("busy", "told", "tries", "span")
+    __slots__ = ("busy", "told", "span")
 
     def __init__(self) -> None:
-        self.busy = self.told = self.tries = self.span = 0.0
+        self.busy = self.told = self.span = 0.0
 
-    def add(self, busy: float, told: int, tries: int, span: float) -> None:
-        for name, more in (("busy", busy), ("told", told), ("tries", tries), ("span", span)):
+    def add(self, busy: float, told: int, span: float) -> None:
+        for name, more in (("busy", busy), ("told", told), ("span", span)):
             setattr(self, name, getattr(self, name) * FORGETS + more)
 
     def seconds(self) -> float | None:
-        if not self.told or not self.tries:
-            return None
-        return self.busy / self.told / (self.tries / self.span)
+        return self.busy / self.told / (self.told / self.span) if self.told else None
 
 
 class Placing:
@@ -208,13 +206,13 @@
         for at, servers in reversed(self._met):
             if at <= now - PERIOD:
                 break
-            for name, (tries, _, busy, told) in servers.items():
-                held = sums.setdefault(name, [0.0, 0, 0])
-                for place, more in enumerate((busy, told, tries)):
+            for name, (_, _, busy, told) in servers.items():
+                held = sums.setdefault(name, [0.0, 0])
+                for place, more in enumerate((busy, told)):
                     held[place] += more
         for name in self._lines.servers if sums else ():
-            busy, told, tries = sums.get(name, (0.0, 0, 0))
-            self._paces.setdefault(name, Pace()).add(busy, int(told), int(tries), PERIOD / S)
+            busy, told = sums.get(name, (0.0, 0))
+            self._paces.setdefault(name, Pace()).add(busy, int(told), PERIOD / S)
         times = sorted(filter(None, (pace.seconds() for pace in self._paces.values())))
         if not times:
             return
