--- a/tests/footplate/test_edge.py
+++ b/tests/footplate/test_edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from random import Random
 
 import pytest
 from timetable.test_plan import encoded
@@ -211,3 +212,47 @@
     traced = next(record for record in caplog.records if record.message == "Footplate: request")
     assert traced.attempt == "me" and [one["server"] for one in traced.tries] == ["orders-0"]
     assert next(record for record in caplog.records if record.message == "Footplate: counts").counts["try answered"] == 1
+
+
+PIECES = [b"POST /a/b/x HTTP/1.1\r\n", b"GET /a/b/x HTTP/1.1\r\n", b"GET /nowhere HTTP/1.0\r\n", b"BREW / HTTP/9.9\r\n",
+          b"Host: shop.example\r\n", b"X-Attempt-Id: a%d\r\n", b"X-Deadline-Remaining: 100\r\n", b"X-Deadline-Remaining: x\r\n",
+          b"Content-Length: 4\r\n", b"Content-Length: 4\r\n", b"Content-Length: -1\r\n", b"Transfer-Encoding: chunked\r\n",
+          b"Expect: 100-continue\r\n", b"Connection: close\r\n", b"\r\n", b"\r\n", b"body", b"4\r\nbody\r\n", b"0\r\n\r\n", b"\x00\xff\r",
+          b"X-Target-Instance: other\r\n", b": \r\n"]
+
+
+def test_whatever_bytes_clients_send_servers_meet_whole_requests_with_one_length_and_others_are_served():
+    """300 mixtures of a request's parts, each on a connection of its own."""
+    random = Random(5)
+
+    async def play():
+        async with edge() as (found, behind, port):
+            behind.let.set()
+            met = []
+
+            async def request(fields, body):
+                met.append((fields, body))
+                return await StandIn.request(behind, fields, body)
+
+            behind.request = request
+            served = 0
+            for number in range(300):
+                reader, writer = await asyncio.open_connection(IP, port)
+                data = b"".join(random.choice(PIECES) for _ in range(random.randrange(2, 16)))
+                writer.write(data.replace(b"%d", b"%d" % number) + (b"" if number % 10 else head("/a/b/x", "Content-Length: 0")))
+                writer.write_eof()
+                answers = await reader.read()
+                assert not answers or answers.startswith((b"HTTP/1.1 ", b"HTTP/1.0 ")), (data, answers)
+                writer.close()
+                if number % 10 == 0:
+                    reader, writer = await asyncio.open_connection(IP, port)
+                    writer.write(head("/a/b/x", "Content-Length: 4") + b"body")
+                    served += (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                    writer.close()
+            return served, met, found.held
+
+    served, met, held = asyncio.run(play())
+    assert served == 30 and held == 0 and len(met) > 30
+    for fields, body in met:
+        assert int(fields.get(b"content-length", b"0")) == len(body) and b"transfer-encoding" not in fields
+        assert body in (b"", b"body", b"bodybody") and fields[b"x-target-instance"] == b"orders-0"
