--- a/kestrelplank/footplate/lines.py
+++ b/kestrelplank/footplate/lines.py
@@ -106,6 +106,11 @@
             pool.lost(step[1])
             lines.pop(step[1]).reset()
 
+    def unused(self, address: str) -> int:
+        """Connections there that stand unused."""
+        pool = self._pools.get(address)
+        return pool.counts()[1] if pool is not None else 0
+
     def tidy(self, live: set[str]) -> None:
         """Closes what has been idle too long, and all that stands to servers that are no longer there."""
         for address, pool in list(self._pools.items()):
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -137,6 +137,7 @@
                 outcome = trying.result()
                 status = outcome.answer.status if outcome.answer else 0
                 step = self.junction.ended(time.monotonic_ns(), passage, outcome.kind, status, outcome.load())
+                stand.kept = self.lines.unused(stand.address)
                 self.count(f"try {outcome.kind}")
                 tries.append({"server": stand.server, "ended": outcome.kind, "status": status, "ms": (
                     time.monotonic_ns() - passage.sent_at) // 1_000_000})
@@ -252,6 +253,8 @@
                 wire = self.wires.get(self.outlook.decider(service) or "")
                 if wire is not None and (found["keys"] or found["servers"]):
                     wire.send({"t": "report", "service": service, **found})
+            for stand in self.junction.stands.by_name.values():
+                stand.kept = self.lines.unused(stand.address)
             self.lines.tidy({stand.address for stand in self.junction.stands.by_name.values() if stand.ready})
 
     # The whole.
--- a/kestrelplank/junction/stands.py
+++ b/kestrelplank/junction/stands.py
@@ -13,6 +13,8 @@
 SPELL = (1 * S, 2 * S)  # for which a server is avoided at which tries have failed in a row
 STRIKES = 2
 QUEUE = 4  # requests that may wait at a server: beyond that it might take one that it never answers
+DIALLED = 1.4  # a server to which a connection must be made first seems slower by so much: they are priced, and all
+# edges share what a server accepts
 COLD = 0.5  # the weight of a server that is still slow after its start
 AWAY, AWAY_BYTES = 1.15, 80_000  # bytes between zones are priced: a server in another seems slower by so much, and by
 # as much again as it takes for a body of so many bytes
@@ -22,13 +24,14 @@
     """One server (one life of it)."""
 
     __slots__ = ("number", "server", "service", "address", "zone", "slots", "ready", "warm_at", "own", "told",
-                 "told_at", "took", "tries", "failed", "told_busy", "told_times", "listed")
+                 "told_at", "took", "tries", "failed", "told_busy", "told_times", "listed", "kept")
 
     def __init__(self, number: int, entry: Entry) -> None:
         self.number, self.server, self.service, self.address = number, entry.server, entry.service, entry.address
         self.zone, self.slots = entry.zone, max(1, entry.slots)
         self.ready, self.warm_at, self.listed = True, 0, True
         self.own, self.told, self.told_at, self.took = 0, 0.0, 0, USUAL
+        self.kept = 0  # our connections there that stand unused, as the adapter says
         self.tries, self.failed = 0, 0  # since the last report; and what it told: slots at work, and how often
         self.told_busy, self.told_times = 0.0, 0
 
@@ -89,6 +92,8 @@
 
     def _cost(self, now: int, stand: Stand, size: int) -> float:
         cost = stand.wait(now) * (1 if stand.zone == self._zone else AWAY + size / AWAY_BYTES)
+        if not stand.kept:
+            cost *= DIALLED
         cost *= 1 + 0.3 * self._random.random()  # equals are not all taken for the same one
         return cost / COLD if now < stand.warm_at else cost
 
@@ -99,6 +104,7 @@
     def began(self, stand: Stand) -> None:
         stand.own += 1
         stand.tries += 1
+        stand.kept = max(0, stand.kept - 1)
 
     def never_began(self, stand: Stand) -> None:
         """What was begun there was not sent, for a reason of our own."""
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -172,3 +172,10 @@
     assert step[0] == "send" and step[1].server != first and step[2] == 900 * MS  # the last try has all that is left
     assert begin(found, "/once/x", None)[1][2] == 1500 * MS
     assert begin(junction())[1][2] == 1500 * MS  # a key has one holder
+
+
+def test_of_servers_alike_the_one_with_a_kept_connection_is_chosen_until_it_has_work_enough():
+    found = junction(virtual_hosts=[{"host_name": "shop.example", "host_routes": [route("/c/", "non_idempotent", "orders")]}])
+    found.stands.by_name["orders-1"].kept = 3
+    chosen = [begin(found, "/c/x", None)[1][1].server for _ in range(4)]
+    assert chosen[:2] == ["orders-1"] * 2 and set(chosen[2:]) != {"orders-1"}
