--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from kestrelplank.interlocking.claims import NO_BALLOT, Claimer, Promiser, Register
-from kestrelplank.interlocking.lines import HELD, Interlocking, Line, Server
+from kestrelplank.interlocking.lines import HELD, KEYS, Interlocking, Line, Server
 from kestrelplank.interlocking.placing import Placing
 from kestrelplank.telegraph.roster import READY, Roster
 from kestrelplank.timetable.keeping import Keeper
@@ -257,7 +257,8 @@
         return left
 
     def status(self, now: int) -> dict[str, Any]:
-        """This member as an operator sees it: sessions, versions, who decides, lines. Ages in seconds."""
+        """This member as an operator sees it: sessions, versions, who decides, lines. Ages in seconds; `bare_s`: how long
+        keys had no holder since this member decides, times their part of all keys."""
         services = {}
         for service in self._sharded():
             decision, register = self.decisions.get(service), self.promiser.registers.get(service, Register())
@@ -266,6 +267,7 @@
                 "decides": bool(decision and decision.claimer.decides(now)),
                 "holder": self.promiser.holder(now, service),
                 "ballot": register.ballot[0], "record": register.seq,
+                "bare_s": round(decision.lines.bare / KEYS / S, 3) if lines else None,
                 "lines": [{"first": line.first, "last": line.last, "server": line.server, "fence": line.fence,
                            "state": line.state, "runs_out_s": round((line.until - now) / S, 3)} for line in lines]}
         age = self.roster.age(now)
