--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -257,8 +257,8 @@
         return left
 
     def status(self, now: int) -> dict[str, Any]:
-        """This member as an operator sees it: sessions, versions, who decides, lines. Ages in seconds; `bare_s`: how long
-        keys had no holder since this member decides, times their part of all keys."""
+        """This member as an operator sees it: sessions, versions, who decides, lines. Ages in seconds;
+        `bare_s`: how long keys had no holder since this member decides, times their part of all keys."""
         services = {}
         for service in self._sharded():
             decision, register = self.decisions.get(service), self.promiser.registers.get(service, Register())
