--- a/kestrelplank/interlocking/lines.py
+++ b/kestrelplank/interlocking/lines.py
@@ -4,7 +4,7 @@
     ("grant", server, address, line)      call the server; then `called`
     ("release", server, address, line)    the same
     ("lay", record)                       have a majority know the record, then call `laid`
-    ("leaving", [line])                   these were just taken from their servers: who sends them requests may know
+    ("leaving", line)                     it was just taken from its server: who sends it requests may know
     ("bare", line, ns)                    these keys had no holder for so long, and have one now
 
 What keeps two servers from holding a key at once:
@@ -132,7 +132,7 @@
         """The line's keys shall go to another server."""
         if line.state == HELD:
             line.state, line.heir, line.due = LEAVING, heir, now
-            self._news.append(("leaving", [line]))
+            self._news.append(("leaving", line))
 
     def cut(self, line: Line, at: int) -> Line:
         """Cuts a line in two, the keys from `at` on being the other's. Not while a call is out."""
--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/interlocking/placing.py
@@ -265,9 +265,8 @@
     def _joins(self, now: int, heats: dict[Line, float], mean: float) -> list[tuple[Any, ...]]:
         """Makes cool neighbours one line again, a pair a period, so that there is room for cuts where the heat goes
         next. The pass knows no more of a line that goes to its neighbour's server for that."""
-        lines, place = self._lines.lines, {}
-        for at, line in enumerate(lines):
-            place[line] = at
+        lines = self._lines.lines
+        place = {line: at for at, line in enumerate(lines)}
         for line, before in list(self._joining.items()):
             at = place.get(line, 0)
             stands = at > 0 and lines[at - 1] is before and before.state == HELD
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -40,9 +40,8 @@
     def changed_frame(self, seq: int, record: list[Any]) -> dict[str, Any]:
         """What differs between the last record told and this one, which is number `seq`: by the fence, as a line may
         leave its server and come back to it. What is on its way to another server is told to be nobody's."""
-        known, now = {(parts[0], parts[1], parts[4]) for parts in self.told}, {}
-        for line in self.lines.lines:
-            now[line.first] = line.server if line.state == HELD else ""
+        known = {(parts[0], parts[1], parts[4]) for parts in self.told}
+        now = {line.first: line.server if line.state == HELD else "" for line in self.lines.lines}
         since, self.told_at, self.told = self.told_at, (self.claimer.ballot, seq), record
         changes = [parts[:4] if now.get(parts[0], parts[2]) == parts[2] else (*parts[:2], "", "")
                    for parts in record if (parts[0], parts[1], parts[4]) not in known]
@@ -205,7 +204,7 @@
             if effect[0] == "lay":
                 effects += self._done(now, claimer.lay_down(now, effect[1]), decision)
             elif effect[0] == "leaving":
-                leaving += effect[1]
+                leaving.append(effect[1])
             elif effect[0] == "bare":
                 _, line, spell = effect
                 effects.append(("log", f"{service}: keys {line.first}-{line.last} had no holder for {spell / S:.3f} s"))
