A socket given back earlier in a pass of the loop is not called in it any more

The loop handed out all that the selector had named; connections that are up looked whether they were still open, a dial under way did not. Ruled out: a close by its own deadline (timers are called after reads), the move to a new address by itself (it closes through the one place). Now the loop passes over whoever was forgotten since, for all owners at once.

--- a/kestrelplank/net/loop.py
+++ b/kestrelplank/net/loop.py
@@ -80,8 +80,11 @@
                 self._call(callback)
 
     def _read(self, wait: float | None) -> None:
+        watched = self._selector.get_map()
         for key, events in self._selector.select(wait):
-            self._call(key.data, events)  # whoever was closed earlier in this pass ignores it
+            entry = watched.get(key.fd)  # forgotten earlier in this pass, or its number given to another since
+            if entry is not None and entry.fileobj is key.fileobj:
+                self._call(entry.data, events)
 
     def _call(self, callback: Callable, *arguments: int) -> None:
         # Against a defect of our own: one message that trips it must not take the conductor down.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from kestrelplank.decode import Malformed
 from kestrelplank.net import resp
 from kestrelplank.net.conductor import Conductor
-from kestrelplank.net.connection import Connection, Listener
+from kestrelplank.net.connection import Connection, Dialled, Listener, address
 from kestrelplank.net.discovery import Discovery
 from kestrelplank.net.front import Front, report
 from kestrelplank.net.http import Client
@@ -264,6 +264,28 @@
     theirs.close()
 
 
+def test_a_dial_given_up_in_the_pass_in_which_it_comes_up_is_not_looked_at_again(kit):
+    """Guards against a socket that was given back being asked for its error: EBADF, or another's by now."""
+    class Rival:
+        def on_open(self):
+            opened.append(self)
+            for other in dialled:
+                if other is not self.ours:
+                    other.close("one is enough")
+
+        def on_close(self, why):
+            gone.append(why)
+
+    opened, gone, dialled = [], [], []
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        to = address("127.0.0.1:%d" % server.getsockname()[1])
+        for rival in (Rival(), Rival()):
+            rival.ours = Dialled(kit.loop, kit.pool, to, rival, 99, 250 * MS)
+            dialled.append(rival.ours)
+        until(kit.loop, lambda: opened)
+        assert len(opened) == 1 and gone == ["one is enough"]
+
+
 # HTTP
 
 class Asker:
