--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/interlocking/placing.py
@@ -22,15 +22,15 @@
 ROUND = S // 10  # how often the pass looks at what is due, where nothing new was told
 WINDOW, NEWEST = 20 * S, 3 * S // 2  # heat is told from so much; from the newest where that is clearly more or less
 FORGETS = 0.985  # a period, of what is known of a server's speed
-KNOWN = 20.0  # answers that the usual time weighs against a server's own
+KNOWN = 14.0  # answers that the usual time weighs against a server's own
 SLOWEST, FASTEST = 0.4, 2.0  # bounds of a server's speed against the median
 LEAST_SHARE = 0.1  # of what a server could do, that it is worth at least
 CLEAR = 3.0  # deviations of chance
-CUT = 0.4  # part of a mean server's load beyond which a line is cut, as the pass splits elsewhere
+CUT = 0.25  # part of a mean server's load beyond which a line is cut, as the pass splits elsewhere
 FLOOR = 0.02  # of all heat, spread evenly over the keys
 LEAST = 10  # requests of a line in the window before it is cut: fewer say nothing
-MOST_LINES = 6  # a server, before nothing is cut any more
-JOIN_FROM, COOL = 5, 0.1  # lines a server from which cool neighbours become one; part of a mean server's load
+MOST_LINES = 9  # a server, before nothing is cut any more
+JOIN_FROM, COOL = 8, 0.1  # lines a server from which cool neighbours become one; part of a mean server's load
 COLD_FROM, WARM_UP = 0.5, 3 * S  # a server that has just started is slow for so long
 
 
@@ -217,11 +217,16 @@
         for line, heat in heats.items():
             if line in self._of:
                 events.append(("heat", self._of[line], 0, heat * PERIOD / S, 0, PERIOD))
+        # A server counts for its lines' heat, as it was in each of the last five periods: so a line that has moved weighs
+        # on both ends until these have run out, and not for as long as the window of its heat.
+        loads: dict[str, float] = {}
+        for line, heat in heats.items():
+            loads[line.server] = loads.get(line.server, 0.0) + heat * PERIOD / S
         for name, (tries, failed) in self._sums(now - WINDOW).items():
             if name in self._lines.servers:
-                zone = self._zones.get(self._lines.servers[name].zone)
-                share = PERIOD / span
-                events.append(("tries", self._node(name), zone, tries * share, failed * share, 0, PERIOD, {}))
+                zone, load = self._zones.get(self._lines.servers[name].zone), loads.get(name, 0.0)
+                events.append(("tries", self._node(name), zone, load, load * failed / tries if tries else 0.0, 0, PERIOD,
+                               {}))
         return events
 
     def _sums(self, since: int) -> dict[str, list[float]]:
