Answers no longer wait 40 ms for an acknowledgement; connections kept as long as servers say

Cause: asyncio sends small writes at once only on sockets whose protocol is named; what our listener accepted had none, so an answer's body waited for its head's acknowledgement. Ruled out: the server's side (its connections are hardened), the clients' own writes.

--- a/kestrelplank/coupling/serve.py
+++ b/kestrelplank/coupling/serve.py
@@ -40,8 +40,10 @@
 
 
 def listener(host: str, port: int) -> socket.socket:
-    """A socket that listens there; OSError, naming the address, where it can't."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    """A socket that listens there; OSError, naming the address, where it can't. Its protocol is named: what it accepts
+    inherits that, and asyncio sends small writes at once only where it finds it. Else an answer's body waits for the
+    acknowledgement of its head, 40 ms."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
--- a/kestrelplank/footplate/lines.py
+++ b/kestrelplank/footplate/lines.py
@@ -1,6 +1,7 @@
 """Connections to servers, kept by address: one request at a time on each, closed in one place."""
 
 import asyncio
+import re
 from collections.abc import Callable
 
 import httpcore
@@ -10,9 +11,11 @@
 from kestrelplank.plan.pools import DIAL, USE, Pool, Terms
 
 DIAL_WITHIN = 0.35  # s for a connection to come up
-IDLE = 8_500_000_000  # ns, well below what servers say in Keep-Alive: who ends it first must be us
+IDLE = 8_500_000_000  # ns for which a connection is kept unused where its server does not say how long it keeps it
+EARLIER = 1_500_000_000  # ns before the server would: who ends it first must be us, as a request may be on its way
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
        b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"}
+TIMEOUT = re.compile(rb"\btimeout=(\d{1,9})\b")
 FAILED = (OSError, TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, TooLarge)
 
 
@@ -83,6 +86,7 @@
             while answer.fields.get(b"x-attempt-id") != attempt and not refused(answer):
                 answer = await line.ask_on(method, target)  # an answer to an older request: ours is still to come
             kept = line.keep
+            pool.keep_for(kept_for(answer))
             return Outcome(judge(answer), answer)
         except FAILED:
             return Outcome(BROKEN if line.stream.sent else UNSENT)
@@ -124,6 +128,12 @@
                 del self._pools[address], self._lines[address]
 
 
+def kept_for(answer: Answer) -> int:
+    """How long (ns) we keep a connection unused on which this came: less than its server says it does."""
+    told = TIMEOUT.search(answer.fields.get(b"keep-alive", b""))
+    return max(0, int(told[1]) * 1_000_000_000 - EARLIER) if told else IDLE
+
+
 def refused(answer: Answer) -> bool:
     """Whether a server says without naming the request that it has not run it."""
     return b"x-attempt-id" not in answer.fields and (answer.status == 421 or b"x-not-executed" in answer.fields)
--- a/kestrelplank/plan/pools.py
+++ b/kestrelplank/plan/pools.py
@@ -53,6 +53,11 @@
         if most != self._terms.most:
             self._terms = self._terms._replace(most=most)
 
+    def keep_for(self, idle: int) -> None:
+        """So long an unused connection is kept from now on."""
+        if idle != self._terms.idle:
+            self._terms = self._terms._replace(idle=idle)
+
     def opened(self, connection: int) -> None:
         """What was dialled is up, and busy with the op that it was dialled for."""
         self._dialling -= 1
--- a/tests/coupling/test_serve.py
+++ b/tests/coupling/test_serve.py
@@ -1,10 +1,11 @@
 """What a program can't do without."""
 
 import asyncio
+import socket
 
 import pytest
 
-from kestrelplank.coupling.serve import Duties
+from kestrelplank.coupling.serve import Duties, listener
 
 
 @pytest.mark.parametrize("how, stops", [("fails", True), ("ends", False), ("is cancelled", False)])
@@ -26,3 +27,20 @@
 
     assert asyncio.run(program()) == (stops, stops)
     assert ("Signalbox: stops, as a part of it failed" in caplog.text and "of ours" in caplog.text) == stops
+
+
+def test_small_writes_to_who_connects_are_sent_at_once():
+    """Guards against an answer whose body waits for the acknowledgement of its head: 40 ms each on a real machine."""
+    async def program():
+        delays = asyncio.get_running_loop().create_future()
+        sock = listener("127.0.0.1", 0)
+        server = await asyncio.start_server(
+            lambda _, writer: delays.set_result(writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)),
+            sock=sock)
+        _, writer = await asyncio.open_connection(*sock.getsockname())
+        found = await delays
+        writer.close()
+        server.close()
+        return found
+
+    assert asyncio.run(program()) == 1
--- a/tests/footplate/test_lines.py
+++ b/tests/footplate/test_lines.py
@@ -105,6 +105,13 @@
     assert [one.kind for one in ended] == [ANSWERED, ANSWERED] and connections == 2
 
 
+@pytest.mark.parametrize("told, connections", [(b"timeout=1", 2), (b"timeout=30, max=9", 1), (b"max=9", 1), (b"timeout=x", 1)])
+def test_a_connection_is_kept_for_less_than_its_server_says(told, connections):
+    keeps = answer(head=OURS + b"X-Server-Seal: s\r\nKeep-Alive: %s\r\n" % told)
+    ended, came = played(keeps, keeps)
+    assert [one.kind for one in ended] == [ANSWERED] * 2 and came == connections
+
+
 def test_nobody_there_is_proof_that_nothing_ran():
     async def play():
         server = await asyncio.start_server(lambda *streams: None, "127.0.0.1", 0)
