--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -35,8 +35,8 @@
         self.buffer += data
         while b"\r\n\r\n" in self.buffer:
             head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
-            attempt = next(line.split(b": ")[1] for line in head.split(b"\r\n") if line.lower().startswith(b"x-attempt"))
-            self.transport.write(ANSWER % attempt)
+            lines = (line for line in head.split(b"\r\n") if line.lower().startswith(b"x-attempt"))
+            self.transport.write(ANSWER % next(lines).split(b": ")[1])
 
 
 async def serve(port):
