A limit for each server that edges share without asking: who has not heard of its load lately sends little there

Services without keys had no limit at all: objednavky turned away 215 of 3,141 after a loss of all. Now two requests of ours at most at a server that has not told its load for a second, and where no server has room a request waits at the edge and is refused with a promise while it can come back.

--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/junction/passage.py
@@ -150,6 +150,8 @@
             stand = self.stands.choose(now, passage.service, passage.tried, passage.size)
             if stand is None:
                 return self._refuse(Fault.NO_SERVER, passage.route.aim // 2)
+            if not stand.room(now):
+                return self._crowded(now, passage, stand)
             return self._send(now, passage, stand)
         held = self.outlook.holders.get(passage.service)
         holder = held.of(passage.key) if held else None
--- a/tests/depot/test_store.py
+++ b/tests/depot/test_store.py
@@ -2,7 +2,6 @@
 leave behind."""
 
 import os
-import random
 import shutil
 from functools import partial
 
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -179,3 +179,23 @@
     found.stands.by_name["orders-1"].kept = 3
     chosen = [begin(found, "/c/x", None)[1][1].server for _ in range(4)]
     assert chosen[:2] == ["orders-1"] * 2 and set(chosen[2:]) != {"orders-1"}
+
+
+def test_a_server_that_has_not_told_its_load_lately_gets_little_from_each_edge():
+    """Guards against all edges filling a server's queue at once, which it may never answer."""
+    found = junction()
+    passages = [begin(found) for _ in range(3)]
+    assert [step[0] for _, step in passages] == ["send", "send", "wait"]
+    found.ended(NOW, passages[0][0], ANSWERED, 200, (1, 0, 2))
+    assert found.again(NOW, passages[2][0])[0] == "send" and [begin(found)[1][0] for _ in range(5)][-1] == "wait"
+
+
+def test_where_no_server_has_room_a_request_waits_here_and_is_refused_while_it_can_come_back():
+    found = junction(servers=2)
+    steps = [begin(found, key=None, host="pay.example")[1] for _ in range(4)]
+    assert sorted(step[1].server for step in steps) == ["orders-0", "orders-0", "orders-1", "orders-1"]
+    passage, step = begin(found, key=None, host="pay.example")
+    assert step[0] == "wait"
+    later = NOW + passage.route.aim
+    step = found.again(later, passage)
+    assert step[:2] == ("refuse", Fault.FULL) and step[2] > 0 and ANSWERS[Fault.FULL].promises and not passage.tried
