--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -26,6 +26,14 @@
 Effect = tuple[Any, ...]
 
 
+def parts_of(record: Any) -> tuple[list[Any], dict[str, Any]]:
+    """The lines of a record and what its decider had learnt of servers. Records of before that had lines alone; None is
+    none at all."""
+    if record and isinstance(record[-1], dict):
+        return record[0], record[1]
+    return record or [], {}
+
+
 class Decision:
     """One service that this member may decide for. `told`: what edge members were last told to be recorded, and where
     that stands among records."""
@@ -230,7 +238,7 @@
             elif word == "office":
                 service = decision.claimer.service
                 servers = self._servers(now, service)
-                found, known = effect[1] or ([], {})
+                found, known = parts_of(effect[1])
                 decision.lines = Interlocking(now, decision.claimer.ballot[0], found)
                 decision.lines.listed(now, servers)
                 target = min((route.aim for places in self.keeper.force.hosts.values() for route in places.values()
@@ -309,7 +317,7 @@
             told = frame.get("lines", {}).get(service)
             at = ((told[0][0], told[0][1]), told[1]) if told else (NO_BALLOT, -1)
             if register.newest() > at:
-                frames.append(self.lines_frame(service, register.newest(), (register.record or ((),))[0]))
+                frames.append(self.lines_frame(service, register.newest(), parts_of(register.record)[0]))
         if self.roster.fetched_at is not None and frame.get("roster") != self.roster.digest():
             frames.append(self.roster.frame(now))
         return frames
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -445,3 +445,19 @@
     acknowledged = max(number for number in range(1, version + 1) if yard.settled(number))
     assert all(box.keeper.force.key.version >= acknowledged for box in yard.boxes.values())
     assert yard.all_held()
+
+
+def test_a_record_laid_down_by_a_former_version_is_read_and_its_lines_kept():
+    """Before servers were weighed a record was lines alone."""
+    yard = Yard(4)
+    yard.begin()
+    for name, disk in yard.disks.items():
+        yard.kill(name)
+        for service, register in disk.registers().items():
+            disk.keep_registers({service: register._replace(record=register.record[0], seq=register.seq + 1)})
+    before = {name: disk.registers()["views"].record for name, disk in yard.disks.items()}
+    assert all(isinstance(parts[0], int) for record in before.values() for parts in record)
+    for name in NAMES:
+        yard.start(name)
+    yard.turn(6)
+    assert yard.decider() and yard.all_held() and yard.bare == 0
