A server that never tells its load gets an edge's part of what it takes, not two requests

Cause: where servers don't send X-Server-Load, or one edge stands alone, the limit of two held for good, however many slots a server has. On both sites (12 and 10 edges, 2 slots) it is two as before.

--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/junction/passage.py
@@ -150,7 +150,7 @@
             stand = self.stands.choose(now, passage.service, passage.tried, passage.size)
             if stand is None:
                 return self._refuse(Fault.NO_SERVER, passage.route.aim // 2)
-            if not stand.room(now):
+            if not stand.room(now, self.outlook.edges):
                 return self._crowded(now, passage, stand)
             return self._send(now, passage, stand)
         held = self.outlook.holders.get(passage.service)
@@ -161,7 +161,7 @@
             return self._keyless(now, passage)
         if passage.dials and self.stands.avoided(now, stand):
             return self._keyless(now, passage)
-        if not stand.room(now):
+        if not stand.room(now, self.outlook.edges):
             return self._crowded(now, passage, stand)
         return self._send(now, passage, stand)
 
--- a/kestrelplank/junction/stands.py
+++ b/kestrelplank/junction/stands.py
@@ -14,7 +14,7 @@
 SPELL = (1 * S, 2 * S)  # for which a server is avoided at which tries have failed in a row
 STRIKES = 2
 QUEUE = 4  # requests that may wait at a server: beyond that it might take one that it never answers
-HEARD, UNHEARD = 1 * S, 2  # requests of ours at a server that has not told its load for so long
+HEARD, UNHEARD = 1 * S, 2  # so many requests of ours at least at a server that has not told its load for so long
 DIALLED = 1.4  # a server to which a connection must be made first seems slower by so much: they are priced, and all
 # edges share what a server accepts
 COLD = 0.5  # the weight of a server that is still slow after its start
@@ -52,12 +52,13 @@
         others = self.told * 0.5 ** ((now - self.told_at) / FADES) if self.told > 0.01 else 0.0
         return self.own + others
 
-    def room(self, now: int) -> bool:
-        """Whether it can take one more and keep its queue short. All edge members may send there at once: who has not
-        heard lately what it has in hand sends little until it has."""
+    def room(self, now: int, edges: int) -> bool:
+        """Whether it can take one more and keep its queue short. All `edges` may send there at once: who has not heard
+        lately what it has in hand, or never will, sends no more than its part, or two, until it has."""
+        most = self.slots + QUEUE
         if now - self.told_at > HEARD:
-            return self.own < UNHEARD
-        return self.load(now) < self.slots + QUEUE
+            return self.own < max(UNHEARD, most / edges)
+        return self.load(now) < most
 
     def wait(self, now: int) -> float:
         """Seconds until a further request would be done there, as estimated."""
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -184,6 +184,9 @@
 def test_a_server_that_has_not_told_its_load_lately_gets_little_from_each_edge():
     """Guards against all edges filling a server's queue at once, which it may never answer."""
     found = junction()
+    assert [begin(found)[1][0] for _ in range(7)] == ["send"] * 6 + ["wait"]  # alone it may take what the server can
+    found = junction()
+    found.outlook.edges = 12
     passages = [begin(found) for _ in range(3)]
     assert [step[0] for _, step in passages] == ["send", "send", "wait"]
     found.ended(NOW, passages[0][0], ANSWERED, 200, (1, 0, 2))
@@ -192,6 +195,7 @@
 
 def test_where_no_server_has_room_a_request_waits_here_and_is_refused_while_it_can_come_back():
     found = junction(servers=2)
+    found.outlook.edges = 12
     steps = [begin(found, key=None, host="pay.example")[1] for _ in range(4)]
     assert sorted(step[1].server for step in steps) == ["orders-0", "orders-0", "orders-1", "orders-1"]
     passage, step = begin(found, key=None, host="pay.example")
