--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -1,68 +1,56 @@
-"""Where keys go, by hand: the pass against keys that never move and keys by consistent hashing, on a made stream
-of requests whose busy keys lie close together; and what the decider costs. `python benchmarks/placing.py`."""
+"""Where keys go, by hand: the pass beside keys that never move and keys by consistent hashing, over servers with queues
+(`lab/queues`) whose busy keys lie close together, and what it costs. `python benchmarks/placing.py [SEEDS]`."""
 
+import sys
 import time
-from bisect import bisect
-from itertools import accumulate
 from random import Random
 
-from kestrelplank.interlocking.lines import KEYS, Interlocking, Server
-from kestrelplank.interlocking.placing import Placing
+from kestrelplank.interlocking.lines import KEYS
+from kestrelplank.lab.queues import Service
 from kestrelplank.plan.picks import keyed
 
-S = 1_000_000_000
-SKEW, THINGS = 0.64, 60_000
+SPEEDS = [0.7, 1.0, 1.0, 1.5]
 
 
-def servers(count):
-    return [Server(f"s{number}", f"10.0.{number // 250}.{number % 250}:80", "abc"[number % 3], 2, True, 0)
-            for number in range(count)]
+def speeds(seed, count):
+    found = [SPEEDS[number % len(SPEEDS)] for number in range(count)]
+    Random(seed).shuffle(found)
+    return found
 
 
-def stream(random, per_s, seconds):
-    """By half second the keys asked for: a Zipf law over neighbours, from a place of its own on."""
-    sums = list(accumulate(1 / (rank + 1) ** SKEW for rank in range(THINGS)))
-    at = random.randrange(KEYS)
-    for _ in range(2 * seconds):
-        yield [(at + bisect(sums, random.random() * sums[-1])) % KEYS for _ in range(per_s // 2)]
+class Hashed(Service):
+    """Each key by itself, by consistent hashing."""
 
+    def holder(self, firsts, key):
+        return f"s{keyed(str(key), [(number, 1.0) for number in range(len(self.servers))])}"
 
-def play(count, per_s, seconds, moves):
-    """Busiest server over the mean after a third of the time; share of keys that moved; ms of processor a second."""
-    random, now = Random(1), 100 * S
-    lines = Interlocking(now, 1, None)
-    lines.listed(now, servers(count))
-    lines.divide(4 * count)
-    placing = Placing(now, 1, lines, S // 2)
-    met, spent, names = dict.fromkeys(lines.servers, 0), 0.0, [(number, 1.0) for number in range(count)]
-    for half, keys in enumerate(stream(random, per_s, seconds)):
-        firsts, by_server = [line.first for line in lines.lines], {}
-        for key in keys:
-            if moves == "hash":
-                name = f"s{keyed(str(key), names)}"
-            else:
-                name = lines.lines[bisect(firsts, key) - 1].server
-            by_server[name] = by_server.get(name, 0) + 1
-            if half > 2 * seconds // 3:
-                met[name] = met.get(name, 0) + 1
-        began = time.process_time()
-        if moves == "pass" or not half:
-            placing.report(now, keys, {name: (tries, 0, 0.4 * tries, tries) for name, tries in by_server.items()})
-            for _ in range(10):
-                now += S // 20
-                placing.turn(now)
-                for effect in lines.tick(now):
-                    if effect[0] == "lay":
-                        lines.laid(now)
-                    elif effect[0] in ("grant", "release"):
-                        lines.called(now, effect[0], effect[3], True, 200, "h")
-        spent += time.process_time() - began
-    mean = sum(met.values()) / count
-    return max(met.values()) / mean, lines.moved / KEYS - 1, 1000 * spent / seconds, len(lines.lines)
 
+def play(kind, moves, count, per_s, seconds, seeds, hot):
+    """Share of requests beyond the aim by quarters, the busiest server over the mean in the last one, keys that moved
+    after the first time, processor of the whole model in ms a second."""
+    late, busiest, moved, spent = [0.0] * 4, 0.0, 0.0, time.process_time()
+    for seed in range(seeds):
+        service = kind(seed, speeds(seed, count), per_s, 0.16, 0.584, moves)
+        for quarter in range(4):
+            service.hot = (service.random.randrange(KEYS), 0.3) if hot and quarter == 1 else (0, 0.0)
+            late[quarter] += service.play(seconds / 4) / seeds
+        busiest += service.busiest() / seeds
+        moved += (service.lines.moved / KEYS - 1) / seeds
+    return late, busiest, moved, 1000 * (time.process_time() - spent) / seconds / seeds
 
-for count, per_s in ((23, 125), (500, 2700)):
-    for moves in ("never", "hash", "pass") if count < 100 else ("pass",):
-        busiest, moved, cost, held = play(count, per_s, 60 if count < 100 else 10, moves)
-        print(f"{count} servers, {per_s}/s, {moves}: busiest/mean {busiest:.2f}, keys moved {moved:.2f} times, "
-              f"{cost:.1f} ms/s, {held} lines")
+
+def main():
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 8
+    for count, per_s, seconds, hot in ((23, 125, 40, False), (23, 170, 40, False), (23, 125, 40, True),
+                                       (500, 2700, 8, False)):
+        for name, kind, moves in (("never moved", Service, False), ("by hashing", Hashed, False),
+                                  ("the pass", Service, True)):
+            if count < 100 or moves:
+                late, busiest, moved, cost = play(kind, moves, count, per_s, seconds, seeds if count < 100 else 1, hot)
+                print(f"{count} servers, {per_s}/s{', a hot key' if hot else ''}, {name}: late",
+                      " ".join(f"{one:.3f}" for one in late),
+                      f"busiest/mean {busiest:.2f}, moved {moved:.2f}, {cost:.0f} ms/s")
+
+
+if __name__ == "__main__":
+    main()
--- a/kestrelplank/lab/queues.py
+++ b/kestrelplank/lab/queues.py
@@ -119,13 +119,18 @@
 
     def carry(self, firsts: list[int], at: float, came: float, key: int) -> None:
         """A request that came then goes to who holds its key, or waits for the move to end."""
-        line = self.lines.lines[bisect(firsts, key) - 1]
-        if line.state != HELD or not line.laid:
+        name = self.holder(firsts, key)
+        if not name:
             self.waiting.append((came, key))
             return
         work = min(self.random.lognormvariate(math.log(self.work) - SPREAD ** 2 / 2, SPREAD), 6 * self.work)
-        self.late += self.servers[line.server].take(at, work, key) - came > self.aim
-        self.by_server[line.server] += 1
+        self.late += self.servers[name].take(at, work, key) - came > self.aim
+        self.by_server[name] += 1
+
+    def holder(self, firsts: list[int], key: int) -> str:
+        """The server that holds this key, "" while it is on its way."""
+        line = self.lines.lines[bisect(firsts, key) - 1]
+        return line.server if line.state == HELD and line.laid else ""
 
     def settle(self) -> None:
         """Records are kept and grants answered at once, releases when what runs on their keys has ended."""
