A server that leaves gets nothing long before its time is over, though it still holds keys

An edge sent to the holder of a key as long as its line stood, draining or not; here the lines stood for 2.5 s, the decider being lost at that time. Now 0.36 of the bound after the list was fetched nothing goes there: the key counts as nobody's, is waited for, and refused with a promise. The rest of the bound is for the age of the list, a connection and a wait.

--- a/kestrelplank/config/platform.py
+++ b/kestrelplank/config/platform.py
@@ -55,6 +55,7 @@
 @dataclass
 class Bounds:
     grace_s: int | float = 6
+    drain_s: int | float = 2.5
     retry_budget_ratio: int | float = 0.2
     retry_allowance: int | float = 30
 
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -8,7 +8,7 @@
 from typing import Any
 from zlib import crc32
 
-from kestrelplank.config.platform import Settings, endpoint
+from kestrelplank.config.platform import Settings, endpoint, ns
 from kestrelplank.coupling.serve import Duties, listener, server
 from kestrelplank.footplate.lines import HOP, Lines
 from kestrelplank.junction.kinds import ANSWERS, Fault
@@ -36,7 +36,7 @@
         self.random = Random(SystemRandom().getrandbits(64))
         self.outlook = Outlook(local.node_name, tuple(settings.network.seed_nodes))
         self.junction = Junction(self.random, self.outlook, local.zone, bounds.retry_budget_ratio,
-                                 bounds.retry_allowance)
+                                 bounds.retry_allowance, ns(bounds.drain_s))
         self.lines = Lines(time.monotonic_ns)
         self.readiness_port = settings.listen("readiness")[1]
         self.stopping = False
--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/junction/passage.py
@@ -82,8 +82,10 @@
 class Junction:
     """All requests of one edge member."""
 
-    def __init__(self, random: Random, outlook: Outlook, zone: str, ratio: float, allowance: float) -> None:
-        self._random, self.outlook = random, outlook
+    def __init__(self, random: Random, outlook: Outlook, zone: str, ratio: float, allowance: float,
+                 drain: int = 5 * S // 2) -> None:
+        """`drain`: ns after the platform lists a server as leaving after which no request may reach it."""
+        self._random, self.outlook, self._drain = random, outlook, drain
         self.stands = Stands(random, zone)
         self.budget = Budget(ratio, allowance)
         self.keys: dict[str, list[int]] = {}  # that requests came for since the last report, by service
@@ -156,7 +158,7 @@
         held = self.outlook.holders.get(passage.service)
         holder = held.of(passage.key) if held else None
         stand = self.stands.by_name.get(holder.server) if holder else None
-        if stand is None or not stand.ready and stand.server in passage.tried or (
+        if stand is None or stand.closed(now, self._drain) or not stand.ready and stand.server in passage.tried or (
                 passage.met == NOT_RUN and stand.server == passage.tried[-1]):
             return self._keyless(now, passage)
         if passage.dials and self.stands.avoided(now, stand):
--- a/kestrelplank/junction/stands.py
+++ b/kestrelplank/junction/stands.py
@@ -15,6 +15,7 @@
 STRIKES = 2
 QUEUE = 4  # requests that may wait at a server: beyond that it might take one that it never answers
 HEARD, UNHEARD = 1 * S, 2  # so many requests of ours at least at a server that has not told its load for so long
+CLOSES = 0.36  # of the time for which a server that leaves may still be sent requests
 DIALLED = 1.4  # a server to which a connection must be made first seems slower by so much: they are priced, and all
 # edges share what a server accepts
 COLD = 0.5  # the weight of a server that is still slow after its start
@@ -26,15 +27,16 @@
     """One server (one life of it)."""
 
     __slots__ = ("number", "server", "service", "address", "zone", "slots", "ready", "warm_at", "own", "told",
-                 "told_at", "took", "tries", "failed", "told_busy", "told_times", "alone_logs", "alone_times", "listed",
-                 "kept")
+                 "told_at", "took", "left_at", "tries", "failed", "told_busy", "told_times", "alone_logs",
+                 "alone_times", "listed", "kept")
 
     def __init__(self, number: int, entry: Entry) -> None:
         self.number, self.server, self.service, self.address = number, entry.server, entry.service, entry.address
         self.zone, self.slots = entry.zone, max(1, entry.slots)
-        self.ready, self.warm_at, self.listed = True, 0, True
+        self.ready, self.warm_at, self.listed = entry.state == READY, 0, True
         self.own, self.told, self.told_at, self.took = 0, 0.0, 0, USUAL
         self.kept = 0  # our connections there that stand unused, as the adapter says
+        self.left_at = 0  # when the list was fetched that shows it leaving; 0: the first that shows it does
         self.forget()
 
     def forget(self) -> None:
@@ -60,6 +62,11 @@
             return self.own < max(UNHEARD, most / edges)
         return self.load(now) < most
 
+    def closed(self, now: int, drain: int) -> bool:
+        """Whether nothing may go there any more, though it may hold keys: it leaves, and `drain` ns after the platform
+        says so are near. The list may be older by a poll or two than what it shows, and a connection takes time."""
+        return not self.ready and now >= self.left_at + int(drain * CLOSES)
+
     def wait(self, now: int) -> float:
         """Seconds until a further request would be done there, as estimated."""
         over = max(0.0, self.load(now) + 1 - self.slots)
@@ -84,11 +91,13 @@
             if stand is None:
                 self._given += 1
                 stand = Stand(self._given, entry)
+            if stand.ready and entry.state != READY:
+                stand.left_at = fetched_at
             stand.ready, stand.warm_at = entry.state == READY, fetched_at + entry.warm
             seen[entry.server] = stand
         for name, stand in self.by_name.items():
             if name not in seen:
-                stand.ready = stand.listed = False
+                stand.ready = stand.listed = False  # nobody finds it any more
         self.by_name = seen
         self.services = {}
         for stand in seen.values():
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -203,3 +203,15 @@
     later = NOW + passage.route.aim
     step = found.again(later, passage)
     assert step[:2] == ("refuse", Fault.FULL) and step[2] > 0 and ANSWERS[Fault.FULL].promises and not passage.tried
+
+
+def test_a_server_that_leaves_gets_nothing_long_before_its_time_is_over_though_it_still_holds_the_key():
+    """Guards against a decider that is lost just then: lines stand, and the edge would send by them to the end."""
+    found = junction()
+    entries = [entry._replace(state="draining") if entry.server == "views-0" else entry
+               for entry in found.outlook.roster.entries.values()]
+    found.stands.listed(NOW + S, NOW + S, entries)
+    assert found.begin(NOW + S, "shop.example", "/a/x", "5", 2 * S)[1][0] == "send"  # its keys are on their way
+    passage, step = found.begin(NOW + 2 * S, "shop.example", "/a/x", "5", 2 * S)
+    assert step[0] == "wait" and found.again(step[1], passage)[1] == Fault.NO_HOLDER
+    assert begin(junction(state="draining"))[1][0] == "wait"  # who first hears of it so can't tell for how long
