Read once more: sums over the reports that are kept, no arguments that nothing reads

Speeds were once judged from a shorter span of the same reports; since they have sums of their own, the one caller left asks for all that is kept. No behaviour changes: the reports kept end where the sums began.

--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/interlocking/placing.py
@@ -118,7 +118,7 @@
         """What is known of each server, for the record: else each new decider would begin with none."""
         return {name: pace.parts() for name, pace in self._paces.items() if pace.known() >= 1}
 
-    def report(self, now: int, keys: list[int], servers: Mapping[str, "Met"]) -> None:
+    def report(self, now: int, keys: list[int], servers: Mapping[str, Met]) -> None:
         """One edge member's: keys asked for, and what it met of servers."""
         if keys and self._began is None:
             self._began = now - PERIOD
@@ -206,7 +206,7 @@
         """What a period of reports comes to, in the pass's words."""
         while self._keys and now - self._keys[0][0] > WINDOW:
             self._keys.popleft()
-        while self._met and now - self._met[0][0] > WINDOW:
+        while self._met and now - self._met[0][0] >= WINDOW:
             self._met.popleft()
         span = PERIOD if self._began is None else max(PERIOD, min(WINDOW, now - self._began))
         self._sorted = sorted(key for _, keys in self._keys for key in keys)
@@ -215,7 +215,7 @@
         total = sum(heats.values())
         ready = sum(server.ready for server in self._lines.servers.values())
         if total and ready:
-            events += self._cuts(now, heats, total / ready, span)
+            events += self._cuts(heats, total / ready)
             events += self._joins(now, heats, total / ready)
         for line, heat in heats.items():
             if line in self._of:
@@ -225,17 +225,17 @@
         loads: dict[str, float] = {}
         for line, heat in heats.items():
             loads[line.server] = loads.get(line.server, 0.0) + heat * PERIOD / S
-        for name, (tries, failed) in self._sums(now - WINDOW).items():
+        for name, (tries, failed) in self._sums().items():
             if name in self._lines.servers:
                 zone, load = self._zones.get(self._lines.servers[name].zone), loads.get(name, 0.0)
                 failing = load * failed / tries if tries else 0.0
                 events.append(("tries", self._node(name), zone, load, failing, 0, PERIOD, {}))
         return events
 
-    def _sums(self, since: int) -> dict[str, list[float]]:
+    def _sums(self) -> dict[str, list[float]]:
         sums: dict[str, list[float]] = {}
-        for at, servers in self._met:
-            for name, parts in servers.items() if at > since else ():
+        for _, servers in self._met:
+            for name, parts in servers.items():
                 held = sums.setdefault(name, [0, 0])
                 held[0] += parts[0]
                 held[1] += parts[1]
@@ -292,7 +292,7 @@
         usual = FLOOR * max(sum(heats.values()), len(self._lines.servers)) / KEYS
         return {line: heat + usual * (line.last - line.first + 1) for line, heat in heats.items()}
 
-    def _cuts(self, now: int, heats: dict[Line, float], mean: float, span: int) -> list[tuple[Any, ...]]:
+    def _cuts(self, heats: dict[Line, float], mean: float) -> list[tuple[Any, ...]]:
         """Cuts what is too hot, the hottest first, each once a period."""
         events: list[tuple[Any, ...]] = []
         room = MOST_LINES * max(1, len(self._lines.servers)) - len(self._lines.lines)
