--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -6,10 +6,10 @@
 
 from kestrelplank.interlocking.lines import KEYS
 from kestrelplank.signalbox.box import Box
-from kestrelplank.telegraph.outlook import Outlook
-from kestrelplank.telegraph.sessions import Sessions
-from kestrelplank.telegraph.wire import packed, unpacked
 from kestrelplank.timetable.plan import read
+from kestrelplank.transport.outlook import Outlook
+from kestrelplank.transport.sessions import Sessions
+from kestrelplank.transport.wire import packed, unpacked
 
 S = 1_000_000_000
 ME, PER_S, SECONDS = "10.0.0.1:80", 125, 10
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -1,4 +1,4 @@
-"""The edge program on sockets, round `junction` and `telegraph.outlook`: it translates and sends, no more."""
+"""The edge program on sockets, round `junction` and `transport.outlook`: it translates and sends, no more."""
 
 import asyncio
 import logging
@@ -13,8 +13,8 @@
 from kestrelplank.footplate.lines import HOP, Lines
 from kestrelplank.junction.kinds import ANSWERS, Fault
 from kestrelplank.junction.passage import Junction, Passage
-from kestrelplank.telegraph.outlook import SILENT, Outlook
-from kestrelplank.telegraph.wire import Frame, Wire
+from kestrelplank.transport.outlook import SILENT, Outlook
+from kestrelplank.transport.wire import Frame, Wire
 
 S = 1_000_000_000
 DIAL = 0.6  # s for a session to come up
--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/junction/passage.py
@@ -15,8 +15,8 @@
 
 from kestrelplank.junction.kinds import ANSWERS, Fault
 from kestrelplank.junction.stands import Stand, Stands
-from kestrelplank.telegraph.outlook import Outlook
 from kestrelplank.timetable.plan import Route
+from kestrelplank.transport.outlook import Outlook
 
 S = 1_000_000_000
 MS = 1_000_000
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -14,9 +14,9 @@
 from kestrelplank.interlocking.claims import NO_BALLOT, Claimer, Promiser, Register
 from kestrelplank.interlocking.lines import HELD, KEYS, Interlocking, Line, Server
 from kestrelplank.interlocking.placing import Placing
-from kestrelplank.telegraph.roster import READY, Roster
 from kestrelplank.timetable.keeping import Keeper
 from kestrelplank.timetable.plan import Key, Timetable, read
+from kestrelplank.transport.roster import READY, Roster
 
 S = 1_000_000_000
 BEAT = S // 5
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -19,10 +19,10 @@
 from kestrelplank.interlocking.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
-from kestrelplank.telegraph.sessions import Sessions
-from kestrelplank.telegraph.wire import Frame, Wire, packed
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import Timetable
+from kestrelplank.transport.sessions import Sessions
+from kestrelplank.transport.wire import Frame, Wire, packed
 
 S = 1_000_000_000
 TICK = 0.05
--- a/kestrelplank/telegraph/outlook.py
+++ b/kestrelplank/transport/outlook.py
@@ -4,8 +4,8 @@
 from bisect import bisect_right
 from typing import Any, NamedTuple
 
-from kestrelplank.telegraph.roster import Roster
 from kestrelplank.timetable.plan import Key, Timetable, read
+from kestrelplank.transport.roster import Roster
 
 S = 1_000_000_000
 SILENT = 3 * S // 2  # a session that says nothing for so long is ended and begun anew
--- a/tests/junction/test_passage.py
+++ b/tests/junction/test_passage.py
@@ -7,7 +7,7 @@
 
 from kestrelplank.junction.kinds import ANSWERS, Fault
 from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
-from kestrelplank.telegraph.outlook import Outlook
+from kestrelplank.transport.outlook import Outlook
 
 MS, S = 1_000_000, 1_000_000_000
 NOW = 100 * S
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -12,9 +12,9 @@
 import kestrelplank
 from kestrelplank.interlocking.lines import HELD, HOLD, KEYS
 from kestrelplank.signalbox.box import Box
-from kestrelplank.telegraph.outlook import Outlook
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import read
+from kestrelplank.transport.outlook import Outlook
 
 NAMES = ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
 MS, S = 1_000_000, 1_000_000_000
--- a/tests/telegraph/test_outlook.py
+++ b/tests/transport/test_outlook.py
@@ -4,8 +4,8 @@
 
 from timetable.test_plan import encoded
 
-from kestrelplank.telegraph.outlook import Holder, Holders, Outlook
-from kestrelplank.telegraph.roster import DRAINING, READY, Roster
+from kestrelplank.transport.outlook import Holder, Holders, Outlook
+from kestrelplank.transport.roster import DRAINING, READY, Roster
 
 S = 1_000_000_000
 MEMBERS = ("a:1", "b:1", "c:1")
--- a/tests/telegraph/test_sessions.py
+++ b/tests/transport/test_sessions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kestrelplank.telegraph.sessions import Sessions
+from kestrelplank.transport.sessions import Sessions
 
 S = 1_000_000_000
 
--- a/tests/telegraph/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from kestrelplank.telegraph import wire as module
-from kestrelplank.telegraph.wire import COMPRESSED, MOST_FRAME, Wire, encoder, packed
+from kestrelplank.transport import wire as module
+from kestrelplank.transport.wire import COMPRESSED, MOST_FRAME, Wire, encoder, packed
 
 
 class Pipe:
