--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -15,10 +15,10 @@
 from kestrelplank.coupling.call import Line as Connection
 from kestrelplank.coupling.call import dial
 from kestrelplank.coupling.serve import Duties, listener, server
-from kestrelplank.depot.store import Store
 from kestrelplank.interlocking.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
+from kestrelplank.storage.store import Store
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import Timetable
 from kestrelplank.transport.sessions import Sessions
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import pytest
-from depot.memory import Memory
+from storage.memory import Memory
 from timetable.test_plan import encoded
 
 import kestrelplank
--- a/tests/depot/test_store.py
+++ b/tests/storage/test_store.py
@@ -7,12 +7,12 @@
 
 import lmdb
 import pytest
-from depot.memory import Memory
+from storage.memory import Memory
 from timetable.test_keeping import word
 
-from kestrelplank.depot.store import Store
 from kestrelplank.files import whole
 from kestrelplank.interlocking.claims import Register
+from kestrelplank.storage.store import Store
 
 MEMBERS = ("a:1", "b:1", "c:1")
 RECORD = [[0, 65535, "s", "s:80", 2_000_001, None]]
@@ -227,7 +227,7 @@
 
 def test_a_full_disk_refuses_a_write_and_keeps_what_it_has(folder, monkeypatch):
     store = Store(folder)
-    monkeypatch.setattr("kestrelplank.depot.store.MAP_BYTES", 1 << 16)
+    monkeypatch.setattr("kestrelplank.storage.store.MAP_BYTES", 1 << 16)
     store = again(store)
     store.keep_registers({"views": Register((1, "a:1"))})
     with pytest.raises(lmdb.MapFullError):
