--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -12,7 +12,7 @@
 
 from kestrelplank.config import lean  # noqa: F401
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
-from kestrelplank.coupling.serve import listener
+from kestrelplank.http.serve import listener
 
 IP, CLIENTS = "127.0.0.1", 8
 CONFIGURATION = json.dumps({
--- a/kestrelplank/footplate/lines.py
+++ b/kestrelplank/footplate/lines.py
@@ -6,7 +6,7 @@
 
 import httpcore
 
-from kestrelplank.coupling.call import Answer, Line, TooLarge, dial
+from kestrelplank.http.call import Answer, Line, TooLarge, dial
 from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 from kestrelplank.plan.pools import DIAL, USE, Pool, Terms
 
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -9,8 +9,8 @@
 from zlib import crc32
 
 from kestrelplank.config.platform import Settings, endpoint, ns
-from kestrelplank.coupling.serve import Duties, listener, server
 from kestrelplank.footplate.lines import HOP, Lines
+from kestrelplank.http.serve import Duties, listener, server
 from kestrelplank.junction.kinds import ANSWERS, Fault
 from kestrelplank.junction.passage import Junction, Passage
 from kestrelplank.transport.outlook import SILENT, Outlook
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -99,7 +99,7 @@
 
 async def call(address: str, method: bytes, path: bytes, body: bytes = b"") -> tuple[int, bytes]:
     """One call to a control member: status and body. Raises OSError or TimeoutError where it does not answer."""
-    from kestrelplank.coupling.call import dial
+    from kestrelplank.http.call import dial
     headers = [(b"Host", b"control"), (b"Content-Type", b"application/json"),
                (b"Content-Length", str(len(body)).encode())]
     async with asyncio.timeout(10):
--- a/kestrelplank/coupling/call.py
+++ b/kestrelplank/http/call.py
@@ -4,7 +4,7 @@
 
 import httpcore
 
-from kestrelplank.coupling.stream import Stream, connect
+from kestrelplank.http.stream import Stream, connect
 
 MOST_ANSWER = 16 << 20
 
--- a/kestrelplank/lab/yard.py
+++ b/kestrelplank/lab/yard.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from kestrelplank.coupling.call import dial
-from kestrelplank.coupling.serve import Server, listener, server
+from kestrelplank.http.call import dial
+from kestrelplank.http.serve import Server, listener, server
 
 S = 1_000_000_000
 HOST = "shop.example"
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from kestrelplank.config.platform import Settings, endpoint, ns
-from kestrelplank.coupling.call import Line as Connection
-from kestrelplank.coupling.call import dial
-from kestrelplank.coupling.serve import Duties, listener, server
+from kestrelplank.http.call import Line as Connection
+from kestrelplank.http.call import dial
+from kestrelplank.http.serve import Duties, listener, server
 from kestrelplank.interlocking.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
--- a/kestrelplank/transport/wire.py
+++ b/kestrelplank/transport/wire.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from kestrelplank.coupling.stream import harden, resetting
+from kestrelplank.http.stream import harden, resetting
 
 MOST_FRAME = 32 << 20
 MOST_UNSENT = 8 << 20  # bytes that a peer has not read: then it is let go, as it would hold us up
--- a/tests/coupling/test_serve.py
+++ b/tests/http/test_serve.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kestrelplank.coupling.serve import Duties, listener
+from kestrelplank.http.serve import Duties, listener
 
 
 @pytest.mark.parametrize("how, stops", [("fails", True), ("ends", False), ("is cancelled", False)])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,8 +6,8 @@
 import pytest
 from timetable.test_plan import configuration, route
 
-from kestrelplank.coupling.serve import listener, server
 from kestrelplank.gateway import main
+from kestrelplank.http.serve import listener, server
 from kestrelplank.signalbox.calls import application
 
 
