--- a/kestrelplank/footplate/lines.py
+++ b/kestrelplank/footplate/lines.py
@@ -6,8 +6,8 @@
 
 import httpcore
 
+from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 from kestrelplank.http.call import Answer, Line, TooLarge, dial
-from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 from kestrelplank.plan.pools import DIAL, USE, Pool, Terms
 
 DIAL_WITHIN = 0.35  # s for a connection to come up
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/footplate/program.py
@@ -1,4 +1,4 @@
-"""The edge program on sockets, round `junction` and `transport.outlook`: it translates and sends, no more."""
+"""The edge program on sockets, round `forwarding` and `transport.outlook`: it translates and sends, no more."""
 
 import asyncio
 import logging
@@ -10,9 +10,9 @@
 
 from kestrelplank.config.platform import Settings, endpoint, ns
 from kestrelplank.footplate.lines import HOP, Lines
+from kestrelplank.forwarding.kinds import ANSWERS, Fault
+from kestrelplank.forwarding.passage import Junction, Passage
 from kestrelplank.http.serve import Duties, listener, server
-from kestrelplank.junction.kinds import ANSWERS, Fault
-from kestrelplank.junction.passage import Junction, Passage
 from kestrelplank.transport.outlook import SILENT, Outlook
 from kestrelplank.transport.wire import Frame, Wire
 
--- a/kestrelplank/junction/passage.py
+++ b/kestrelplank/forwarding/passage.py
@@ -13,8 +13,8 @@
 from random import Random
 from typing import Any
 
-from kestrelplank.junction.kinds import ANSWERS, Fault
-from kestrelplank.junction.stands import Stand, Stands
+from kestrelplank.forwarding.kinds import ANSWERS, Fault
+from kestrelplank.forwarding.stands import Stand, Stands
 from kestrelplank.timetable.plan import Route
 from kestrelplank.transport.outlook import Outlook
 
--- a/kestrelplank/signalbox/calls.py
+++ b/kestrelplank/signalbox/calls.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from kestrelplank.junction.kinds import ANSWERS, Fault
+from kestrelplank.forwarding.kinds import ANSWERS, Fault
 from kestrelplank.timetable.plan import Timetable, read
 
 MOST_BODY = 64 << 20
--- a/tests/footplate/test_lines.py
+++ b/tests/footplate/test_lines.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as some
 
 from kestrelplank.footplate.lines import Lines
-from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
+from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 
 OURS = b"X-Attempt-Id: me\r\n"
 
--- a/tests/junction/test_passage.py
+++ b/tests/forwarding/test_passage.py
@@ -5,8 +5,8 @@
 import pytest
 from timetable.test_plan import configuration, encoded, route
 
-from kestrelplank.junction.kinds import ANSWERS, Fault
-from kestrelplank.junction.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
+from kestrelplank.forwarding.kinds import ANSWERS, Fault
+from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
 from kestrelplank.transport.outlook import Outlook
 
 MS, S = 1_000_000, 1_000_000_000
