--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -5,9 +5,9 @@
 import time
 from random import Random
 
-from kestrelplank.interlocking.lines import KEYS
 from kestrelplank.lab.queues import Service
 from kestrelplank.plan.picks import keyed
+from kestrelplank.sharding.lines import KEYS
 
 SPEEDS = [0.7, 1.0, 1.0, 1.5]
 
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -4,7 +4,7 @@
 import time
 from random import Random
 
-from kestrelplank.interlocking.lines import KEYS
+from kestrelplank.sharding.lines import KEYS
 from kestrelplank.signalbox.box import Box
 from kestrelplank.timetable.plan import read
 from kestrelplank.transport.outlook import Outlook
--- a/kestrelplank/lab/queues.py
+++ b/kestrelplank/lab/queues.py
@@ -8,9 +8,9 @@
 from random import Random
 from typing import Any
 
-from kestrelplank.interlocking.lines import HELD, KEYS, Interlocking
-from kestrelplank.interlocking.lines import Server as Listed
-from kestrelplank.interlocking.placing import Met, Placing
+from kestrelplank.sharding.lines import HELD, KEYS, Interlocking
+from kestrelplank.sharding.lines import Server as Listed
+from kestrelplank.sharding.placing import Met, Placing
 
 S = 1_000_000_000
 SPREAD = 0.8  # of the logarithm of the work of a request
--- a/kestrelplank/interlocking/placing.py
+++ b/kestrelplank/sharding/placing.py
@@ -14,8 +14,8 @@
 from heapq import heapify, heapreplace
 from typing import Any
 
-from kestrelplank.interlocking.lines import FREE, HELD, KEYS, LEAVING, Interlocking, Line, Server
 from kestrelplank.policy import Conductor
+from kestrelplank.sharding.lines import FREE, HELD, KEYS, LEAVING, Interlocking, Line, Server
 
 S = 1_000_000_000
 PERIOD = S // 2  # of reports; the pass averages five
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -1,6 +1,6 @@
 """One control member without I/O: the word, claims and lines joined, and what edge members are told.
 
-Effects besides those of `timetable.keeping` and `interlocking`:
+Effects besides those of `timetable.keeping` and `sharding`:
 
     ("frames", [frame])                   to every edge member in session
     ("disk", what, payload, then)         write; once it lasts, carry out the effects in `then`
@@ -11,9 +11,9 @@
 from random import Random
 from typing import Any
 
-from kestrelplank.interlocking.claims import NO_BALLOT, Claimer, Promiser, Register
-from kestrelplank.interlocking.lines import HELD, KEYS, Interlocking, Line, Server
-from kestrelplank.interlocking.placing import Placing
+from kestrelplank.sharding.claims import NO_BALLOT, Claimer, Promiser, Register
+from kestrelplank.sharding.lines import HELD, KEYS, Interlocking, Line, Server
+from kestrelplank.sharding.placing import Placing
 from kestrelplank.timetable.keeping import Keeper
 from kestrelplank.timetable.plan import Key, Timetable, read
 from kestrelplank.transport.roster import READY, Roster
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -15,7 +15,7 @@
 from kestrelplank.http.call import Line as Connection
 from kestrelplank.http.call import dial
 from kestrelplank.http.serve import Duties, listener, server
-from kestrelplank.interlocking.lines import CALL, HOLD, RELEASE, Line
+from kestrelplank.sharding.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
 from kestrelplank.storage.store import Store
--- a/kestrelplank/storage/store.py
+++ b/kestrelplank/storage/store.py
@@ -11,7 +11,7 @@
 
 from kestrelplank.decode import Malformed
 from kestrelplank.files.whole import sync_folder, write_whole
-from kestrelplank.interlocking.claims import Register
+from kestrelplank.sharding.claims import Register
 from kestrelplank.state.sealed import sealed, unsealed
 from kestrelplank.timetable.plan import Timetable, read
 
--- a/tests/interlocking/test_claims.py
+++ b/tests/sharding/test_claims.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from kestrelplank.interlocking.claims import LEASE, Claimer, Promiser, Register
+from kestrelplank.sharding.claims import LEASE, Claimer, Promiser, Register
 
 NAMES = ("a", "b", "c")
 MS = 1_000_000
--- a/tests/interlocking/test_placing.py
+++ b/tests/sharding/test_placing.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from kestrelplank.interlocking.lines import KEYS
-from kestrelplank.interlocking.placing import Pace
 from kestrelplank.lab.queues import S, Server, Service
+from kestrelplank.sharding.lines import KEYS
+from kestrelplank.sharding.placing import Pace
 
 SPEEDS = [0.7, 1.0, 1.0, 1.5] * 3
 
--- a/tests/interlocking/test_ranges.py
+++ b/tests/sharding/test_ranges.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from kestrelplank.interlocking.lines import FREE, HELD, HOLD, KEYS, LEAVING, Interlocking, Server, runs_out
-from kestrelplank.interlocking.placing import Placing
+from kestrelplank.sharding.lines import FREE, HELD, HOLD, KEYS, LEAVING, Interlocking, Server, runs_out
+from kestrelplank.sharding.placing import Placing
 
 S = 1_000_000_000
 NOW = 100 * S
--- a/tests/signalbox/test_box.py
+++ b/tests/signalbox/test_box.py
@@ -10,7 +10,7 @@
 from timetable.test_plan import encoded
 
 import kestrelplank
-from kestrelplank.interlocking.lines import HELD, HOLD, KEYS
+from kestrelplank.sharding.lines import HELD, HOLD, KEYS
 from kestrelplank.signalbox.box import Box
 from kestrelplank.timetable.keeping import SETTLED
 from kestrelplank.timetable.plan import read
@@ -350,7 +350,7 @@
 def test_no_core_and_no_program_of_the_gateway_heeds_the_time_of_day():
     """It steps; only the steady clock counts."""
     folder = Path(kestrelplank.__file__).parent
-    rooms = ("interlocking", "timetable", "forwarding", "transport", "storage", "http", "footplate", "signalbox")
+    rooms = ("sharding", "timetable", "forwarding", "transport", "storage", "http", "footplate", "signalbox")
     sources = [path for room in rooms for path in (folder / room).glob("*.py")]
     assert len(sources) > 20
     assert not [path for path in sources if re.search(r"\btime\.time(_ns)?\(|datetime", path.read_text())]
--- a/tests/storage/memory.py
+++ b/tests/storage/memory.py
@@ -1,6 +1,6 @@
 """A member's disk in memory: what the contract of `test_store` says of the one on disk."""
 
-from kestrelplank.interlocking.claims import Register
+from kestrelplank.sharding.claims import Register
 
 
 class Memory:
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -11,7 +11,7 @@
 from timetable.test_keeping import word
 
 from kestrelplank.files import whole
-from kestrelplank.interlocking.claims import Register
+from kestrelplank.sharding.claims import Register
 from kestrelplank.storage.store import Store
 
 MEMBERS = ("a:1", "b:1", "c:1")
