--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -4,9 +4,9 @@
 import time
 from random import Random
 
+from kestrelplank.configuration.plan import read
 from kestrelplank.sharding.lines import KEYS
 from kestrelplank.signalbox.box import Box
-from kestrelplank.timetable.plan import read
 from kestrelplank.transport.outlook import Outlook
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import packed, unpacked
--- a/kestrelplank/timetable/change.py
+++ b/kestrelplank/configuration/change.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from kestrelplank.timetable.plan import Route, Timetable
+from kestrelplank.configuration.plan import Route, Timetable
 
 ADDED, DROPPED = "added", "dropped"
 FIELDS = {"kind": "route_type", "timeout": "timeout_s", "aim": "target_latency_s", "priority": "priority",
--- a/kestrelplank/timetable/keeping.py
+++ b/kestrelplank/configuration/keeping.py
@@ -11,7 +11,7 @@
 
 from typing import Any, NamedTuple
 
-from kestrelplank.timetable.plan import NOTHING, Key, Timetable
+from kestrelplank.configuration.plan import NOTHING, Key, Timetable
 
 S = 1_000_000_000
 PATIENCE = 800_000_000  # ns that a call of the operator waits for a majority: callers go elsewhere after a second
--- a/kestrelplank/forwarding/passage.py
+++ b/kestrelplank/forwarding/passage.py
@@ -13,9 +13,9 @@
 from random import Random
 from typing import Any
 
+from kestrelplank.configuration.plan import Route
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
 from kestrelplank.forwarding.stands import Stand, Stands
-from kestrelplank.timetable.plan import Route
 from kestrelplank.transport.outlook import Outlook
 
 S = 1_000_000_000
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -48,7 +48,7 @@
 
 def configuration(path: str) -> Any:
     """The configuration in that file; Unusable, in one line, where it is none."""
-    from kestrelplank.timetable.plan import read
+    from kestrelplank.configuration.plan import read
     try:
         found = read(Path(path).read_bytes())
     except OSError as err:
@@ -70,7 +70,7 @@
     """What `new` changes; 1 where it changes anything."""
     import json
 
-    from kestrelplank.timetable.change import changes
+    from kestrelplank.configuration.change import changes
     found = changes(configuration(old), configuration(new))
     if as_json:
         print(json.dumps([change._asdict() for change in found]))
--- a/kestrelplank/signalbox/box.py
+++ b/kestrelplank/signalbox/box.py
@@ -1,6 +1,6 @@
 """One control member without I/O: the word, claims and lines joined, and what edge members are told.
 
-Effects besides those of `timetable.keeping` and `sharding`:
+Effects besides those of `configuration.keeping` and `sharding`:
 
     ("frames", [frame])                   to every edge member in session
     ("disk", what, payload, then)         write; once it lasts, carry out the effects in `then`
@@ -11,11 +11,11 @@
 from random import Random
 from typing import Any
 
+from kestrelplank.configuration.keeping import Keeper
+from kestrelplank.configuration.plan import Key, Timetable, read
 from kestrelplank.sharding.claims import NO_BALLOT, Claimer, Promiser, Register
 from kestrelplank.sharding.lines import HELD, KEYS, Interlocking, Line, Server
 from kestrelplank.sharding.placing import Placing
-from kestrelplank.timetable.keeping import Keeper
-from kestrelplank.timetable.plan import Key, Timetable, read
 from kestrelplank.transport.roster import READY, Roster
 
 S = 1_000_000_000
--- a/kestrelplank/signalbox/calls.py
+++ b/kestrelplank/signalbox/calls.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from kestrelplank.configuration.plan import Timetable, read
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
-from kestrelplank.timetable.plan import Timetable, read
 
 MOST_BODY = 64 << 20
 Result = tuple[int, bytes]
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/signalbox/program.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from kestrelplank.config.platform import Settings, endpoint, ns
+from kestrelplank.configuration.keeping import SETTLED
+from kestrelplank.configuration.plan import Timetable
 from kestrelplank.http.call import Line as Connection
 from kestrelplank.http.call import dial
 from kestrelplank.http.serve import Duties, listener, server
@@ -19,8 +21,6 @@
 from kestrelplank.signalbox.box import Box, Effect
 from kestrelplank.signalbox.calls import application
 from kestrelplank.storage.store import Store
-from kestrelplank.timetable.keeping import SETTLED
-from kestrelplank.timetable.plan import Timetable
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import Frame, Wire, packed
 
--- a/kestrelplank/storage/store.py
+++ b/kestrelplank/storage/store.py
@@ -9,11 +9,11 @@
 import lmdb
 import msgspec
 
+from kestrelplank.configuration.plan import Timetable, read
 from kestrelplank.decode import Malformed
 from kestrelplank.files.whole import sync_folder, write_whole
 from kestrelplank.sharding.claims import Register
 from kestrelplank.state.sealed import sealed, unsealed
-from kestrelplank.timetable.plan import Timetable, read
 
 FORM = 1
 MAP_BYTES = 16 << 20
--- a/kestrelplank/transport/outlook.py
+++ b/kestrelplank/transport/outlook.py
@@ -4,7 +4,7 @@
 from bisect import bisect_right
 from typing import Any, NamedTuple
 
-from kestrelplank.timetable.plan import Key, Timetable, read
+from kestrelplank.configuration.plan import Key, Timetable, read
 from kestrelplank.transport.roster import Roster
 
 S = 1_000_000_000
--- a/tests/timetable/test_keeping.py
+++ b/tests/configuration/test_keeping.py
@@ -2,10 +2,10 @@
 
 from itertools import combinations
 
-from timetable.test_plan import encoded
+from configuration.test_plan import encoded
 
-from kestrelplank.timetable.keeping import NO_MAJORITY, PATIENCE, SETTLED, Keeper
-from kestrelplank.timetable.plan import NOTHING, Key, read
+from kestrelplank.configuration.keeping import NO_MAJORITY, PATIENCE, SETTLED, Keeper
+from kestrelplank.configuration.plan import NOTHING, Key, read
 
 NAMES = ("a", "b", "c")
 
--- a/tests/timetable/test_plan.py
+++ b/tests/configuration/test_plan.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kestrelplank.timetable.plan import read
+from kestrelplank.configuration.plan import read
 
 
 def configuration(version="00000007", **changes):
--- a/tests/footplate/test_edge.py
+++ b/tests/footplate/test_edge.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import pytest
-from timetable.test_plan import encoded
+from configuration.test_plan import encoded
 
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
 from kestrelplank.footplate.program import Footplate
--- a/tests/forwarding/test_passage.py
+++ b/tests/forwarding/test_passage.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from timetable.test_plan import configuration, encoded, route
+from configuration.test_plan import configuration, encoded, route
 
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
 from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -7,8 +7,8 @@
 
 import lmdb
 import pytest
+from configuration.test_keeping import word
 from storage.memory import Memory
-from timetable.test_keeping import word
 
 from kestrelplank.files import whole
 from kestrelplank.sharding.claims import Register
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from timetable.test_plan import configuration, route
+from configuration.test_plan import configuration, route
 
 from kestrelplank.gateway import main
 from kestrelplank.http.serve import listener, server
--- a/tests/transport/test_outlook.py
+++ b/tests/transport/test_outlook.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from timetable.test_plan import encoded
+from configuration.test_plan import encoded
 
 from kestrelplank.transport.outlook import Holder, Holders, Outlook
 from kestrelplank.transport.roster import DRAINING, READY, Roster
