--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -45,7 +45,7 @@
 
 
 async def edge(port, behind, seconds, profile, told):
-    from kestrelplank.footplate.program import Footplate
+    from kestrelplank.edge.program import Footplate
     found = Footplate(Settings(Local("edge-1", IP, "hall"), Network([port + 2], [f"{IP}:{port + 3}"], {
         "frontend": f"{IP}:{port}", "readiness": f"{IP}:{port + 1}"}), CloudApi("127.0.0.1:9"), Bounds()))
     found.listen()
--- a/kestrelplank/footplate/program.py
+++ b/kestrelplank/edge/program.py
@@ -9,7 +9,7 @@
 from zlib import crc32
 
 from kestrelplank.config.platform import Settings, endpoint, ns
-from kestrelplank.footplate.lines import HOP, Lines
+from kestrelplank.edge.lines import HOP, Lines
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
 from kestrelplank.forwarding.passage import Junction, Passage
 from kestrelplank.http.serve import Duties, listener, server
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -195,7 +195,7 @@
         if words["footplate"]:
             if not words["--trace"].isdecimal():
                 raise Unusable(f"--trace: {words['--trace']!r} is no whole number")
-            from kestrelplank.footplate.program import run as carry
+            from kestrelplank.edge.program import run as carry
             return asyncio.run(carry(settings, int(words["--trace"])))
         from kestrelplank.signalbox.program import run
         return asyncio.run(run(settings))
--- a/tests/footplate/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -8,7 +8,7 @@
 from configuration.test_plan import encoded
 
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
-from kestrelplank.footplate.program import Footplate
+from kestrelplank.edge.program import Footplate
 from kestrelplank.lab.yard import StandIn, Tally, free_port
 
 IP = "127.0.0.1"
--- a/tests/footplate/test_lines.py
+++ b/tests/edge/test_lines.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from kestrelplank.footplate.lines import Lines
+from kestrelplank.edge.lines import Lines
 from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
 
 OURS = b"X-Attempt-Id: me\r\n"
