--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -5,8 +5,8 @@
 from random import Random
 
 from kestrelplank.configuration.plan import read
+from kestrelplank.control.box import Box
 from kestrelplank.sharding.lines import KEYS
-from kestrelplank.signalbox.box import Box
 from kestrelplank.transport.outlook import Outlook
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import packed, unpacked
--- a/kestrelplank/configuration/keeping.py
+++ b/kestrelplank/configuration/keeping.py
@@ -29,7 +29,7 @@
 
 class Keeper:
     """One of `members` (all counted ones, itself among them). `whole`: it may vouch for its disk; one that came back
-    with an empty disk may not, until it has heard enough others (see `signalbox.joining`)."""
+    with an empty disk may not, until it has heard enough others (see `control.joining`)."""
 
     def __init__(self, me: str, members: tuple[str, ...], whole: bool, held: Timetable | None) -> None:
         self.me, self.members, self.whole, self.held = me, members, whole, held
--- a/kestrelplank/signalbox/program.py
+++ b/kestrelplank/control/program.py
@@ -14,12 +14,12 @@
 from kestrelplank.config.platform import Settings, endpoint, ns
 from kestrelplank.configuration.keeping import SETTLED
 from kestrelplank.configuration.plan import Timetable
+from kestrelplank.control.box import Box, Effect
+from kestrelplank.control.calls import application
 from kestrelplank.http.call import Line as Connection
 from kestrelplank.http.call import dial
 from kestrelplank.http.serve import Duties, listener, server
 from kestrelplank.sharding.lines import CALL, HOLD, RELEASE, Line
-from kestrelplank.signalbox.box import Box, Effect
-from kestrelplank.signalbox.calls import application
 from kestrelplank.storage.store import Store
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import Frame, Wire, packed
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -197,7 +197,7 @@
                 raise Unusable(f"--trace: {words['--trace']!r} is no whole number")
             from kestrelplank.edge.program import run as carry
             return asyncio.run(carry(settings, int(words["--trace"])))
-        from kestrelplank.signalbox.program import run
+        from kestrelplank.control.program import run
         return asyncio.run(run(settings))
     except (Unusable, ValueError) as err:
         print(f"kestrelplank: {err}", file=sys.stderr)
--- a/tests/signalbox/test_box.py
+++ b/tests/control/test_box.py
@@ -12,8 +12,8 @@
 import kestrelplank
 from kestrelplank.configuration.keeping import SETTLED
 from kestrelplank.configuration.plan import read
+from kestrelplank.control.box import Box
 from kestrelplank.sharding.lines import HELD, HOLD, KEYS
-from kestrelplank.signalbox.box import Box
 from kestrelplank.transport.outlook import Outlook
 
 NAMES = ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
@@ -350,7 +350,7 @@
 def test_no_core_and_no_program_of_the_gateway_heeds_the_time_of_day():
     """It steps; only the steady clock counts."""
     folder = Path(kestrelplank.__file__).parent
-    rooms = ("sharding", "configuration", "forwarding", "transport", "storage", "http", "edge", "signalbox")
+    rooms = ("sharding", "configuration", "forwarding", "transport", "storage", "http", "edge", "control")
     sources = [path for room in rooms for path in (folder / room).glob("*.py")]
     assert len(sources) > 20
     assert not [path for path in sources if re.search(r"\btime\.time(_ns)?\(|datetime", path.read_text())]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,9 +6,9 @@
 import pytest
 from configuration.test_plan import configuration, route
 
+from kestrelplank.control.calls import application
 from kestrelplank.gateway import main
 from kestrelplank.http.serve import listener, server
-from kestrelplank.signalbox.calls import application
 
 
 class Member:
