--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -45,11 +45,11 @@
 
 
 async def edge(port, behind, seconds, profile, told):
-    from kestrelplank.edge.program import Footplate
-    found = Footplate(Settings(Local("edge-1", IP, "hall"), Network([port + 2], [f"{IP}:{port + 3}"], {
+    from kestrelplank.edge.program import EdgeProgram
+    found = EdgeProgram(Settings(Local("edge-1", IP, "hall"), Network([port + 2], [f"{IP}:{port + 3}"], {
         "frontend": f"{IP}:{port}", "readiness": f"{IP}:{port + 1}"}), CloudApi("127.0.0.1:9"), Bounds()))
     found.listen()
-    wire = type("Wire", (), {"peer": "m"})()
+    wire = type("FrameConnection", (), {"peer": "m"})()
     found.on_frame(wire, {"t": "word", "key": (7, ""), "text": CONFIGURATION})
     found.on_frame(wire, {"t": "roster", "age": 0, "list": [
         ("views-0", "views", f"{IP}:{behind}", "hall", 64, "ready", 0)]})
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -7,7 +7,7 @@
 from kestrelplank.configuration.plan import read
 from kestrelplank.control.box import Box
 from kestrelplank.sharding.lines import KEYS
-from kestrelplank.transport.outlook import Outlook
+from kestrelplank.transport.outlook import EdgeView
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import packed, unpacked
 
@@ -51,7 +51,7 @@
     for _ in range(80):
         now += S // 20
         settled(box, now, box.tick(now))
-    sessions, outlooks, ends = Sessions(), [Outlook(f"edge-{number}", (ME,)) for number in range(edges)], {}
+    sessions, outlooks, ends = Sessions(), [EdgeView(f"edge-{number}", (ME,)) for number in range(edges)], {}
     into, out, spent = [0], [0], 0.0
     for step in range(20 * SECONDS):
         now += S // 20
--- a/kestrelplank/configuration/change.py
+++ b/kestrelplank/configuration/change.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from kestrelplank.configuration.plan import Route, Timetable
+from kestrelplank.configuration.plan import Configuration, Route
 
 ADDED, DROPPED = "added", "dropped"
 FIELDS = {"kind": "route_type", "timeout": "timeout_s", "aim": "target_latency_s", "priority": "priority",
@@ -26,7 +26,7 @@
             f"{place}: {self.field} {self.old} -> {self.new}")
 
 
-def changes(old: Timetable, new: Timetable) -> list[Change]:
+def changes(old: Configuration, new: Configuration) -> list[Change]:
     """All that `new` changes, ordered by host and prefix."""
     found = [Change("", "", name, getattr(old, name), getattr(new, name))
              for name in ("max_body", "max_header", "idle", "header_wait") if getattr(old, name) != getattr(new, name)]
--- a/kestrelplank/configuration/keeping.py
+++ b/kestrelplank/configuration/keeping.py
@@ -11,7 +11,7 @@
 
 from typing import Any, NamedTuple
 
-from kestrelplank.configuration.plan import NOTHING, Key, Timetable
+from kestrelplank.configuration.plan import NOTHING, Configuration, Key
 
 S = 1_000_000_000
 PATIENCE = 800_000_000  # ns that a call of the operator waits for a majority: callers go elsewhere after a second
@@ -31,11 +31,11 @@
     """One of `members` (all counted ones, itself among them). `whole`: it may vouch for its disk; one that came back
     with an empty disk may not, until it has heard enough others (see `control.joining`)."""
 
-    def __init__(self, me: str, members: tuple[str, ...], whole: bool, held: Timetable | None) -> None:
+    def __init__(self, me: str, members: tuple[str, ...], whole: bool, held: Configuration | None) -> None:
         self.me, self.members, self.whole, self.held = me, members, whole, held
         self.majority = len(members) // 2 + 1
         self.durable: dict[str, Key] = {me: held.key if held else NOTHING}
-        self.force: Timetable | None = None  # the highest that is settled and that we have
+        self.force: Configuration | None = None  # the highest that is settled and that we have
         self._puts: dict[int, tuple[Key, int]] = {}
         self._reads: dict[int, Reading] = {}
         self._copied: dict[str, tuple[Key, int]] = {}
@@ -52,7 +52,7 @@
         known = sorted((self.durable.get(member, NOTHING) for member in self.members), reverse=True)
         return known[self.majority - 1]
 
-    def put(self, now: int, ticket: int, timetable: Timetable, reached: int) -> list[Effect]:
+    def put(self, now: int, ticket: int, timetable: Configuration, reached: int) -> list[Effect]:
         """The operator sends a configuration that has passed the checks; `reached`: members in session, us included."""
         if reached < self.majority or not self.whole:
             return [("answer", ticket, NO_MAJORITY)]
@@ -60,7 +60,7 @@
         self._puts[ticket] = (timetable.key, now + PATIENCE)
         return effects + self._settle(now)
 
-    def take(self, now: int, timetable: Timetable) -> list[Effect]:
+    def take(self, now: int, timetable: Configuration) -> list[Effect]:
         """A configuration from wherever; what is not above the one held changes nothing."""
         if timetable.key <= self.key():
             return []
--- a/kestrelplank/configuration/plan.py
+++ b/kestrelplank/configuration/plan.py
@@ -1,6 +1,6 @@
 """A configuration as the operator sends it: checked whole, then compiled for look-up.
 
-`read` takes the bytes and returns a `Timetable` or why they are refused; nothing half read ever leaves here.
+`read` takes the bytes and returns a `Configuration` or why they are refused; nothing half read ever leaves here.
 """
 
 import hashlib
@@ -130,7 +130,7 @@
         return next(name for name, weight in reversed(self.split) if weight > 0)
 
 
-class Timetable:
+class Configuration:
     """A configuration that has passed all checks. `text` is it as it was sent."""
 
     def __init__(self, key: Key, text: bytes, form: Form) -> None:
@@ -208,7 +208,7 @@
     return None
 
 
-def read(text: bytes) -> Result[Timetable, str]:
+def read(text: bytes) -> Result[Configuration, str]:
     """The configuration in these bytes, or why it is refused: one line that names the field, or the byte where it
     stops being JSON."""
     try:
@@ -222,4 +222,4 @@
     if wrong:
         return Failure(wrong)
     key = Key(int(form.config_version, 16), hashlib.blake2b(text, digest_size=12).hexdigest())
-    return Success(Timetable(key, text, form))
+    return Success(Configuration(key, text, form))
--- a/kestrelplank/control/box.py
+++ b/kestrelplank/control/box.py
@@ -12,11 +12,11 @@
 from typing import Any
 
 from kestrelplank.configuration.keeping import Keeper
-from kestrelplank.configuration.plan import Key, Timetable, read
+from kestrelplank.configuration.plan import Configuration, Key, read
 from kestrelplank.sharding.claims import NO_BALLOT, Claimer, Promiser, Register
-from kestrelplank.sharding.lines import HELD, KEYS, Interlocking, Line, Server
+from kestrelplank.sharding.lines import HELD, KEYS, KeyRanges, Line, Server
 from kestrelplank.sharding.placing import Placing
-from kestrelplank.transport.roster import READY, Roster
+from kestrelplank.transport.roster import READY, ServerList
 
 S = 1_000_000_000
 BEAT = S // 5
@@ -40,7 +40,7 @@
 
     def __init__(self, claimer: Claimer) -> None:
         self.claimer = claimer
-        self.lines: Interlocking | None = None
+        self.lines: KeyRanges | None = None
         self.placing: Placing | None = None
         self.told: list[Any] = []
         self.told_at: tuple[Any, int] = (NO_BALLOT, 0)
@@ -65,11 +65,11 @@
     """One of the counted `members`. `whole`: its disk may be believed; `first`: the system has never run before."""
 
     def __init__(self, now: int, random: Random, me: str, members: tuple[str, ...], whole: bool, first: bool,
-                 word: Timetable | None, registers: dict[str, Register]) -> None:
+                 word: Configuration | None, registers: dict[str, Register]) -> None:
         self.me, self.members, self._random = me, members, random
         self.keeper = Keeper(me, members, whole, word)
         self.promiser = Promiser(now, registers, whole, first)
-        self.roster = Roster()
+        self.roster = ServerList()
         self.heard_at: dict[str, int] = {}
         self.decisions: dict[str, Decision] = {}
         self._beat_at = now
@@ -128,7 +128,7 @@
                 decision.placing.listed()
         return True
 
-    def put(self, now: int, ticket: int, timetable: Timetable) -> list[Effect]:
+    def put(self, now: int, ticket: int, timetable: Configuration) -> list[Effect]:
         return self._done(now, self.keeper.put(now, ticket, timetable, self.reached(now)), None)
 
     def show(self, now: int, ticket: int) -> list[Effect]:
@@ -239,7 +239,7 @@
                 service = decision.claimer.service
                 servers = self._servers(now, service)
                 found, known = parts_of(effect[1])
-                decision.lines = Interlocking(now, decision.claimer.ballot[0], found)
+                decision.lines = KeyRanges(now, decision.claimer.ballot[0], found)
                 decision.lines.listed(now, servers)
                 target = min((route.aim for places in self.keeper.force.hosts.values() for route in places.values()
                               if any(name == service for name, _ in route.split)), default=S)
--- a/kestrelplank/control/calls.py
+++ b/kestrelplank/control/calls.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from kestrelplank.configuration.plan import Timetable, read
+from kestrelplank.configuration.plan import Configuration, read
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
 
 MOST_BODY = 64 << 20
@@ -20,9 +20,9 @@
 class Member(Protocol):
     """What a handler may ask of the program."""
 
-    async def put(self, timetable: Timetable) -> bool: ...
+    async def put(self, timetable: Configuration) -> bool: ...
 
-    async def show(self) -> tuple[bool, Timetable | None]: ...
+    async def show(self) -> tuple[bool, Configuration | None]: ...
 
     def status(self) -> dict[str, Any]: ...
 
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -13,7 +13,7 @@
 
 from kestrelplank.config.platform import Settings, endpoint, ns
 from kestrelplank.configuration.keeping import SETTLED
-from kestrelplank.configuration.plan import Timetable
+from kestrelplank.configuration.plan import Configuration
 from kestrelplank.control.box import Box, Effect
 from kestrelplank.control.calls import application
 from kestrelplank.http.call import Line as Connection
@@ -22,7 +22,7 @@
 from kestrelplank.sharding.lines import CALL, HOLD, RELEASE, Line
 from kestrelplank.storage.store import Store
 from kestrelplank.transport.sessions import Sessions
-from kestrelplank.transport.wire import Frame, Wire, packed
+from kestrelplank.transport.wire import Frame, FrameConnection, packed
 
 S = 1_000_000_000
 TICK = 0.05
@@ -30,14 +30,14 @@
 AGAIN = 0.25  # s between dials of a member that does not answer
 POLL, POLL_RANK = S // 2, S // 2  # how old the platform's list may become, and how much older by rank
 EDGE_SILENT = 2 * S
-log = logging.getLogger("signalbox")
+log = logging.getLogger("control")
 FAILED = (OSError, TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
 class Caller:
     """Grants and releases to one server, one after the other on one connection."""
 
-    def __init__(self, program: "Signalbox", address: str) -> None:
+    def __init__(self, program: "ControlProgram", address: str) -> None:
         self.program, self.address = program, endpoint(address)
         self.connection: Connection | None = None
         self.queue: asyncio.Queue[Effect] = asyncio.Queue()
@@ -90,7 +90,7 @@
             self.connection.reset()
 
 
-class Signalbox:
+class ControlProgram:
     """The program. One loop; the disk has a thread of its own."""
 
     def __init__(self, settings: Settings) -> None:
@@ -101,9 +101,9 @@
         self.store = Store(local.data_directory or f"/tmp/{local.node_name}")
         self.disk = ThreadPoolExecutor(1)
         self.box: Box | None = None
-        self.peers: dict[str, Wire] = {}  # those we dialled, by member
+        self.peers: dict[str, FrameConnection] = {}  # those we dialled, by member
         self.edges, self.speakers = Sessions(), Sessions()  # edge members, and the other control members
-        self.wires: dict[Wire, int] = {}  # all that came in, with when they last said anything
+        self.wires: dict[FrameConnection, int] = {}  # all that came in, with when they last said anything
         self.callers: dict[str, Caller] = {}
         self.tickets: dict[int, asyncio.Future[Any]] = {}
         self.ticket = 0
@@ -137,7 +137,7 @@
                 if future is not None and not future.done():
                     future.set_result(effect)
             elif word == "log":
-                log.info("Signalbox: %s", effect[1])
+                log.info("Control: %s", effect[1])
 
     async def write(self, what: str, payload: Any, then: list[Effect]) -> None:
         """Writes in the disk's thread, again and again where the disk refuses; what follows, follows once it lasts."""
@@ -146,14 +146,14 @@
                 await asyncio.get_running_loop().run_in_executor(self.disk, self.write_now, what, payload)
                 break
             except Exception as err:  # noqa: BLE001 - whatever a disk in trouble raises: the member goes on without it
-                log.warning("Depot: can't write %s: %s", what, err)
+                log.warning("Storage: can't write %s: %s", what, err)
                 await asyncio.sleep(0.3)
         now = time.monotonic_ns()
         for effect in then:
             if effect[0] == "stored":
                 self.carry_out(self.box.stored(now, effect[1]))
             elif effect[0] == "adopted":
-                log.info("Signalbox: back with what the others told")
+                log.info("Control: back with what the others told")
                 self.carry_out(self.box.adopted(now))
             elif effect[1] == self.me:
                 self.carry_out(self.box.frame(now, self.me, effect[2]))
@@ -185,13 +185,13 @@
         self.carry_out(start(time.monotonic_ns(), ticket, *given))
         return await future
 
-    async def put(self, timetable: Timetable) -> bool:
+    async def put(self, timetable: Configuration) -> bool:
         if self.box is None:
             return False
         effect = await self.wait_for(self.box.put, timetable)
         return effect[2] == SETTLED
 
-    async def show(self) -> tuple[bool, Timetable | None]:
+    async def show(self) -> tuple[bool, Configuration | None]:
         if self.box is None:
             return False, None
         effect = await self.wait_for(self.box.show)
@@ -208,7 +208,7 @@
 
     # Sessions.
 
-    def on_frame(self, wire: Wire, frame: Frame) -> None:
+    def on_frame(self, wire: FrameConnection, frame: Frame) -> None:
         """A frame on a connection that came in."""
         now = time.monotonic_ns()
         self.wires[wire] = now
@@ -231,12 +231,12 @@
         elif word == "report":
             self.box.report(now, frame)
 
-    def on_end(self, wire: Wire) -> None:
+    def on_end(self, wire: FrameConnection) -> None:
         self.wires.pop(wire, None)
         for sessions in (self.edges, self.speakers):
             sessions.ended(wire)
 
-    def on_reply(self, wire: Wire, frame: Frame) -> None:
+    def on_reply(self, wire: FrameConnection, frame: Frame) -> None:
         """A frame on a connection that we dialled; only strangers to the roll are told anything there."""
         if frame.get("t") == "members" and frame["members"] and self.learnt and not self.learnt.done():
             self.learnt.set_result(tuple(frame["members"]))
@@ -247,14 +247,14 @@
         while True:
             ended = asyncio.get_running_loop().create_future()
 
-            def over(wire: Wire, ended: asyncio.Future[None] = ended) -> None:
+            def over(wire: FrameConnection, ended: asyncio.Future[None] = ended) -> None:
                 if not ended.done():
                     ended.set_result(None)
 
             try:
                 async with asyncio.timeout(DIAL):
                     _, wire = await asyncio.get_running_loop().create_connection(
-                        lambda: Wire(self.on_reply, over), host, self.settings.telegraph_port())
+                        lambda: FrameConnection(self.on_reply, over), host, self.settings.telegraph_port())
             except (OSError, TimeoutError):
                 await asyncio.sleep(AGAIN)
                 continue
@@ -308,7 +308,7 @@
                     if not token:
                         return entries
         except (*FAILED, msgspec.DecodeError, KeyError, TypeError) as err:
-            log.warning("Signalbox: the platform's list can't be had: %s", type(err).__name__)
+            log.warning("Control: the platform's list can't be had: %s", type(err).__name__)
             if self.cloud is not None:
                 self.cloud.reset()
             self.cloud = None
@@ -353,14 +353,14 @@
         sock = listener(*self.settings.listen("control_plane"))
         front = server(application(self), 15, 2)
         serving = asyncio.create_task(front.serve([sock]))
-        telegraph = await loop.create_server(lambda: Wire(self.on_frame, self.on_end),
+        telegraph = await loop.create_server(lambda: FrameConnection(self.on_frame, self.on_end),
                                              self.settings.local_system.ip_address, self.settings.telegraph_port())
         members, whole = await self.members()
         first = self.settings.local_system.initial_boot
         self.box = Box(time.monotonic_ns(), self.random, self.me, members, whole, first, self.store.word(),
                        self.store.registers())
-        log.info("Signalbox: member %s of %d%s", self.me, len(members), "" if whole else ", with an empty disk")
-        duties = Duties("Signalbox", stop)
+        log.info("Control: member %s of %d%s", self.me, len(members), "" if whole else ", with an empty disk")
+        duties = Duties("Control", stop)
         for member in members:
             if member != self.me:
                 duties.add(self.keep_dialled(member))
@@ -372,10 +372,10 @@
         front.should_exit = True
         await serving
         duties.cancel()
-        log.info("Signalbox: stopped")
+        log.info("Control: stopped")
         return 1 if duties.failed else 0
 
 
 async def run(settings: Settings) -> int:
     """Runs the program until SIGTERM. Returns the exit code."""
-    return await Signalbox(settings).run()
+    return await ControlProgram(settings).run()
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -11,10 +11,10 @@
 from kestrelplank.config.platform import Settings, endpoint, ns
 from kestrelplank.edge.lines import HOP, Lines
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
-from kestrelplank.forwarding.passage import Junction, Passage
+from kestrelplank.forwarding.passage import ForwardedRequest, Forwarder
 from kestrelplank.http.serve import Duties, listener, server
-from kestrelplank.transport.outlook import SILENT, Outlook
-from kestrelplank.transport.wire import Frame, Wire
+from kestrelplank.transport.outlook import SILENT, EdgeView
+from kestrelplank.transport.wire import Frame, FrameConnection
 
 S = 1_000_000_000
 DIAL = 0.6  # s for a session to come up
@@ -24,26 +24,26 @@
 LEAVE = 2.3  # s after SIGTERM in which the platform learns that we take nothing new
 BODIES = 0.25  # of this machine's memory may be bodies that are on their way
 DEFAULT_WAIT = 30 * S  # of a client that does not say how long it waits
-log = logging.getLogger("footplate")
+log = logging.getLogger("edge")
 
 
-class Footplate:
+class EdgeProgram:
     """The program: one loop, one application for clients and for the platform's question."""
 
     def __init__(self, settings: Settings, trace: int = 0) -> None:
         self.settings, self.trace = settings, trace
         local, bounds = settings.local_system, settings.bounds
         self.random = Random(SystemRandom().getrandbits(64))
-        self.outlook = Outlook(local.node_name, tuple(settings.network.seed_nodes))
-        self.junction = Junction(self.random, self.outlook, local.zone, bounds.retry_budget_ratio,
+        self.outlook = EdgeView(local.node_name, tuple(settings.network.seed_nodes))
+        self.junction = Forwarder(self.random, self.outlook, local.zone, bounds.retry_budget_ratio,
                                  bounds.retry_allowance, ns(bounds.drain_s))
         self.lines = Lines(time.monotonic_ns)
         self.readiness_port = settings.listen("readiness")[1]
         self.stopping = False
         self.changed = asyncio.Event()
         self.sessions: dict[str, asyncio.Task[None]] = {}
-        self.wires: dict[str, Wire] = {}
-        self.heard: dict[Wire, int] = {}
+        self.wires: dict[str, FrameConnection] = {}
+        self.heard: dict[FrameConnection, int] = {}
         self.counts: dict[str, int] = {}
         self.held, self.holds = 0, int(local.limits.memory_mb * (1 << 20) * BODIES)  # bytes of bodies, and their bound
 
@@ -84,7 +84,7 @@
             gone.cancel()
             attempt = fields.get(b"x-attempt-id", b"")
             if self.trace and crc32(attempt) % self.trace == 0:
-                log.info("Footplate: request", extra={
+                log.info("Edge: request", extra={
                     "attempt": attempt.decode("latin-1"), "path": scope["path"], "service": passage.service,
                     "key": passage.key, "tries": tries, "ms": (time.monotonic_ns() - came) // 1_000_000})
 
@@ -108,7 +108,7 @@
             if not message.get("more_body"):
                 return b"".join(parts)
 
-    async def carry(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, passage: Passage,
+    async def carry(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, passage: ForwardedRequest,
                     step: tuple[Any, ...], send: Any, gone: asyncio.Future[Any], tries: list[dict[str, Any]]) -> None:
         """Does what the junction says until the request has its answer; `tries` tells them."""
         method = scope["method"].encode()
@@ -176,7 +176,7 @@
     def tell(self) -> None:
         """What this member has counted and sees, as one line of the log."""
         now = time.monotonic_ns()
-        log.info("Footplate: counts", extra={
+        log.info("Edge: counts", extra={
             "counts": self.counts, "held": self.held, "ready": self.outlook.ready(),
             "sessions": {member: (now - self.heard.get(wire, now)) // 1_000_000 for member, wire in self.wires.items()},
             "busy": {name: round(stand.load(now), 1) for name, stand in self.junction.stands.by_name.items()
@@ -187,7 +187,7 @@
 
     # Sessions.
 
-    def on_frame(self, wire: Wire, frame: Frame) -> None:
+    def on_frame(self, wire: FrameConnection, frame: Frame) -> None:
         now = time.monotonic_ns()
         self.heard[wire] = now
         what = self.outlook.frame(now, wire.peer, frame)
@@ -196,7 +196,7 @@
         if what == "word":
             timetable = self.outlook.timetable
             self.front.config.timeout_keep_alive = timetable.idle / S
-            log.info("Footplate: configuration %08x", timetable.key.version)
+            log.info("Edge: configuration %08x", timetable.key.version)
         elif what == "roster":
             self.junction.stands.listed(now, self.outlook.roster.fetched_at, self.outlook.roster.entries.values())
         elif what == "members":
@@ -225,7 +225,7 @@
             wire = None
             try:
                 async with asyncio.timeout(DIAL):
-                    _, wire = await loop.create_connection(lambda: Wire(self.on_frame, self.on_end), host,
+                    _, wire = await loop.create_connection(lambda: FrameConnection(self.on_frame, self.on_end), host,
                                                            self.settings.telegraph_port())
                 wire.peer, self.wires[member] = member, wire
                 self.heard[wire] = time.monotonic_ns()
@@ -242,7 +242,7 @@
                         del self.wires[member]
             await asyncio.sleep(AGAIN * (1 + self.random.random()))
 
-    def on_end(self, wire: Wire) -> None:
+    def on_end(self, wire: FrameConnection) -> None:
         """The session's own task sees that it has ended."""
 
     async def reporting(self) -> None:
@@ -282,16 +282,16 @@
         loop.add_signal_handler(signal.SIGUSR1, self.tell)
         self.listen()
         self.meet()
-        duties = Duties("Footplate", stop)
+        duties = Duties("Edge", stop)
         duties.add(self.reporting())
-        log.info("Footplate: started")
+        log.info("Edge: started")
         await stop.wait()
-        log.info("Footplate: stopping")
+        log.info("Edge: stopping")
         await self.leave(LEAVE)
         duties.cancel()
         for task in self.sessions.values():
             task.cancel()
-        log.info("Footplate: stopped", extra={"counts": self.counts})
+        log.info("Edge: stopped", extra={"counts": self.counts})
         return 1 if duties.failed else 0
 
 
@@ -305,4 +305,4 @@
 
 async def run(settings: Settings, trace: int = 0) -> int:
     """Runs the program until SIGTERM; `trace`: one in so many requests is logged, 0 for none. Returns the exit code."""
-    return await Footplate(settings, trace).run()
+    return await EdgeProgram(settings, trace).run()
--- a/kestrelplank/forwarding/passage.py
+++ b/kestrelplank/forwarding/passage.py
@@ -1,4 +1,4 @@
-"""One request on an edge machine: the route, the server, tries, and when to give up. No I/O: `Junction` returns steps,
+"""One request on an edge machine: the route, the server, tries, and when to give up. No I/O: `Forwarder` returns steps,
 which an adapter carries out.
 
     ("send", stand, within)        send it there, and call `ended` with what came; `within` in ns
@@ -15,8 +15,8 @@
 
 from kestrelplank.configuration.plan import Route
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
-from kestrelplank.forwarding.stands import Stand, Stands
-from kestrelplank.transport.outlook import Outlook
+from kestrelplank.forwarding.stands import Endpoint, Endpoints
+from kestrelplank.transport.outlook import EdgeView
 
 S = 1_000_000_000
 MS = 1_000_000
@@ -64,7 +64,7 @@
         return True
 
 
-class Passage:
+class ForwardedRequest:
     """A request in hand. Times in ns; `tried`: servers that something was sent to."""
 
     __slots__ = ("route", "service", "key", "came", "deadline", "tried", "dials", "stand", "sent_at", "met", "size")
@@ -75,23 +75,23 @@
         self.size = size
         self.tried: tuple[str, ...] = ()
         self.dials, self.sent_at = 0, 0
-        self.stand: Stand | None = None
+        self.stand: Endpoint | None = None
         self.met = ""  # of the last try
 
 
-class Junction:
+class Forwarder:
     """All requests of one edge member."""
 
-    def __init__(self, random: Random, outlook: Outlook, zone: str, ratio: float, allowance: float,
+    def __init__(self, random: Random, outlook: EdgeView, zone: str, ratio: float, allowance: float,
                  drain: int = 5 * S // 2) -> None:
         """`drain`: ns after the platform lists a server as leaving after which no request may reach it."""
         self._random, self.outlook, self._drain = random, outlook, drain
-        self.stands = Stands(random, zone)
+        self.stands = Endpoints(random, zone)
         self.budget = Budget(ratio, allowance)
         self.keys: dict[str, list[int]] = {}  # that requests came for since the last report, by service
 
     def begin(self, now: int, host: str, path: str, key: str | None, within: int,
-              size: int = 0) -> tuple[Passage | None, Step]:
+              size: int = 0) -> tuple[ForwardedRequest | None, Step]:
         """A request has come whole, its body `size` bytes; its client waits `within` ns. A passage and the first
         step."""
         timetable = self.outlook.timetable
@@ -108,14 +108,14 @@
             number = int(key)
             self.keys.setdefault(service, []).append(number)
         self.budget.asked(service)
-        passage = Passage(route, service, number, now, now + min(within, route.timeout), size)
+        passage = ForwardedRequest(route, service, number, now, now + min(within, route.timeout), size)
         return passage, self._next(now, passage)
 
-    def again(self, now: int, passage: Passage) -> Step:
+    def again(self, now: int, passage: ForwardedRequest) -> Step:
         """The wait is over, or something has changed."""
         return self._next(now, passage)
 
-    def ended(self, now: int, passage: Passage, outcome: str, status: int,
+    def ended(self, now: int, passage: ForwardedRequest, outcome: str, status: int,
               load: tuple[int, int, int] | None) -> Step:
         """The try that was out has ended so. `status` of an answer, else 0."""
         stand, passage.stand, passage.met = passage.stand, None, outcome
@@ -141,10 +141,10 @@
             return self._refuse(Fault.NO_SERVER, passage.route.aim // 2)
         return self._next(now, passage)
 
-    def _may_again(self, now: int, passage: Passage) -> bool:
+    def _may_again(self, now: int, passage: ForwardedRequest) -> bool:
         return len(passage.tried) < passage.route.attempts and now + 2 * LAST < passage.deadline
 
-    def _next(self, now: int, passage: Passage) -> Step:
+    def _next(self, now: int, passage: ForwardedRequest) -> Step:
         """Where the request goes now."""
         if now + LAST >= passage.deadline:
             return self._refuse(Fault.TOO_LATE, 0)
@@ -167,14 +167,14 @@
             return self._crowded(now, passage, stand)
         return self._send(now, passage, stand)
 
-    def _keyless(self, now: int, passage: Passage) -> Step:
+    def _keyless(self, now: int, passage: ForwardedRequest) -> Step:
         """Nobody holds the key, as far as is known: worth the wait that a move takes."""
         until = passage.came + passage.route.aim // 2
         if now >= until:
             return self._refuse(Fault.NO_HOLDER, KEYLESS)
         return ("wait", until)
 
-    def _crowded(self, now: int, passage: Passage, stand: Stand) -> Step:
+    def _crowded(self, now: int, passage: ForwardedRequest, stand: Endpoint) -> Step:
         """The only server that may run it has enough in hand: what hangs there can't be taken back, so it waits here
         while its aim can still be met."""
         left = passage.came + passage.route.aim - int(stand.took * S)
@@ -182,7 +182,7 @@
             return self._refuse(Fault.FULL, min(passage.route.aim, int(stand.wait(now) * S)) // 2)
         return ("wait", min(left, now + LOOK))
 
-    def _send(self, now: int, passage: Passage, stand: Stand) -> Step:
+    def _send(self, now: int, passage: ForwardedRequest, stand: Endpoint) -> Step:
         passage.stand, passage.sent_at = stand, now
         self.stands.began(stand)
         within = passage.deadline - now
@@ -203,7 +203,7 @@
 
     def report(self) -> dict[str, dict[str, Any]]:
         """Of each service divided by key, since the last time: the keys asked for, and by server what was met there
-        (`Stand.met`)."""
+        (`Endpoint.met`)."""
         found: dict[str, dict[str, Any]] = {}
         for service in self.outlook.holders:
             servers = {}
--- a/kestrelplank/forwarding/stands.py
+++ b/kestrelplank/forwarding/stands.py
@@ -23,7 +23,7 @@
 # as much again as it takes for a body of so many bytes
 
 
-class Stand:
+class Endpoint:
     """One server (one life of it)."""
 
     __slots__ = ("number", "server", "service", "address", "zone", "slots", "ready", "warm_at", "own", "told",
@@ -73,13 +73,13 @@
         return self.took * (1 + over / self.slots)
 
 
-class Stands:
+class Endpoints:
     """All servers of all services."""
 
     def __init__(self, random: Random, zone: str) -> None:
         self._random, self._zone = random, zone
-        self.by_name: dict[str, Stand] = {}
-        self.services: dict[str, list[Stand]] = {}
+        self.by_name: dict[str, Endpoint] = {}
+        self.services: dict[str, list[Endpoint]] = {}
         self._avoidance = Avoidance(random, STRIKES, SPELL)
         self._given = 0
 
@@ -90,7 +90,7 @@
             stand = self.by_name.get(entry.server)
             if stand is None:
                 self._given += 1
-                stand = Stand(self._given, entry)
+                stand = Endpoint(self._given, entry)
             if stand.ready and entry.state != READY:
                 stand.left_at = fetched_at
             stand.ready, stand.warm_at = entry.state == READY, fetched_at + entry.warm
@@ -103,7 +103,7 @@
         for stand in seen.values():
             self.services.setdefault(stand.service, []).append(stand)
 
-    def choose(self, now: int, service: str, tried: tuple[str, ...], size: int = 0) -> Stand | None:
+    def choose(self, now: int, service: str, tried: tuple[str, ...], size: int = 0) -> Endpoint | None:
         """The server with the least wait of all that may be used, for a body of `size` bytes; None where there is
         none."""
         open_ = [stand for stand in self.services.get(service, ()) if stand.ready and stand.server not in tried]
@@ -115,28 +115,28 @@
             open_ = [stand for stand in open_ if stand.number in kept]
         return min(open_, key=lambda stand: self._cost(now, stand, size))
 
-    def _cost(self, now: int, stand: Stand, size: int) -> float:
+    def _cost(self, now: int, stand: Endpoint, size: int) -> float:
         cost = stand.wait(now) * (1 if stand.zone == self._zone else AWAY + size / AWAY_BYTES)
         if not stand.kept:
             cost *= DIALLED
         cost *= 1 + 0.3 * self._random.random()  # equals are not all taken for the same one
         return cost / COLD if now < stand.warm_at else cost
 
-    def avoided(self, now: int, stand: Stand) -> bool:
+    def avoided(self, now: int, stand: Endpoint) -> bool:
         """Whether tries there have failed in a row just now."""
         return not self._avoidance.sound(now, [(stand.number, 1.0), (0, 1.0)])[0][0] == stand.number
 
-    def began(self, stand: Stand) -> None:
+    def began(self, stand: Endpoint) -> None:
         stand.own += 1
         stand.tries += 1
         stand.kept = max(0, stand.kept - 1)
 
-    def never_began(self, stand: Stand) -> None:
+    def never_began(self, stand: Endpoint) -> None:
         """What was begun there was not sent, for a reason of our own."""
         stand.own -= 1
         stand.tries -= 1
 
-    def ended(self, now: int, stand: Stand, good: bool, took: int, load: tuple[int, int, int] | None) -> None:
+    def ended(self, now: int, stand: Endpoint, good: bool, took: int, load: tuple[int, int, int] | None) -> None:
         """A try there has ended. `took`: ns; `load`: running, waiting and slots, as the server told."""
         stand.own -= 1
         stand.failed += not good
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -1,8 +1,8 @@
 """The gateway's programs: `python -m kestrelplank.gateway COMMAND`.
 
 Usage:
-  gateway footplate [--settings=FILE] [--level=LEVEL] [--trace=N]
-  gateway signalbox [--settings=FILE] [--level=LEVEL]
+  gateway edge [--settings=FILE] [--level=LEVEL] [--trace=N]
+  gateway control [--settings=FILE] [--level=LEVEL]
   gateway rehearse [--requests=N] [--level=LEVEL] [--json]
   gateway status ADDRESS [--json]
   gateway replace ADDRESS FILE [--wait=SECONDS] [--json]
@@ -11,8 +11,8 @@
   gateway (-h | --help)
 
 Commands:
-  footplate  Carry the traffic of clients on this edge machine.
-  signalbox  Serve control on this core machine.
+  edge       Carry the traffic of clients on this edge machine.
+  control    Serve control on this core machine.
   rehearse   Play a small gateway on loopback through losses, with stand-ins for all others.
   status     What a control member sees: members, edges, versions, who decides, lines.
   replace    Send a configuration to a control member, and wait until all that are in session have it.
@@ -192,7 +192,7 @@
             print(f"{words['--settings']}: {settings.local_system.node_name}")
             return 0
         set_up(settings.local_system.node_name, words["--level"].upper())
-        if words["footplate"]:
+        if words["edge"]:
             if not words["--trace"].isdecimal():
                 raise Unusable(f"--trace: {words['--trace']!r} is no whole number")
             from kestrelplank.edge.program import run as carry
--- a/kestrelplank/http/serve.py
+++ b/kestrelplank/http/serve.py
@@ -10,7 +10,7 @@
 import uvicorn
 
 BACKLOG = 512
-log = logging.getLogger("coupling")
+log = logging.getLogger("http")
 
 
 class Duties:
--- a/kestrelplank/lab/queues.py
+++ b/kestrelplank/lab/queues.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any
 
-from kestrelplank.sharding.lines import HELD, KEYS, Interlocking
+from kestrelplank.sharding.lines import HELD, KEYS, KeyRanges
 from kestrelplank.sharding.lines import Server as Listed
 from kestrelplank.sharding.placing import Met, Placing
 
@@ -57,7 +57,7 @@
 
 
 class Service:
-    """All servers of one service, `Interlocking` and `Placing` over them, and a stream of requests by a Zipf law over
+    """All servers of one service, `KeyRanges` and `Placing` over them, and a stream of requests by a Zipf law over
     neighbouring keys; `hot`: a key that takes a part of all (key, part)."""
 
     def __init__(self, seed: int, speeds: list[float], per_s: float, work: float, aim: float, moves: bool = True,
@@ -76,7 +76,7 @@
 
     def decide(self, ballot: int, found: Any, known: Any) -> None:
         """Another decider begins, with what the former left."""
-        self.lines = Interlocking(self.now(), ballot, found)
+        self.lines = KeyRanges(self.now(), ballot, found)
         self.lines.listed(self.now(), self.listed)
         self.placing = Placing(self.now(), ballot, self.lines, round(self.aim * S), known)
 
--- a/kestrelplank/lab/yard.py
+++ b/kestrelplank/lab/yard.py
@@ -162,13 +162,13 @@
                 self.servers.append(StandIn(f"{service}-{number}", service, address, self.tally, self.servers))
         self.cloud = (f"127.0.{base}.99", free_port([f"127.0.{base}.99"]))
         self.seeds = [f"{ip}:{self.port}" for ip in ips[:cores]]
-        self.machines = [self.machine(folder, "signalbox" if at < cores else "footplate", ip, at)
+        self.machines = [self.machine(folder, "control" if at < cores else "edge", ip, at)
                          for at, ip in enumerate(ips)]
         self.processes: dict[Machine, asyncio.subprocess.Process] = {}
 
     def machine(self, folder: str, role: str, ip: str, number: int) -> Machine:
         name = f"{role}-{number}"
-        listens = f'control_plane = "{ip}:{self.port}"' if role == "signalbox" else \
+        listens = f'control_plane = "{ip}:{self.port}"' if role == "control" else \
             f'frontend = "{ip}:{self.port}"\nreadiness = "{ip}:{self.ready_port}"'
         text = f"""[local_system]
 node_name = "{name}"
@@ -227,7 +227,7 @@
             "virtual_hosts": [{"host_name": HOST, "host_routes": routes}]})
         for _ in range(60):
             for machine in self.machines:
-                if machine.role == "signalbox" and machine in self.processes:
+                if machine.role == "control" and machine in self.processes:
                     answer = await self.call(machine.ip, self.port, "POST", "/api/configuration/replace", text)
                     if answer is not None and answer.status == 200:
                         return True
@@ -239,7 +239,7 @@
         until = time.monotonic() + PATIENCE
         while time.monotonic() < until:
             asked = [await self.call(machine.ip, self.ready_port, "GET", "/api/readiness")
-                     for machine in self.processes if machine.role == "footplate"]
+                     for machine in self.processes if machine.role == "edge"]
             now = time.monotonic()
             held = all(any(one.holds_key(key, now) for one in self.servers) for key in range(0, 65536, 512))
             if held and asked and all(answer is not None and answer.status == 200 for answer in asked):
@@ -255,7 +255,7 @@
         self.tally.asked += 1
         for again in range(3):
             attempt = f"r-{number}-{again}"
-            edges = [machine for machine in self.processes if machine.role == "footplate"]
+            edges = [machine for machine in self.processes if machine.role == "edge"]
             edge = self.random.choice(edges)
             if kind != "views":
                 self.tally.once[attempt] = None
@@ -284,8 +284,8 @@
         """The script: the core member that decides is killed and comes back, a server drains, one is lost, an edge is
         told to stop."""
         told = []
-        boxes = [machine for machine in self.machines if machine.role == "signalbox"]
-        edges = [machine for machine in self.machines if machine.role == "footplate"]
+        boxes = [machine for machine in self.machines if machine.role == "control"]
+        edges = [machine for machine in self.machines if machine.role == "edge"]
         deciders = [machine for machine in boxes if await self.decides(machine)]
         lost = (deciders or boxes)[0]
         self.end(lost)
--- a/kestrelplank/sharding/lines.py
+++ b/kestrelplank/sharding/lines.py
@@ -78,7 +78,7 @@
         return other
 
 
-class Interlocking:
+class KeyRanges:
     """All lines of one service while we decide for it. `found`: what was laid down last, or None."""
 
     def __init__(self, now: int, ballot: int, found: Any) -> None:
--- a/kestrelplank/sharding/placing.py
+++ b/kestrelplank/sharding/placing.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from kestrelplank.policy import Conductor
-from kestrelplank.sharding.lines import FREE, HELD, KEYS, LEAVING, Interlocking, Line, Server
+from kestrelplank.sharding.lines import FREE, HELD, KEYS, LEAVING, KeyRanges, Line, Server
 
 S = 1_000_000_000
 PERIOD = S // 2  # of reports; the pass averages five
@@ -89,7 +89,7 @@
 class Placing:
     """One service's placement while we decide for it."""
 
-    def __init__(self, now: int, seed: int, lines: Interlocking, target: int,
+    def __init__(self, now: int, seed: int, lines: KeyRanges, target: int,
                  known: Mapping[str, Sequence[float]] | None = None) -> None:
         """`known`: what who decided before us had learnt of servers, as `learnt` said there."""
         self._lines, self._orders = lines, Orders()
--- a/kestrelplank/storage/store.py
+++ b/kestrelplank/storage/store.py
@@ -9,7 +9,7 @@
 import lmdb
 import msgspec
 
-from kestrelplank.configuration.plan import Timetable, read
+from kestrelplank.configuration.plan import Configuration, read
 from kestrelplank.decode import Malformed
 from kestrelplank.files.whole import sync_folder, write_whole
 from kestrelplank.sharding.claims import Register
@@ -21,7 +21,7 @@
 ROLL = "roll.json"
 PROMISES = "registers"  # lmdb's folder
 COMMIT = b"\0commit"  # the number of the commit that wrote it last
-log = logging.getLogger("depot")
+log = logging.getLogger("storage")
 
 
 class Store:
@@ -40,7 +40,7 @@
             self._open()
             self.registers()
         except (lmdb.Error, Malformed, msgspec.DecodeError) as err:
-            log.warning("Depot: promises can't be used, so this disk counts as empty: %s", err)
+            log.warning("Storage: promises can't be used, so this disk counts as empty: %s", err)
             self._doubt()
             self.close()
             shutil.rmtree(os.path.join(folder, PROMISES))
@@ -71,9 +71,9 @@
         """From now on this disk vouches for what it holds."""
         write_whole(os.path.join(self.folder, ROLL), sealed(FORM, {"members": list(members)}))
 
-    def word(self) -> Timetable | None:
+    def word(self) -> Configuration | None:
         """The highest configuration that is there whole."""
-        best: Timetable | None = None
+        best: Configuration | None = None
         for name in self._words():
             found = self._unsealed(name)
             timetable = read(found["text"].encode()).value_or(None) if found else None
@@ -81,7 +81,7 @@
                 best = timetable
         return best
 
-    def keep_word(self, timetable: Timetable) -> None:
+    def keep_word(self, timetable: Configuration) -> None:
         """Writes a configuration, and removes those that it has long overtaken. Raises OSError."""
         name = f"word-{timetable.key.version:016x}-{timetable.key.digest}.json"
         write_whole(os.path.join(self.folder, name), sealed(FORM, {"text": timetable.text.decode()}))
@@ -134,7 +134,7 @@
         except FileNotFoundError:
             return None
         except (OSError, Malformed) as err:
-            log.warning("Depot: %s can't be used: %s", name, err)
+            log.warning("Storage: %s can't be used: %s", name, err)
             return None
 
 
--- a/kestrelplank/transport/outlook.py
+++ b/kestrelplank/transport/outlook.py
@@ -4,8 +4,8 @@
 from bisect import bisect_right
 from typing import Any, NamedTuple
 
-from kestrelplank.configuration.plan import Key, Timetable, read
-from kestrelplank.transport.roster import Roster
+from kestrelplank.configuration.plan import Configuration, Key, read
+from kestrelplank.transport.roster import ServerList
 
 S = 1_000_000_000
 SILENT = 3 * S // 2  # a session that says nothing for so long is ended and begun anew
@@ -54,15 +54,15 @@
         return self.lines[place]
 
 
-class Outlook:
+class EdgeView:
     """One edge member's view. `seeds` stand for the members until the first of these says who they are."""
 
     def __init__(self, name: str, seeds: tuple[str, ...]) -> None:
         self.name, self.members = name, seeds
         self.known = False  # whether a member has said who they are
-        self.timetable: Timetable | None = None
+        self.timetable: Configuration | None = None
         self.holders: dict[str, Holders] = {}
-        self.roster = Roster()
+        self.roster = ServerList()
         self.edges = 1
         self.vouched: dict[str, Key | None] = {}  # by member that may be believed: what it said is in force
 
--- a/kestrelplank/transport/roster.py
+++ b/kestrelplank/transport/roster.py
@@ -20,7 +20,7 @@
     warm: int
 
 
-class Roster:
+class ServerList:
     """The newest list that has come. `fetched_at`: when, by our clock; `changed_at`: when it last became another."""
 
     def __init__(self) -> None:
--- a/kestrelplank/transport/wire.py
+++ b/kestrelplank/transport/wire.py
@@ -46,10 +46,11 @@
     return frame
 
 
-class Wire(asyncio.Protocol):
+class FrameConnection(asyncio.Protocol):
     """One connection. `on_frame(wire, frame)` for each that came whole, `on_end(wire)` once when it has ended."""
 
-    def __init__(self, on_frame: Callable[["Wire", Frame], None], on_end: Callable[["Wire"], None]) -> None:
+    def __init__(self, on_frame: Callable[["FrameConnection", Frame], None],
+                 on_end: Callable[["FrameConnection"], None]) -> None:
         self._on_frame, self._on_end = on_frame, on_end
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -54,7 +54,7 @@
     assert says in str(met.value) and "node.toml" in str(met.value) and "\n" not in str(met.value)
 
 
-@pytest.mark.parametrize("words, code", [(["footplate", "--settings=none.toml"], 2), (["fly"], 2), (["--help"], 0)])
+@pytest.mark.parametrize("words, code", [(["edge", "--settings=none.toml"], 2), (["fly"], 2), (["--help"], 0)])
 def test_bad_input_is_exit_code_2(words, code):
     done = subprocess.run([sys.executable, "-m", "kestrelplank.gateway", *words], cwd=ROOT, capture_output=True, text=True,
                           timeout=60)
--- a/tests/control/test_box.py
+++ b/tests/control/test_box.py
@@ -14,7 +14,7 @@
 from kestrelplank.configuration.plan import read
 from kestrelplank.control.box import Box
 from kestrelplank.sharding.lines import HELD, HOLD, KEYS
-from kestrelplank.transport.outlook import Outlook
+from kestrelplank.transport.outlook import EdgeView
 
 NAMES = ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
 MS, S = 1_000_000, 1_000_000_000
@@ -51,7 +51,7 @@
         self.servers = {f"i-{number}": Holding() for number in range(servers)}
         self.state, self.addresses = dict.fromkeys(self.servers, "ready"), {}
         self.bare = 0
-        self.edge, self.hot = Outlook("edge", NAMES), None  # an edge member in session with all; where it sends most
+        self.edge, self.hot = EdgeView("edge", NAMES), None  # an edge member in session with all; where it sends most
         for name in NAMES:
             self.start(name, first=True)
 
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -8,7 +8,7 @@
 from configuration.test_plan import encoded
 
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
-from kestrelplank.edge.program import Footplate
+from kestrelplank.edge.program import EdgeProgram
 from kestrelplank.lab.yard import StandIn, Tally, free_port
 
 IP = "127.0.0.1"
@@ -37,10 +37,10 @@
     tally = Tally()
     behind = Slow("orders-0", "orders", (IP, free_port([IP])), tally, [])
     await behind.start()
-    found = Footplate(settings)
+    found = EdgeProgram(settings)
     found.listen()
-    found.on_frame(type("Wire", (), {"peer": "m"})(), {"t": "word", "key": (7, ""), "text": encoded(limits=LIMITS)})
-    found.on_frame(type("Wire", (), {"peer": "m"})(), {"t": "roster", "age": 0, "list": [
+    found.on_frame(type("FrameConnection", (), {"peer": "m"})(), {"t": "word", "key": (7, ""), "text": encoded(limits=LIMITS)})
+    found.on_frame(type("FrameConnection", (), {"peer": "m"})(), {"t": "roster", "age": 0, "list": [
         ("orders-0", "orders", f"{IP}:{behind.address[1]}", "hall", 4, "ready", 0)]})
     while not found.front.started:
         await asyncio.sleep(0)
@@ -207,11 +207,11 @@
             found.tell()
             writer.close()
 
-    with caplog.at_level("INFO", "footplate"):
+    with caplog.at_level("INFO", "edge"):
         asyncio.run(play())
-    traced = next(record for record in caplog.records if record.message == "Footplate: request")
+    traced = next(record for record in caplog.records if record.message == "Edge: request")
     assert traced.attempt == "me" and [one["server"] for one in traced.tries] == ["orders-0"]
-    assert next(record for record in caplog.records if record.message == "Footplate: counts").counts["try answered"] == 1
+    assert next(record for record in caplog.records if record.message == "Edge: counts").counts["try answered"] == 1
 
 
 PIECES = [b"POST /a/b/x HTTP/1.1\r\n", b"GET /a/b/x HTTP/1.1\r\n", b"GET /nowhere HTTP/1.0\r\n", b"BREW / HTTP/9.9\r\n",
--- a/tests/forwarding/test_passage.py
+++ b/tests/forwarding/test_passage.py
@@ -6,22 +6,22 @@
 from configuration.test_plan import configuration, encoded, route
 
 from kestrelplank.forwarding.kinds import ANSWERS, Fault
-from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Junction
-from kestrelplank.transport.outlook import Outlook
+from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT, Budget, Forwarder
+from kestrelplank.transport.outlook import EdgeView
 
 MS, S = 1_000_000, 1_000_000_000
 NOW = 100 * S
 
 
 def junction(servers=3, keys=True, state="ready", **changes):
-    outlook = Outlook("edge-1", ("10.0.0.1:80",))
+    outlook = EdgeView("edge-1", ("10.0.0.1:80",))
     outlook.frame(NOW, "m", {"t": "word", "key": (7, ""), "text": encoded(**changes)})
     entries = [(f"{service}-{number}", service, f"10.1.0.{number}:80", "z", 2, state, 0)
                for service in ("views", "orders") for number in range(servers)]
     outlook.frame(NOW, "m", {"t": "roster", "age": 0, "list": entries})
     if keys:
         outlook.frame(NOW, "m", lines(1, [[0, 32767, "views-0", "10.1.0.0:80"], [32768, 65535, "views-1", "10.1.0.1:80"]]))
-    found = Junction(Random(1), outlook, "z", 0.2, 64)
+    found = Forwarder(Random(1), outlook, "z", 0.2, 64)
     found.stands.listed(NOW, NOW, outlook.roster.entries.values())
     return found
 
@@ -49,7 +49,7 @@
 
 
 def test_without_a_configuration_nothing_is_taken():
-    found = Junction(Random(1), Outlook("edge-1", ()), "z", 0.2, 64)
+    found = Forwarder(Random(1), EdgeView("edge-1", ()), "z", 0.2, 64)
     assert begin(found)[1][1] == Fault.NOT_READY
 
 
--- a/tests/http/test_serve.py
+++ b/tests/http/test_serve.py
@@ -17,7 +17,7 @@
 
     async def program():
         stop = asyncio.Event()
-        duties = Duties("Signalbox", stop)
+        duties = Duties("Control", stop)
         duties.add(work())
         if how == "is cancelled":
             duties.cancel()
@@ -26,7 +26,7 @@
         return stop.is_set(), duties.failed
 
     assert asyncio.run(program()) == (stops, stops)
-    assert ("Signalbox: stops, as a part of it failed" in caplog.text and "of ours" in caplog.text) == stops
+    assert ("Control: stops, as a part of it failed" in caplog.text and "of ours" in caplog.text) == stops
 
 
 def test_small_writes_to_who_connects_are_sent_at_once():
--- a/tests/sharding/test_ranges.py
+++ b/tests/sharding/test_ranges.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kestrelplank.sharding.lines import FREE, HELD, HOLD, KEYS, LEAVING, Interlocking, Server, runs_out
+from kestrelplank.sharding.lines import FREE, HELD, HOLD, KEYS, LEAVING, KeyRanges, Server, runs_out
 from kestrelplank.sharding.placing import Placing
 
 S = 1_000_000_000
@@ -14,7 +14,7 @@
 
 
 def interlocking(names=("s", "t"), pieces=2, found=None, ballot=1):
-    lines = Interlocking(NOW, ballot, found)
+    lines = KeyRanges(NOW, ballot, found)
     if found is None:
         lines.divide(pieces)
     lines.listed(NOW, [server(name) for name in names])
--- a/tests/transport/test_outlook.py
+++ b/tests/transport/test_outlook.py
@@ -4,8 +4,8 @@
 
 from configuration.test_plan import encoded
 
-from kestrelplank.transport.outlook import Holder, Holders, Outlook
-from kestrelplank.transport.roster import DRAINING, READY, Roster
+from kestrelplank.transport.outlook import EdgeView, Holder, Holders
+from kestrelplank.transport.roster import DRAINING, READY, ServerList
 
 S = 1_000_000_000
 MEMBERS = ("a:1", "b:1", "c:1")
@@ -24,13 +24,13 @@
 
 
 def test_of_seeds_that_are_down_or_gone_one_that_answers_is_enough():
-    outlook = Outlook("edge-1", ("a:1", "gone:1", "down:1"))
+    outlook = EdgeView("edge-1", ("a:1", "gone:1", "down:1"))
     assert outlook.frame(0, "a:1", beat()) == "members" and outlook.members == MEMBERS
     assert outlook.frame(0, "b:1", beat()) is None
 
 
 def test_ready_is_who_holds_what_a_majority_vouches_for():
-    outlook = Outlook("edge-1", MEMBERS)
+    outlook = EdgeView("edge-1", MEMBERS)
     outlook.frame(0, "a:1", beat((5, "")))
     outlook.frame(0, "a:1", word(5))
     outlook.frame(0, "a:1", {"t": "roster", "age": 0, "list": [entry("s")]})
@@ -44,7 +44,7 @@
 
 
 def test_a_life_never_goes_back():
-    outlook = Outlook("edge-1", MEMBERS)
+    outlook = EdgeView("edge-1", MEMBERS)
     assert outlook.frame(0, "a:1", word(9)) == "word"
     assert outlook.frame(0, "b:1", word(5)) is None and outlook.timetable.key.version == 9
     lines = {"t": "lines", "service": "views", "at": [[2, "a:1"], 1], "lines": [[0, 65535, "s", "s:80"]]}
@@ -70,7 +70,7 @@
 
 
 def test_changes_count_only_on_top_of_the_record_that_they_differ_from():
-    outlook = Outlook("edge-1", MEMBERS)
+    outlook = EdgeView("edge-1", MEMBERS)
     lines = [[0, 99, "s", "s:80"], [100, 65535, "t", "t:80"]]
     outlook.frame(0, "a:1", {"t": "lines", "service": "views", "at": [[2, "a:1"], 1], "lines": lines})
     leaving = {"t": "leaving", "service": "views", "since": [[2, "a:1"], 1], "at": [[2, "a:1"], 1], "lines": [[50, 99, "", ""]]}
@@ -84,7 +84,7 @@
 
 
 def test_of_two_lists_the_one_fetched_later_holds_whenever_it_comes():
-    roster = Roster()
+    roster = ServerList()
     assert roster.take(10 * S, 0, [entry("s"), entry("t")])
     assert not roster.take(11 * S, 3 * S, [entry("s")])  # held up on its way
     assert set(roster.entries) == {"s", "t"}
@@ -92,6 +92,6 @@
 
 
 def test_a_drain_is_never_taken_back():
-    roster = Roster()
+    roster = ServerList()
     roster.take(10 * S, 0, [entry("s", DRAINING)])
     assert not roster.take(11 * S, 0, [entry("s")]) and roster.entries["s"].state == DRAINING
--- a/tests/transport/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -7,7 +7,7 @@
 import pytest
 
 from kestrelplank.transport import wire as module
-from kestrelplank.transport.wire import COMPRESSED, MOST_FRAME, Wire, encoder, packed
+from kestrelplank.transport.wire import COMPRESSED, MOST_FRAME, FrameConnection, encoder, packed
 
 
 class Pipe:
@@ -65,8 +65,8 @@
 
     async def run():
         met, ends = [], []
-        one = Wire(lambda *_: None, lambda _: None)
-        close = await way(one, Wire(lambda _, frame: met.append(frame), ends.append))
+        one = FrameConnection(lambda *_: None, lambda _: None)
+        close = await way(one, FrameConnection(lambda _, frame: met.append(frame), ends.append))
         play(one)
         one.send({"t": "last"})
         async with asyncio.timeout(10):
@@ -125,7 +125,7 @@
                 held.append(transport)
 
         server = await loop.create_server(Deaf, "127.0.0.1", 0)
-        _, wire = await loop.create_connection(lambda: Wire(lambda *_: None, ended.set_result), "127.0.0.1",
+        _, wire = await loop.create_connection(lambda: FrameConnection(lambda *_: None, ended.set_result), "127.0.0.1",
                                                server.sockets[0].getsockname()[1])
         noise = Random(1).randbytes(1 << 20)
         async with asyncio.timeout(10):
