--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -15,14 +15,28 @@
 from kestrelplank.http.serve import listener
 
 IP, CLIENTS = "127.0.0.1", 8
-CONFIGURATION = json.dumps({
-    "config_version": "00000007", "service_table": [{"name": "views", "max_connections": 120}],
-    "virtual_hosts": [{"host_name": "shop.example", "host_routes": [
-        {"path_prefix": "/a/", "route_type": "idempotent", "timeout_s": 2, "target_service": "views"}]}]}).encode()
-ASK = (b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %016x\r\nX-Deadline-Remaining: 1500\r\n"
-       b"X-Shard-Key: 4711\r\n\r\n")
-ANSWER = (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nX-Server-Load: 1,0,2\r\n"
-          b"Keep-Alive: timeout=10\r\nContent-Length: 400\r\n\r\n" + bytes(400))
+CONFIGURATION = json.dumps(
+    {
+        "config_version": "00000007",
+        "service_table": [{"name": "views", "max_connections": 120}],
+        "virtual_hosts": [
+            {
+                "host_name": "shop.example",
+                "host_routes": [
+                    {"path_prefix": "/a/", "route_type": "idempotent", "timeout_s": 2, "target_service": "views"}
+                ],
+            }
+        ],
+    }
+).encode()
+ASK = (
+    b"GET /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %016x\r\nX-Deadline-Remaining: 1500\r\n"
+    b"X-Shard-Key: 4711\r\n\r\n"
+)
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nX-Server-Load: 1,0,2\r\n"
+    b"Keep-Alive: timeout=10\r\nContent-Length: 400\r\n\r\n" + bytes(400)
+)
 
 
 class Serving(asyncio.Protocol):
@@ -46,13 +60,21 @@
 
 async def edge(port, behind, seconds, profile, told):
     from kestrelplank.edge.program import EdgeProgram
-    found = EdgeProgram(Settings(Local("edge-1", IP, "hall"), Network([port + 2], [f"{IP}:{port + 3}"], {
-        "frontend": f"{IP}:{port}", "readiness": f"{IP}:{port + 1}"}), CloudApi("127.0.0.1:9"), Bounds()))
+
+    found = EdgeProgram(
+        Settings(
+            Local("edge-1", IP, "hall"),
+            Network([port + 2], [f"{IP}:{port + 3}"], {"frontend": f"{IP}:{port}", "readiness": f"{IP}:{port + 1}"}),
+            CloudApi("127.0.0.1:9"),
+            Bounds(),
+        )
+    )
     found.listen()
     wire = type("FrameConnection", (), {"peer": "m"})()
     found.on_frame(wire, {"t": "word", "key": (7, ""), "text": CONFIGURATION})
-    found.on_frame(wire, {"t": "roster", "age": 0, "list": [
-        ("views-0", "views", f"{IP}:{behind}", "hall", 64, "ready", 0)]})
+    found.on_frame(
+        wire, {"t": "roster", "age": 0, "list": [("views-0", "views", f"{IP}:{behind}", "hall", 64, "ready", 0)]}
+    )
     await asyncio.sleep(1)
     profiler, spent = cProfile.Profile(), time.process_time()
     if profile:
@@ -90,16 +112,21 @@
     port = sock.getsockname()[1]
     sock.close()
     ends = [multiprocessing.Pipe(False) for _ in range(2)]
-    work = [(serve, (port + 9,)), (edge, (port, port + 9, seconds, "--profile" in sys.argv, ends[0][1])),
-            (ask, (port, seconds, ends[1][1]))]
+    work = [
+        (serve, (port + 9,)),
+        (edge, (port, port + 9, seconds, "--profile" in sys.argv, ends[0][1])),
+        (ask, (port, seconds, ends[1][1])),
+    ]
     processes = [multiprocessing.Process(target=run, args=one, daemon=True) for one in work]
     for process in processes:
         process.start()
     if not all(end.poll(seconds + 10) for end, _ in ends):
         sys.exit("one of the processes failed")
     (spent, memory), count = ends[0][0].recv(), ends[1][0].recv()
-    print(f"{count / seconds:.0f} requests a second, {1e6 * spent / count:.0f} us of processor each, "
-          f"{memory / 1024:.0f} MB at most")
+    print(
+        f"{count / seconds:.0f} requests a second, {1e6 * spent / count:.0f} us of processor each, "
+        f"{memory / 1024:.0f} MB at most"
+    )
     processes[1].join(5)
     processes[0].terminate()
 
--- a/benchmarks/fuzz_relay.py
+++ b/benchmarks/fuzz_relay.py
@@ -12,8 +12,11 @@
 
 import atheris
 
-sys.path[:0] = [str(Path(__file__).parents[1]), str(Path(__file__).parents[1] / "tests"),
-                str(Path(__file__).parents[1] / "tests" / "relay")]
+sys.path[:0] = [
+    str(Path(__file__).parents[1]),
+    str(Path(__file__).parents[1] / "tests"),
+    str(Path(__file__).parents[1] / "tests" / "relay"),
+]
 
 with atheris.instrument_imports(include=["kestrelplank.relay", "kestrelplank.plan", "httptools"]):
     from test_proxy import GET, MS, OK, Site
@@ -24,10 +27,11 @@
         return
     cut = 2 + data[1] * (len(data) - 2) // 255
     sent, reply = data[2:cut], data[cut:]
-    here = Site(lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), hold=0,
-                timeouts=(30 * MS,) * 3)
+    here = Site(
+        lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), hold=0, timeouts=(30 * MS,) * 3
+    )
     client = here.client()
-    client.send(GET[:data[0] % len(GET)] + sent)
+    client.send(GET[: data[0] % len(GET)] + sent)
     here.pass_time(2 * MS)
     client.close()
     here.wait(lambda: not here.proxy._clients and not here.proxy._exchanges)
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -51,8 +51,10 @@
 
 
 def main(runs: int) -> None:
-    print(f"{'conductors':>10} {'loss':>5}  {'death seen: p50':>16} {'p90':>6} {'latest':>7}  {'false an hour':>14}"
-          f" {'bytes/s':>8}")
+    print(
+        f"{'conductors':>10} {'loss':>5}  {'death seen: p50':>16} {'p90':>6} {'latest':>7}  {'false an hour':>14}"
+        f" {'bytes/s':>8}"
+    )
     for count in (2, 3, 8, 40):
         for loss in (0.0, 0.1, 0.2, 0.3, 0.4):
             times, false, rate, quiet = [], 0, 0.0, 30 * S
@@ -64,8 +66,11 @@
             times.sort()
             hours = tries * (quiet if count < 40 else 5 * S) / 3600 / S
             pick = [times[min(len(times) - 1, len(times) * part // 100)] / S for part in (50, 90, 100)]
-            print(f"{count:>10} {loss:>5.0%}  {pick[0]:>14.2f} s {pick[1]:>4.2f} s {pick[2]:>5.2f} s  "
-                  f"{false / hours:>14.1f} {rate:>8.0f}", flush=True)
+            print(
+                f"{count:>10} {loss:>5.0%}  {pick[0]:>14.2f} s {pick[1]:>4.2f} s {pick[2]:>5.2f} s  "
+                f"{false / hours:>14.1f} {rate:>8.0f}",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -41,15 +41,24 @@
 
 def main():
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 8
-    for count, per_s, seconds, hot in ((23, 125, 40, False), (23, 170, 40, False), (23, 125, 40, True),
-                                       (500, 2700, 8, False)):
-        for name, kind, moves in (("never moved", Service, False), ("by hashing", Hashed, False),
-                                  ("the pass", Service, True)):
+    for count, per_s, seconds, hot in (
+        (23, 125, 40, False),
+        (23, 170, 40, False),
+        (23, 125, 40, True),
+        (500, 2700, 8, False),
+    ):
+        for name, kind, moves in (
+            ("never moved", Service, False),
+            ("by hashing", Hashed, False),
+            ("the pass", Service, True),
+        ):
             if count < 100 or moves:
                 late, busiest, moved, cost = play(kind, moves, count, per_s, seconds, seeds if count < 100 else 1, hot)
-                print(f"{count} servers, {per_s}/s{', a hot key' if hot else ''}, {name}: late",
-                      " ".join(f"{one:.3f}" for one in late),
-                      f"busiest/mean {busiest:.2f}, moved {moved:.2f}, {cost:.0f} ms/s")
+                print(
+                    f"{count} servers, {per_s}/s{', a hot key' if hot else ''}, {name}: late",
+                    " ".join(f"{one:.3f}" for one in late),
+                    f"busiest/mean {busiest:.2f}, moved {moved:.2f}, {cost:.0f} ms/s",
+                )
 
 
 if __name__ == "__main__":
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -74,15 +74,18 @@
     kit = Kit()
     kit.pool = Pool(1 << 16, 64)
     if what == "node":
+
         def accept(sock: object) -> None:
             NodeVisitor(kit, sock)
     else:
+
         def accept(sock: object) -> None:
             ours, theirs = Half(httptools.HttpRequestParser), Half(httptools.HttpResponseParser)
             ours.other, theirs.other = theirs, ours
             theirs.up = False
             ours.connection = Connection(kit.loop, kit.pool, sock, ours, 1 << 24)
             theirs.connection = Dialled(kit.loop, kit.pool, address(to), theirs, 1 << 24, 250 * MS)
+
     listener = Listener(kit.loop, ("127.0.0.1", 0), accept, fail, MS)
     print("%s:%d" % listener.at, flush=True)
     kit.loop.run()
@@ -171,8 +174,14 @@
     hub_kit, nodes, started = Kit(), 4, []
 
     def start(*words: str) -> subprocess.Popen:
-        started.append(subprocess.Popen([sys.executable, *words], stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-                                        env=os.environ | {"PYTHONPATH": ROOT}))
+        started.append(
+            subprocess.Popen(
+                [sys.executable, *words],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+                env=os.environ | {"PYTHONPATH": ROOT},
+            )
+        )
         return started[-1]
 
     def told(visitor: object, path: str, body: bytes) -> None:
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -45,8 +45,9 @@
     """Milliseconds of processor and bytes, in and out, a second."""
     random, now = Random(1), 100 * S
     box = Box(now, random, ME, (ME,), True, True, None, {})
-    box.listed(now, 0, [(f"i-{number}", "views", f"10.1.0.{number}:80", "z", 2, "ready", 0)
-                        for number in range(servers)])
+    box.listed(
+        now, 0, [(f"i-{number}", "views", f"10.1.0.{number}:80", "z", 2, "ready", 0) for number in range(servers)]
+    )
     settled(box, now, box.put(now, 1, read(TEXT).unwrap()))
     for _ in range(80):
         now += S // 20
--- a/benchmarks/watched_files.py
+++ b/benchmarks/watched_files.py
@@ -32,6 +32,7 @@
     """A log that nobody reads."""
 
     def info(self, *_: object, **__: object) -> None: ...
+
     warning = info
 
 
@@ -40,7 +41,8 @@
     for number in range(nodes):
         zone = f"zone{number % 3}"
         made[number % files][f"order-{number}.{zone}.example.org"] = Listed(
-            zone, f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000", 1.0 + number % 4 / 2)
+            zone, f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000", 1.0 + number % 4 / 2
+        )
     return [nodelist.written(NodeSet(part)) for part in made]
 
 
@@ -59,12 +61,14 @@
     tracemalloc.start()
     parts = [nodelist.read(f"{place}.ini", data, nodes, True) for place, data in enumerate(lists)]
     made = assemble(parts)
-    print(f"{nodes} nodes in {files} files: {tracemalloc.get_traced_memory()[0] / 1e6:.1f} MB held, "
-          f"{tracemalloc.get_traced_memory()[1] / 1e6:.1f} MB at most")
+    print(
+        f"{nodes} nodes in {files} files: {tracemalloc.get_traced_memory()[0] / 1e6:.1f} MB held, "
+        f"{tracemalloc.get_traced_memory()[1] / 1e6:.1f} MB at most"
+    )
     tracemalloc.stop()
     timed("one file read and parsed", lambda: nodelist.read("0.ini", lists[0], nodes, True))
     timed("all parts checked and put together, with the hash", lambda: assemble(parts))
-    fewer = NodeSet(dict(list(made.nodes.items())[:-nodes // 100]))
+    fewer = NodeSet(dict(list(made.nodes.items())[: -nodes // 100]))
     timed("the difference of two sets, judged", lambda: judge(made, fewer, (), 0, Terms(0.25, 0, False)))
     roster = Roster(Pace(1000 * MS, 0.1))
     roster.accept(0, made)
@@ -90,8 +94,12 @@
     time."""
     with tempfile.TemporaryDirectory() as folder:
         kit = Kit()
-        conf = {"Areas": ["zone0", "zone1", "zone2"], "Categories": [{"Name": "look"}],
-                "Specifics": {"Shards": 1, "MostWaiting": 9e6}, "Rules": {"ColdFrom": 1.0, "FallMultiple": 3.0}}
+        conf = {
+            "Areas": ["zone0", "zone1", "zone2"],
+            "Categories": [{"Name": "look"}],
+            "Specifics": {"Shards": 1, "MostWaiting": 9e6},
+            "Rules": {"ColdFrom": 1.0, "FallMultiple": 3.0},
+        }
         settings = decode.settings(conf, Ids(text), "bench")
         policy, orders = Policy(kit.loop.now(), 1, settings), Orders(kit.loop.now)
         policy.on_tenure(0, 0, True)
@@ -103,6 +111,7 @@
         def on_event(event: tuple) -> None:
             policy.round(kit.loop.now(), [event], orders)
             policy.round(kit.loop.now(), [], orders)  # a node let back is told a round after its lines are away
+
         path, quiet = str(Path(folder) / "a.ini"), 20 * MS
         write_whole(path, whole.encode())
         nodes = Nodes(files=(path,), quiet=quiet, poll=100 * MS, events=events, weight_step=0.0)
@@ -121,8 +130,10 @@
         late = sorted(at - begun - quiet for begun, at in zip(took, heard))
         source.close()
         kit.loop.close()
-    print(f"{number} saves, {'events' if events else 'looking every 100 ms'}: after the quiet time "
-          + ", ".join(f"p{part} {late[min(number - 1, number * part // 100)] / MS:.1f} ms" for part in (50, 90, 99)))
+    print(
+        f"{number} saves, {'events' if events else 'looking every 100 ms'}: after the quiet time "
+        + ", ".join(f"p{part} {late[min(number - 1, number * part // 100)] / MS:.1f} ms" for part in (50, 90, 99))
+    )
 
 
 if __name__ == "__main__":
--- a/kestrelplank/__main__.py
+++ b/kestrelplank/__main__.py
@@ -124,8 +124,9 @@
         if files:
             files.reload(more.nodes)
 
-    orders = Orders(loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS,
-                    found["longest_transit"])
+    orders = Orders(
+        loop, pool, counters, config["hub"], ids, op_types, config["seed"] % MARKS, found["longest_transit"]
+    )
     files = None
 
     def on_listed(event: tuple) -> None:
@@ -138,14 +139,23 @@
             on_event(event)
 
     discovery = Discovery(loop, pool, counters, config["discovery"], ids, on_listed)
-    probes = Probes(loop, pool, counters, discovery.addresses, found["may_probe"], found["dial_timeout"],
-                    found["load_by"] != "none", on_event)
+    probes = Probes(
+        loop,
+        pool,
+        counters,
+        discovery.addresses,
+        found["may_probe"],
+        found["dial_timeout"],
+        found["load_by"] != "none",
+        on_event,
+    )
     try:
         front = Front(loop, pool, counters, address(config["listen"]), ids, found["slices"], on_event)
         peers = None
         if found["may_tell"] and config.get("peer_listen"):
-            peers = Peers(loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "",
-                          ids, on_datagram)
+            peers = Peers(
+                loop, counters, config["peer_listen"], config["peers"], config.get("peers_all") or "", ids, on_datagram
+            )
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror}", file=sys.stderr)
         return 1
@@ -168,8 +178,10 @@
             return 1
     discovery.start(config.get("known"))
     news = News(loop, pool, counters, config["hub"], ids, found["proxies"], found["slices"], orders, on_event)
-    signals = Signals(loop, {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop, signal.SIGHUP: reload,
-                             signal.SIGUSR1: counters.report})
+    signals = Signals(
+        loop,
+        {signal.SIGTERM: loop.stop, signal.SIGINT: loop.stop, signal.SIGHUP: reload, signal.SIGUSR1: counters.report},
+    )
     counters.info("started", listen="%s:%d" % front.at)
     gc.freeze()  # what start-up made stays, and need not be looked through again
     loop.run()
--- a/kestrelplank/cli/check.py
+++ b/kestrelplank/cli/check.py
@@ -31,6 +31,7 @@
             what = kind(ini)
             if what == "script":
                 from kestrelplank.lab.script import script
+
                 script(ini)
             elif what == "relay's file":
                 relay.read(ini)
--- a/kestrelplank/cli/nodes.py
+++ b/kestrelplank/cli/nodes.py
@@ -78,8 +78,10 @@
         click.echo(msgspec.json.encode(rows(made)))
         return
     for name, listed in made.nodes.items():
-        click.echo(f"{name:<40} {listed.zone:<12} {listed.address:<22} {listed.weight:<8g} "
-                   f"{'ready' if listed.ready else 'draining'}")
+        click.echo(
+            f"{name:<40} {listed.zone:<12} {listed.address:<22} {listed.weight:<8g} "
+            f"{'ready' if listed.ready else 'draining'}"
+        )
     click.echo(f"{len(made)} nodes, {len(made.ready())} ready; hash {made.short}")
 
 
@@ -92,8 +94,9 @@
     made = guarded(assemble, found)
     kept = guarded(load, nodes.state) if nodes.state else None
     confirms = tuple(part.confirms for part in found if part.confirms)
-    verdict = judge(kept[0] if kept else None, made, confirms, 0,
-                    Terms(nodes.most_closed, nodes.stand, nodes.zone_may_empty))
+    verdict = judge(
+        kept[0] if kept else None, made, confirms, 0, Terms(nodes.most_closed, nodes.stand, nodes.zone_may_empty)
+    )
     click.echo(f"{verdict.how}: {verdict.why}")
     sys.exit(0 if verdict.how == ACCEPTED else 1)
 
--- a/kestrelplank/cli/rehearse.py
+++ b/kestrelplank/cli/rehearse.py
@@ -19,16 +19,21 @@
     """A report as lines for a person."""
     site = found["site"]
     size = ", ".join(f"{site[what]} {what}" for what in ("nodes", "relays", "conductors", "slices"))
-    lines = [f"{size}; {found['how']}, seed {found['seed']}; all figures are simulated",
-             f"service {found['service']:.4f}, worst 5 s {found['worst_5s']:.4f}, "
-             f"second tries {found['second_tries']}, slices moved {found['channel']['moves']}", "",
-             f"{'op type':<18}{'asked':>8}{'in time':>9}{'acked':>8}{'rejected':>10}{'aborted':>9}{'p50':>8}{'p95':>8}"
-             f"{'p99 ms':>9}{'twice':>7}"]
+    lines = [
+        f"{size}; {found['how']}, seed {found['seed']}; all figures are simulated",
+        f"service {found['service']:.4f}, worst 5 s {found['worst_5s']:.4f}, "
+        f"second tries {found['second_tries']}, slices moved {found['channel']['moves']}",
+        "",
+        f"{'op type':<18}{'asked':>8}{'in time':>9}{'acked':>8}{'rejected':>10}{'aborted':>9}{'p50':>8}{'p95':>8}"
+        f"{'p99 ms':>9}{'twice':>7}",
+    ]
     for name, counts in found["op_types"].items():
         widths = ("p50_ms", 8), ("p95_ms", 8), ("p99_ms", 9)
         times = "".join(f"{counts[key] or 0:>{width}.0f}" for key, width in widths)
-        lines.append(f"{name[:17]:<18}{counts['asked']:>8}{counts['in_time']:>9}{counts['acked']:>8}"
-                     f"{counts['rejected']:>10}{counts['aborted']:>9}{times}{found['duplicates'][name]:>7}")
+        lines.append(
+            f"{name[:17]:<18}{counts['asked']:>8}{counts['in_time']:>9}{counts['acked']:>8}"
+            f"{counts['rejected']:>10}{counts['aborted']:>9}{times}{found['duplicates'][name]:>7}"
+        )
     lines += ["", f"{'rule':<10}{'worst':>10}{'limit':>10}{'margin':>9}"]
     units = {"bare": "s", "drains": "s", "cold": "of what it may be sent", "queue": "lines", "repeats": "ops"}
     for rule, held in found["rules"].items():
@@ -68,13 +73,14 @@
     except Unusable as err:
         click.echo(f"kestrelplank: {err}", err=True)
         sys.exit(2)
-    with click.progressbar(length=1000, label="rehearsing", file=sys.stderr,
-                           hidden=not sys.stderr.isatty()) as bar:
+    with click.progressbar(length=1000, label="rehearsing", file=sys.stderr, hidden=not sys.stderr.isatty()) as bar:
+
         def progress(done: float) -> None:
             bar.update(int(done * 1000) - bar.pos)
 
         if live:
             from kestrelplank.lab.live import play as play_live
+
             found = play_live(read, seed, progress)
         else:
             found = rehearsal.play(read, seed, Standing if baseline else Conductor, progress=progress, knowing=knowing)
--- a/kestrelplank/config/ini.py
+++ b/kestrelplank/config/ini.py
@@ -143,8 +143,9 @@
 
     def _parse(self, text: str) -> list[Section]:
         """configparser reads the form, and says where it breaks; it keeps no lines, so these are found again."""
-        parser = configparser.RawConfigParser(delimiters=("=",), inline_comment_prefixes=("#",), default_section="",
-                                              empty_lines_in_values=False)
+        parser = configparser.RawConfigParser(
+            delimiters=("=",), inline_comment_prefixes=("#",), default_section="", empty_lines_in_values=False
+        )
         parser.optionxform = str.strip
         try:
             parser.read_string(text)
@@ -202,8 +203,10 @@
     def finish(self) -> None:
         """Raises Unusable where a section stands that nobody took."""
         for section in self._left.values():
-            raise Unusable(f"{self.path}, line {section.line}: no section is called {section}"
-                           + nearest(f"{section.kind} NAME" if section.name else section.kind, self._kinds))
+            raise Unusable(
+                f"{self.path}, line {section.line}: no section is called {section}"
+                + nearest(f"{section.kind} NAME" if section.name else section.kind, self._kinds)
+            )
 
     def _read(self, section: Section, struct: type[Struct]) -> Struct:
         fields = {field.encode_name: field for field in msgspec.structs.fields(struct)}
@@ -229,8 +232,13 @@
         try:
             return msgspec.convert(reader_of(kind)(text), kind)
         except (ValueError, msgspec.ValidationError) as err:
-            raise self.fail(section, name, f"{str(err)[:1].lower()}{str(err)[1:]}, got {text!r}"
-                            if isinstance(err, msgspec.ValidationError) else str(err)) from None
+            raise self.fail(
+                section,
+                name,
+                f"{str(err)[:1].lower()}{str(err)[1:]}, got {text!r}"
+                if isinstance(err, msgspec.ValidationError)
+                else str(err),
+            ) from None
 
 
 def nearest(name: str, among: Any) -> str:
--- a/kestrelplank/config/operator.py
+++ b/kestrelplank/config/operator.py
@@ -53,8 +53,9 @@
 
 def read(ini: Ini) -> Operator:
     """What the operator's file says; Unusable where any of it can't be used."""
-    made = Operator(nodes=ini.one("nodes", Nodes), members=ini.one("members", Members),
-                    status=ini.one("status", Status))
+    made = Operator(
+        nodes=ini.one("nodes", Nodes), members=ini.one("members", Members), status=ini.one("status", Status)
+    )
     if made.members.suspect > made.members.dead:
         raise ini.fail(ini.find("members"), "suspect", "nobody is dead before being suspected")
     ini.finish()
--- a/kestrelplank/config/platform.py
+++ b/kestrelplank/config/platform.py
@@ -80,8 +80,12 @@
         return self.network.internal_port_range[0]
 
 
-TABLES = (("local_system", Local), ("network", Network), ("platform.cloud_api", CloudApi),
-          ("policy_terms.bounds", Bounds))
+TABLES = (
+    ("local_system", Local),
+    ("network", Network),
+    ("platform.cloud_api", CloudApi),
+    ("policy_terms.bounds", Bounds),
+)
 
 
 def endpoint(address: str, where: str = "address") -> tuple[str, int]:
@@ -114,11 +118,19 @@
     if not dataclasses.is_dataclass(kind):
         return None
     hints = typing.get_type_hints(kind)
-    return tuple((part.name, hints[part.name], part.default is dataclasses.MISSING
-                  and part.default_factory is dataclasses.MISSING,
-                  tuple(one for one in (typing.get_args(hints[part.name]) or (hints[part.name],))
-                        if one in PLAIN and typing.get_origin(hints[part.name]) not in (list, dict)))
-                 for part in dataclasses.fields(kind))
+    return tuple(
+        (
+            part.name,
+            hints[part.name],
+            part.default is dataclasses.MISSING and part.default_factory is dataclasses.MISSING,
+            tuple(
+                one
+                for one in (typing.get_args(hints[part.name]) or (hints[part.name],))
+                if one in PLAIN and typing.get_origin(hints[part.name]) not in (list, dict)
+            ),
+        )
+        for part in dataclasses.fields(kind)
+    )
 
 
 def misfit(kind: Any, value: Any, where: str) -> str | None:
--- a/kestrelplank/config/relay.py
+++ b/kestrelplank/config/relay.py
@@ -113,9 +113,14 @@
 
 def read(ini: Ini) -> RelayFile:
     """What a relay's file says; Unusable where any of it can't be used."""
-    made = RelayFile(place=ini.one("relay", Place), tries=ini.one("tries", Tries), clients=ini.one("clients", Clients),
-                     nodes=ini.one("nodes", Nodes), zones=ini.one("zones", Zones),
-                     op_types={section.name: op for section, op in ini.each("op", OpType)})
+    made = RelayFile(
+        place=ini.one("relay", Place),
+        tries=ini.one("tries", Tries),
+        clients=ini.one("clients", Clients),
+        nodes=ini.one("nodes", Nodes),
+        zones=ini.one("zones", Zones),
+        op_types={section.name: op for section, op in ini.each("op", OpType)},
+    )
     ini.finish()
     for field in ("listen", "hub"):
         value = getattr(made.place, field)
--- a/kestrelplank/configuration/change.py
+++ b/kestrelplank/configuration/change.py
@@ -5,8 +5,14 @@
 from kestrelplank.configuration.plan import Configuration, Route
 
 ADDED, DROPPED = "added", "dropped"
-FIELDS = {"kind": "route_type", "timeout": "timeout_s", "aim": "target_latency_s", "priority": "priority",
-          "attempts": "max_attempts", "split": "traffic_split"}
+FIELDS = {
+    "kind": "route_type",
+    "timeout": "timeout_s",
+    "aim": "target_latency_s",
+    "priority": "priority",
+    "attempts": "max_attempts",
+    "split": "traffic_split",
+}
 TIMES = ("timeout", "aim")
 
 
@@ -22,14 +28,20 @@
 
     def told(self) -> str:
         place = f"{self.host}{self.prefix}" if self.host else "all"
-        return f"{place}: {self.field}" if self.old is self.new is None else (
-            f"{place}: {self.field} {self.old} -> {self.new}")
+        return (
+            f"{place}: {self.field}"
+            if self.old is self.new is None
+            else (f"{place}: {self.field} {self.old} -> {self.new}")
+        )
 
 
 def changes(old: Configuration, new: Configuration) -> list[Change]:
     """All that `new` changes, ordered by host and prefix."""
-    found = [Change("", "", name, getattr(old, name), getattr(new, name))
-             for name in ("max_body", "max_header", "idle", "header_wait") if getattr(old, name) != getattr(new, name)]
+    found = [
+        Change("", "", name, getattr(old, name), getattr(new, name))
+        for name in ("max_body", "max_header", "idle", "header_wait")
+        if getattr(old, name) != getattr(new, name)
+    ]
     for name in sorted(old.services.keys() | new.services.keys()):
         was, now = old.services.get(name), new.services.get(name)
         if was != now:
@@ -45,8 +57,11 @@
     """The same for one place."""
     if old is None or new is None:
         return [Change(host, prefix, ADDED if old is None else DROPPED, None, None)]
-    return [Change(host, prefix, told, *(shown(name, getattr(route, name)) for route in (old, new)))
-            for name, told in FIELDS.items() if getattr(old, name) != getattr(new, name)]
+    return [
+        Change(host, prefix, told, *(shown(name, getattr(route, name)) for route in (old, new)))
+        for name, told in FIELDS.items()
+        if getattr(old, name) != getattr(new, name)
+    ]
 
 
 def shown(name: str, value: Any) -> Any:
--- a/kestrelplank/configuration/keeping.py
+++ b/kestrelplank/configuration/keeping.py
@@ -96,8 +96,9 @@
         if not self.whole:
             return [("answer", ticket, NO_MAJORITY)]
         self._reads[ticket] = Reading(now + PATIENCE, {self.me: self.key()})
-        return [("send", member, {"t": "ask", "ticket": ticket}) for member in self.members if member != self.me] \
-            + self._settle(now)
+        return [
+            ("send", member, {"t": "ask", "ticket": ticket}) for member in self.members if member != self.me
+        ] + self._settle(now)
 
     def asked(self, member: str, ticket: int) -> list[Effect]:
         if not self.whole:
@@ -143,6 +144,11 @@
             newest = max(reading.told.values())
             if len(reading.told) >= self.majority and self.key() >= newest and settled >= newest:
                 del self._reads[ticket]
-                effects.append(("show", ticket, self.held if self.held is None or self.held.key <= settled
-                                else self.force or self.held))
+                effects.append(
+                    (
+                        "show",
+                        ticket,
+                        self.held if self.held is None or self.held.key <= settled else self.force or self.held,
+                    )
+                )
         return effects
--- a/kestrelplank/configuration/plan.py
+++ b/kestrelplank/configuration/plan.py
@@ -137,17 +137,29 @@
         self.key, self.text = key, text
         self.max_body, self.max_header = form.limits.max_body_bytes, form.limits.max_header_bytes
         self.idle, self.header_wait = ns(form.limits.idle_timeout_s), ns(form.limits.header_timeout_s)
-        self.services = {one.name: Service(one.name, one.health_check_path, one.max_connections, one.sharded,
-                                           ns(one.prewarm_s)) for one in form.service_table}
+        self.services = {
+            one.name: Service(one.name, one.health_check_path, one.max_connections, one.sharded, ns(one.prewarm_s))
+            for one in form.service_table
+        }
         self.hosts: dict[str, dict[str, Route]] = {}
         for host in form.virtual_hosts:
             places = self.hosts.setdefault(host.host_name.lower(), {})
             for one in host.host_routes:
-                split = ((one.target_service, 1.0),) if one.traffic_split is None else tuple(
-                    (part.target_service, part.weight) for part in one.traffic_split)
-                places[one.path_prefix] = Route(host.host_name, one.path_prefix, one.route_type, ns(one.timeout_s),
-                                                ns(one.target_latency_s), one.priority, max(1, one.max_attempts),
-                                                split)
+                split = (
+                    ((one.target_service, 1.0),)
+                    if one.traffic_split is None
+                    else tuple((part.target_service, part.weight) for part in one.traffic_split)
+                )
+                places[one.path_prefix] = Route(
+                    host.host_name,
+                    one.path_prefix,
+                    one.route_type,
+                    ns(one.timeout_s),
+                    ns(one.target_latency_s),
+                    one.priority,
+                    max(1, one.max_attempts),
+                    split,
+                )
 
     def route(self, host: str, path: str) -> Route | None:
         """The route of that host whose prefix is the longest that begins the path; a port in `host` is not heeded."""
@@ -156,7 +168,7 @@
             return None
         end = path.rfind("/")
         while end >= 0:  # every prefix ends with a slash, so only these places can be one's end
-            found = places.get(path[:end + 1])
+            found = places.get(path[: end + 1])
             if found is not None:
                 return found
             end = path.rfind("/", 0, end)
--- a/kestrelplank/control/box.py
+++ b/kestrelplank/control/box.py
@@ -51,21 +51,38 @@
         known = {(parts[0], parts[1], parts[4]) for parts in self.told}
         now = {line.first: line.server if line.state == HELD else "" for line in self.lines.lines}
         since, self.told_at, self.told = self.told_at, (self.claimer.ballot, seq), record
-        changes = [parts[:4] if now.get(parts[0], parts[2]) == parts[2] else (*parts[:2], "", "")
-                   for parts in record if (parts[0], parts[1], parts[4]) not in known]
+        changes = [
+            parts[:4] if now.get(parts[0], parts[2]) == parts[2] else (*parts[:2], "", "")
+            for parts in record
+            if (parts[0], parts[1], parts[4]) not in known
+        ]
         return {"t": "changed", "service": self.claimer.service, "since": since, "at": self.told_at, "lines": changes}
 
     def leaving_frame(self, lines: list[Line]) -> dict[str, Any]:
         """Lines that just leave their servers: requests for these keys had better wait."""
-        return {"t": "leaving", "service": self.claimer.service, "since": self.told_at, "at": self.told_at,
-                "lines": sorted((line.first, line.last, "", "") for line in lines)}
+        return {
+            "t": "leaving",
+            "service": self.claimer.service,
+            "since": self.told_at,
+            "at": self.told_at,
+            "lines": sorted((line.first, line.last, "", "") for line in lines),
+        }
 
 
 class Box:
     """One of the counted `members`. `whole`: its disk may be believed; `first`: the system has never run before."""
 
-    def __init__(self, now: int, random: Random, me: str, members: tuple[str, ...], whole: bool, first: bool,
-                 word: Configuration | None, registers: dict[str, Register]) -> None:
+    def __init__(
+        self,
+        now: int,
+        random: Random,
+        me: str,
+        members: tuple[str, ...],
+        whole: bool,
+        first: bool,
+        word: Configuration | None,
+        registers: dict[str, Register],
+    ) -> None:
         self.me, self.members, self._random = me, members, random
         self.keeper = Keeper(me, members, whole, word)
         self.promiser = Promiser(now, registers, whole, first)
@@ -137,8 +154,9 @@
     def stored(self, now: int, key: Key) -> list[Effect]:
         return self._done(now, self.keeper.stored(now, key), None)
 
-    def called(self, now: int, service: str, word: str, line: Line, sent: bool, status: int | None,
-               handover: str | None) -> list[Effect]:
+    def called(
+        self, now: int, service: str, word: str, line: Line, sent: bool, status: int | None, handover: str | None
+    ) -> list[Effect]:
         """A grant or release has ended."""
         decision = self.decisions.get(service)
         if decision is None or decision.lines is None or line not in decision.lines.lines:
@@ -178,12 +196,21 @@
         for service in self._sharded():
             decision = self.decisions.get(service)
             if decision is None:
-                claimer = Claimer(now, self._random, self.me, self.members, service,
-                                  self.promiser.registers.get(service, Register()).promised[0])
+                claimer = Claimer(
+                    now,
+                    self._random,
+                    self.me,
+                    self.members,
+                    service,
+                    self.promiser.registers.get(service, Register()).promised[0],
+                )
                 decision = self.decisions[service] = Decision(claimer)
             wants = self.whole and not self._stopping and self.roster.fetched_at is not None
-            effects += self._done(now, decision.claimer.tick(now, self.promiser.free_at(service, self.me),
-                                                             self.reached(now), wants), decision)
+            effects += self._done(
+                now,
+                decision.claimer.tick(now, self.promiser.free_at(service, self.me), self.reached(now), wants),
+                decision,
+            )
             effects += self._work(now, service, decision)
         return effects
 
@@ -192,9 +219,18 @@
         return [service.name for service in force.services.values() if service.sharded] if force else []
 
     def _servers(self, now: int, service: str) -> list[Server]:
-        return [Server(entry.server, entry.address, entry.zone, entry.slots, entry.state == READY,
-                       (self.roster.fetched_at or 0) + entry.warm)
-                for entry in self.roster.entries.values() if entry.service == service]
+        return [
+            Server(
+                entry.server,
+                entry.address,
+                entry.zone,
+                entry.slots,
+                entry.state == READY,
+                (self.roster.fetched_at or 0) + entry.warm,
+            )
+            for entry in self.roster.entries.values()
+            if entry.service == service
+        ]
 
     def _work(self, now: int, service: str, decision: Decision) -> list[Effect]:
         """What the decider does about its lines."""
@@ -241,8 +277,15 @@
                 found, known = parts_of(effect[1])
                 decision.lines = KeyRanges(now, decision.claimer.ballot[0], found)
                 decision.lines.listed(now, servers)
-                target = min((route.aim for places in self.keeper.force.hosts.values() for route in places.values()
-                              if any(name == service for name, _ in route.split)), default=S)
+                target = min(
+                    (
+                        route.aim
+                        for places in self.keeper.force.hosts.values()
+                        for route in places.values()
+                        if any(name == service for name, _ in route.split)
+                    ),
+                    default=S,
+                )
                 decision.placing = Placing(now, self._random.getrandbits(32), decision.lines, target, known)
                 left.append(("log", f"deciding for {service} by ballot {decision.claimer.ballot[0]}"))
                 decision.told, decision.told_at = found, (decision.claimer.ballot, decision.claimer.seq)
@@ -274,19 +317,38 @@
             services[service] = {
                 "decides": bool(decision and decision.claimer.decides(now)),
                 "holder": self.promiser.holder(now, service),
-                "ballot": register.ballot[0], "record": register.seq,
+                "ballot": register.ballot[0],
+                "record": register.seq,
                 "bare_s": round(decision.lines.bare / KEYS / S, 3) if lines else None,
-                "lines": [{"first": line.first, "last": line.last, "server": line.server, "fence": line.fence,
-                           "state": line.state, "runs_out_s": round((line.until - now) / S, 3)} for line in lines]}
+                "lines": [
+                    {
+                        "first": line.first,
+                        "last": line.last,
+                        "server": line.server,
+                        "fence": line.fence,
+                        "state": line.state,
+                        "runs_out_s": round((line.until - now) / S, 3),
+                    }
+                    for line in lines
+                ],
+            }
         age = self.roster.age(now)
         force = self.keeper.force
-        return {"whole": self.whole, "in_force": f"{force.key.version:08x}" if force else None,
-                "held": {member: f"{key.version:08x}" if key.version >= 0 else None
-                         for member, key in sorted(self.keeper.durable.items())},
-                "members": {member: {"heard_s": round((now - self.heard_at[member]) / S, 3)
-                                     if member in self.heard_at else None} for member in self.members},
-                "servers": len(self.roster.entries), "list_age_s": None if age is None else round(age / S, 3),
-                "services": services}
+        return {
+            "whole": self.whole,
+            "in_force": f"{force.key.version:08x}" if force else None,
+            "held": {
+                member: f"{key.version:08x}" if key.version >= 0 else None
+                for member, key in sorted(self.keeper.durable.items())
+            },
+            "members": {
+                member: {"heard_s": round((now - self.heard_at[member]) / S, 3) if member in self.heard_at else None}
+                for member in self.members
+            },
+            "servers": len(self.roster.entries),
+            "list_age_s": None if age is None else round(age / S, 3),
+            "services": services,
+        }
 
     # What edge members are told.
 
@@ -302,8 +364,13 @@
         """Told to an edge member in every beat: what this member vouches for, who
         the counted members are, and how many edge members there are."""
         force = self.keeper.force
-        return {"t": "beat", "key": force.key if force else None, "whole": self.whole, "members": self.members,
-                "edges": edges}
+        return {
+            "t": "beat",
+            "key": force.key if force else None,
+            "whole": self.whole,
+            "members": self.members,
+            "edges": edges,
+        }
 
     def lacking(self, now: int, frame: dict[str, Any]) -> list[dict[str, Any]]:
         """What an edge member that says where it stands has not got yet."""
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -55,16 +55,21 @@
                 body["hold_s"] = HOLD / S
                 if line.handover:
                     body["handover"] = line.handover
-            sent, status, handover = await self.ask(f"/api/{word}", body, (CALL if grant else RELEASE) / S,
-                                                    until if grant else None)
+            sent, status, handover = await self.ask(
+                f"/api/{word}", body, (CALL if grant else RELEASE) / S, until if grant else None
+            )
             self.program.called(service, word, line, sent, status, handover)
 
-    async def ask(self, target: str, body: dict[str, Any], within: float,
-                  until: int | None) -> tuple[bool, int | None, str | None]:
+    async def ask(
+        self, target: str, body: dict[str, Any], within: float, until: int | None
+    ) -> tuple[bool, int | None, str | None]:
         """Whether anything was sent, the status if an answer came, and the handover that it carried."""
         text = msgspec.json.encode(body)
-        headers = [(b"Host", b"server"), (b"Content-Type", b"application/json"),
-                   (b"Content-Length", str(len(text)).encode())]
+        headers = [
+            (b"Host", b"server"),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(text)).encode()),
+        ]
         connection, sent = self.connection, False
         try:
             async with asyncio.timeout(within):
@@ -172,8 +177,7 @@
                 self.store.keep_word(word)
             self.store.keep_roll(members)
 
-    def called(self, service: str, word: str, line: Line, sent: bool, status: int | None,
-               handover: str | None) -> None:
+    def called(self, service: str, word: str, line: Line, sent: bool, status: int | None, handover: str | None) -> None:
         self.carry_out(self.box.called(time.monotonic_ns(), service, word, line, sent, status, handover))
 
     # Calls of the operator.
@@ -201,9 +205,13 @@
         if self.box is None:
             return {"member": self.me, "state": "looking for the others"}
         now = time.monotonic_ns()
-        edges = {name: {"version": None if session.said is None else f"{session.said:08x}",
-                        "heard_s": round(session.silent_for(now) / S, 3)}
-                 for name, session in sorted(self.edges.by_name.items())}
+        edges = {
+            name: {
+                "version": None if session.said is None else f"{session.said:08x}",
+                "heard_s": round(session.silent_for(now) / S, 3),
+            }
+            for name, session in sorted(self.edges.by_name.items())
+        }
         return {"member": self.me, "edges": edges, **self.box.status(now)}
 
     # Sessions.
@@ -254,7 +262,8 @@
             try:
                 async with asyncio.timeout(DIAL):
                     _, wire = await asyncio.get_running_loop().create_connection(
-                        lambda: FrameConnection(self.on_reply, over), host, self.settings.telegraph_port())
+                        lambda: FrameConnection(self.on_reply, over), host, self.settings.telegraph_port()
+                    )
             except (OSError, TimeoutError):
                 await asyncio.sleep(AGAIN)
                 continue
@@ -302,8 +311,17 @@
                         return None
                     page = msgspec.json.decode(answer.body)
                     for one in page["instances"]:
-                        entries.append((one["server_id"], one["target_service"], one["address"], one["zone"],
-                                        one["slots"], one["state"], ns(one["warmup_left_s"])))
+                        entries.append(
+                            (
+                                one["server_id"],
+                                one["target_service"],
+                                one["address"],
+                                one["zone"],
+                                one["slots"],
+                                one["state"],
+                                ns(one["warmup_left_s"]),
+                            )
+                        )
                     token = page.get("next_token")
                     if not token:
                         return entries
@@ -353,12 +371,16 @@
         sock = listener(*self.settings.listen("control_plane"))
         front = server(application(self), 15, 2)
         serving = asyncio.create_task(front.serve([sock]))
-        telegraph = await loop.create_server(lambda: FrameConnection(self.on_frame, self.on_end),
-                                             self.settings.local_system.ip_address, self.settings.telegraph_port())
+        telegraph = await loop.create_server(
+            lambda: FrameConnection(self.on_frame, self.on_end),
+            self.settings.local_system.ip_address,
+            self.settings.telegraph_port(),
+        )
         members, whole = await self.members()
         first = self.settings.local_system.initial_boot
-        self.box = Box(time.monotonic_ns(), self.random, self.me, members, whole, first, self.store.word(),
-                       self.store.registers())
+        self.box = Box(
+            time.monotonic_ns(), self.random, self.me, members, whole, first, self.store.word(), self.store.registers()
+        )
         log.info("Control: member %s of %d%s", self.me, len(members), "" if whole else ", with an empty disk")
         duties = Duties("Control", stop)
         for member in members:
--- a/kestrelplank/decode.py
+++ b/kestrelplank/decode.py
@@ -142,6 +142,7 @@
         if text(value) not in choices:
             raise Malformed(f"expected one of {', '.join(choices)}, got {value!r}")
         return choices[value] if isinstance(choices, dict) else value
+
     return read
 
 
@@ -166,11 +167,16 @@
         if not isinstance(kind, dict):
             raise Malformed(f"{where}.Categories: entry {place}: expected an object, got {kind!r}")
         ids.op_types[text(kind.get("Name"))] = place
-        op_types.append({
-            "target_latency": time(kind.get("Target") or 0), "op_timeout": time(kind.get("Deadline") or 0),
-            "value": count(kind.get("Importance") or 0), "group": kind.get("Group") or "",
-            "effect": EFFECTS.get(kind.get("Effect"), "once-only"),
-            "repeat_window": time(kind.get("DedupWindow") or 0)})
+        op_types.append(
+            {
+                "target_latency": time(kind.get("Target") or 0),
+                "op_timeout": time(kind.get("Deadline") or 0),
+                "value": count(kind.get("Importance") or 0),
+                "group": kind.get("Group") or "",
+                "effect": EFFECTS.get(kind.get("Effect"), "once-only"),
+                "repeat_window": time(kind.get("DedupWindow") or 0),
+            }
+        )
     return {
         "op_types": op_types,
         "ordinal": read("Ordinal", whole, 0),
@@ -218,7 +224,7 @@
     """Datagrams of at most 256 bytes that tell other conductors `parts`, node to ops a second; `names` has the nodes'
     names. Each stands for itself, as any may be lost: it names some nodes, and says nothing of the others."""
     told = [SHARE.pack(checksum(names[node]), min(ops, MOST_OPS)) for node, ops in parts.items()]
-    return [bytes([SHARES]) + b"".join(told[at:at + MOST_SHARES]) for at in range(0, len(told), MOST_SHARES)]
+    return [bytes([SHARES]) + b"".join(told[at : at + MOST_SHARES]) for at in range(0, len(told), MOST_SHARES)]
 
 
 def shared(body: bytes, ids: Ids) -> list[tuple[int, float]] | None:
--- a/kestrelplank/drill/wire.py
+++ b/kestrelplank/drill/wire.py
@@ -25,10 +25,24 @@
 
 EVERY_TABLE = 65535
 CONDITIONS = {"up", "draining", "removed"}
-VERDICTS = {"success": "ok", "failure": "failed", "overloaded": "full", "timed_out": "timed out",
-            "unreachable": "unreachable", "broken": "broken", "withdrawn": "withdrawn", "void": "void"}
-LOADS = {"busy_reqs": "inflight", "pending": "queued", "cpu_share": "util", "svc_ms": "service_ms",
-         "served_ps": "acked_per_s", "failed_ps": "aborted_per_s"}
+VERDICTS = {
+    "success": "ok",
+    "failure": "failed",
+    "overloaded": "full",
+    "timed_out": "timed out",
+    "unreachable": "unreachable",
+    "broken": "broken",
+    "withdrawn": "withdrawn",
+    "void": "void",
+}
+LOADS = {
+    "busy_reqs": "inflight",
+    "pending": "queued",
+    "cpu_share": "util",
+    "svc_ms": "service_ms",
+    "served_ps": "acked_per_s",
+    "failed_ps": "aborted_per_s",
+}
 
 
 def body(value: Any) -> bytes:
@@ -55,9 +69,16 @@
             raise Malformed(f"entry {place}: expected seven values, got {entry!r}")
         boot, cell, condition, zone, node, _kind, weight = entry[:7]
         try:
-            result.append((ids.node(node), word(CONDITIONS)(condition), None if zone is None else ids.zone(zone),
-                           None if cell is None else whole(cell), 1.0 if weight is None else count(weight),
-                           time(boot) if boot else None))
+            result.append(
+                (
+                    ids.node(node),
+                    word(CONDITIONS)(condition),
+                    None if zone is None else ids.zone(zone),
+                    None if cell is None else whole(cell),
+                    1.0 if weight is None else count(weight),
+                    time(boot) if boot else None,
+                )
+            )
         except Malformed as err:
             raise Malformed(f"entry {place}: {err}") from None
     return result
@@ -66,25 +87,68 @@
 # The wire's event, our word for it, and its fields in the wire's order: name, reader, may be null, place
 # among our fields. A reader named as text is a method of Ids.
 EVENTS: dict[str, tuple[str, tuple]] = {
-    "ROSTER_CHANGE": ("roster", (("Version", number, True, None),
-                                 ("How", word({"delta", "full", "cached", "failed"}), False, 0),
-                                 ("Hosts", entries, True, 1))),
+    "ROSTER_CHANGE": (
+        "roster",
+        (
+            ("Version", number, True, None),
+            ("How", word({"delta", "full", "cached", "failed"}), False, 0),
+            ("Hosts", entries, True, 1),
+        ),
+    ),
     "TENURE": ("tenure", (("SetId", whole, False, 0), ("Yes", flag, False, 1))),
     "CURRENT_OWNER": ("line", (("Node", "node", False, 1), ("SetId", whole, False, 0), ("Size", count, False, 2))),
-    "SUBSCRIBED": ("joined", (("Proxy", whole, False, 0), ("FailureDomain", "zone", True, 1),
-                              ("Size", count, True, 2), ("Yes", flag, False, 3))),
+    "SUBSCRIBED": (
+        "joined",
+        (
+            ("Proxy", whole, False, 0),
+            ("FailureDomain", "zone", True, 1),
+            ("Size", count, True, 2),
+            ("Yes", flag, False, 3),
+        ),
+    ),
     "LOST_STREAM": ("left", (("Proxy", whole, False, 0),)),
-    "INSTALLED": ("applied", (("Proxy", whole, False, 0), ("Version", whole, False, 1),
-                              ("WaitTime", time, True, 2))),
-    "ROUNDUP": ("tries", (("N", told, False, 2), ("Bad", told, False, 3), ("WaitTime", time, True, 4),
-                          ("Window", time, False, 5), ("FailureDomain", "zone", True, 1),
-                          ("Node", "node", False, 0), ("Stats", load, True, 6))),
-    "WEIGHT_SEEN": ("heat", (("Window", time, False, 4), ("Cls", "op_type", False, 1), ("SetId", whole, False, 0),
-                             ("Bad", told, False, 3), ("N", told, False, 2))),
-    "DEMAND": ("demand", (("N", told, False, 2), ("Cls", "op_type", False, 1), ("Proxy", whole, False, 0),
-                          ("Bad", told, False, 3), ("Window", time, False, 4))),
-    "ECHO": ("probed", (("Node", "node", False, 0), ("Verdict", word(VERDICTS), False, 1),
-                        ("WaitTime", time, True, 2), ("Stats", load, True, 3))),
+    "INSTALLED": ("applied", (("Proxy", whole, False, 0), ("Version", whole, False, 1), ("WaitTime", time, True, 2))),
+    "ROUNDUP": (
+        "tries",
+        (
+            ("N", told, False, 2),
+            ("Bad", told, False, 3),
+            ("WaitTime", time, True, 4),
+            ("Window", time, False, 5),
+            ("FailureDomain", "zone", True, 1),
+            ("Node", "node", False, 0),
+            ("Stats", load, True, 6),
+        ),
+    ),
+    "WEIGHT_SEEN": (
+        "heat",
+        (
+            ("Window", time, False, 4),
+            ("Cls", "op_type", False, 1),
+            ("SetId", whole, False, 0),
+            ("Bad", told, False, 3),
+            ("N", told, False, 2),
+        ),
+    ),
+    "DEMAND": (
+        "demand",
+        (
+            ("N", told, False, 2),
+            ("Cls", "op_type", False, 1),
+            ("Proxy", whole, False, 0),
+            ("Bad", told, False, 3),
+            ("Window", time, False, 4),
+        ),
+    ),
+    "ECHO": (
+        "probed",
+        (
+            ("Node", "node", False, 0),
+            ("Verdict", word(VERDICTS), False, 1),
+            ("WaitTime", time, True, 2),
+            ("Stats", load, True, 3),
+        ),
+    ),
     "DATAGRAM": ("peer", (("Sender", whole, False, 0), ("Body", body, True, 1))),
     "REMINDER": ("timer", (("Name", text, False, 0),)),
 }
--- a/kestrelplank/edge/lines.py
+++ b/kestrelplank/edge/lines.py
@@ -13,8 +13,19 @@
 DIAL_WITHIN = 0.35  # s for a connection to come up
 IDLE = 8_500_000_000  # ns for which a connection is kept unused where its server does not say how long it keeps it
 EARLIER = 1_500_000_000  # ns before the server would: who ends it first must be us, as a request may be on its way
-HOP = {b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-       b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"}
+HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+    b"content-length",
+}
 TIMEOUT = re.compile(rb"\btimeout=(\d{1,9})\b")
 FAILED = (OSError, TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, TooLarge)
 
@@ -46,8 +57,17 @@
         self._lines: dict[str, dict[int, Line]] = {}
         self._number = 0
 
-    async def carry(self, address: str, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
-                    attempt: bytes, within: int, most: int) -> Outcome:
+    async def carry(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        attempt: bytes,
+        within: int,
+        most: int,
+    ) -> Outcome:
         """One try at that server, within so many ns, over one of at most so many connections. Never raises but when
         cancelled."""
         try:
@@ -56,8 +76,16 @@
         except TimeoutError:
             return Outcome(SILENT if limit.expired() else UNSENT)
 
-    async def _carry(self, address: str, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-                     body: bytes, attempt: bytes, most: int) -> Outcome:
+    async def _carry(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        attempt: bytes,
+        most: int,
+    ) -> Outcome:
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = Pool(self._clock(), Terms(most=most, idle=IDLE))
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -35,8 +35,9 @@
         local, bounds = settings.local_system, settings.bounds
         self.random = Random(SystemRandom().getrandbits(64))
         self.outlook = EdgeView(local.node_name, tuple(settings.network.seed_nodes))
-        self.junction = Forwarder(self.random, self.outlook, local.zone, bounds.retry_budget_ratio,
-                                 bounds.retry_allowance, ns(bounds.drain_s))
+        self.junction = Forwarder(
+            self.random, self.outlook, local.zone, bounds.retry_budget_ratio, bounds.retry_allowance, ns(bounds.drain_s)
+        )
         self.lines = Lines(time.monotonic_ns)
         self.readiness_port = settings.listen("readiness")[1]
         self.stopping = False
@@ -66,13 +67,19 @@
         finally:
             self.held -= taken[0]
 
-    async def pass_on(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, came: int, receive: Any,
-                      send: Any) -> None:
+    async def pass_on(
+        self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, came: int, receive: Any, send: Any
+    ) -> None:
         """A request that is here whole, and came at that time."""
         now = time.monotonic_ns()
-        passage, step = self.junction.begin(now, fields.get(b"host", b"").decode("latin-1"), scope["path"],
-                                            fields.get(b"x-shard-key", b"").decode("latin-1") or None,
-                                            waits(fields) - (now - came), len(body))
+        passage, step = self.junction.begin(
+            now,
+            fields.get(b"host", b"").decode("latin-1"),
+            scope["path"],
+            fields.get(b"x-shard-key", b"").decode("latin-1") or None,
+            waits(fields) - (now - came),
+            len(body),
+        )
         if passage is None:
             await self.refuse(send, step[1], step[2])
             return
@@ -84,9 +91,17 @@
             gone.cancel()
             attempt = fields.get(b"x-attempt-id", b"")
             if self.trace and crc32(attempt) % self.trace == 0:
-                log.info("Edge: request", extra={
-                    "attempt": attempt.decode("latin-1"), "path": scope["path"], "service": passage.service,
-                    "key": passage.key, "tries": tries, "ms": (time.monotonic_ns() - came) // 1_000_000})
+                log.info(
+                    "Edge: request",
+                    extra={
+                        "attempt": attempt.decode("latin-1"),
+                        "path": scope["path"],
+                        "service": passage.service,
+                        "key": passage.key,
+                        "tries": tries,
+                        "ms": (time.monotonic_ns() - came) // 1_000_000,
+                    },
+                )
 
     async def body(self, receive: Any, taken: list[int]) -> bytes | Fault | None:
         """The whole body; a fault where it can't be taken, None where the client has gone. What it holds of the memory
@@ -108,14 +123,26 @@
             if not message.get("more_body"):
                 return b"".join(parts)
 
-    async def carry(self, scope: dict[str, Any], fields: dict[bytes, bytes], body: bytes, passage: ForwardedRequest,
-                    step: tuple[Any, ...], send: Any, gone: asyncio.Future[Any], tries: list[dict[str, Any]]) -> None:
+    async def carry(
+        self,
+        scope: dict[str, Any],
+        fields: dict[bytes, bytes],
+        body: bytes,
+        passage: ForwardedRequest,
+        step: tuple[Any, ...],
+        send: Any,
+        gone: asyncio.Future[Any],
+        tries: list[dict[str, Any]],
+    ) -> None:
         """Does what the junction says until the request has its answer; `tries` tells them."""
         method = scope["method"].encode()
         target = scope["raw_path"] + (b"?" + scope["query_string"] if scope["query_string"] else b"")
         attempt = fields.get(b"x-attempt-id", b"")
-        passed = [(name, value) for name, value in scope["headers"] if name not in HOP
-                  and name not in (b"x-deadline-remaining", b"x-target-instance")]
+        passed = [
+            (name, value)
+            for name, value in scope["headers"]
+            if name not in HOP and name not in (b"x-deadline-remaining", b"x-target-instance")
+        ]
         if body or b"content-length" in fields or b"transfer-encoding" in fields:
             passed.append((b"content-length", str(len(body)).encode()))
         outcome = None
@@ -123,10 +150,23 @@
             word = step[0]
             if word == "send":
                 _, stand, within = step
-                headers = [*passed, (b"x-deadline-remaining", str(max(1, within // 1_000_000)).encode()),
-                           (b"x-target-instance", stand.server.encode())]
-                trying = asyncio.ensure_future(self.lines.carry(stand.address, method, target, headers, body, attempt,
-                                                                within, self.junction.connections(passage.service)))
+                headers = [
+                    *passed,
+                    (b"x-deadline-remaining", str(max(1, within // 1_000_000)).encode()),
+                    (b"x-target-instance", stand.server.encode()),
+                ]
+                trying = asyncio.ensure_future(
+                    self.lines.carry(
+                        stand.address,
+                        method,
+                        target,
+                        headers,
+                        body,
+                        attempt,
+                        within,
+                        self.junction.connections(passage.service),
+                    )
+                )
                 await asyncio.wait((trying, gone), return_when=asyncio.FIRST_COMPLETED)
                 if not trying.done():
                     if passage.route.repeatable:
@@ -139,8 +179,14 @@
                 step = self.junction.ended(time.monotonic_ns(), passage, outcome.kind, status, outcome.load())
                 stand.kept = self.lines.unused(stand.address)
                 self.count(f"try {outcome.kind}")
-                tries.append({"server": stand.server, "ended": outcome.kind, "status": status, "ms": (
-                    time.monotonic_ns() - passage.sent_at) // 1_000_000})
+                tries.append(
+                    {
+                        "server": stand.server,
+                        "ended": outcome.kind,
+                        "status": status,
+                        "ms": (time.monotonic_ns() - passage.sent_at) // 1_000_000,
+                    }
+                )
                 self.wake()
             elif word == "wait":
                 self.count("wait")
@@ -176,11 +222,22 @@
     def tell(self) -> None:
         """What this member has counted and sees, as one line of the log."""
         now = time.monotonic_ns()
-        log.info("Edge: counts", extra={
-            "counts": self.counts, "held": self.held, "ready": self.outlook.ready(),
-            "sessions": {member: (now - self.heard.get(wire, now)) // 1_000_000 for member, wire in self.wires.items()},
-            "busy": {name: round(stand.load(now), 1) for name, stand in self.junction.stands.by_name.items()
-                     if stand.load(now) >= 1}})
+        log.info(
+            "Edge: counts",
+            extra={
+                "counts": self.counts,
+                "held": self.held,
+                "ready": self.outlook.ready(),
+                "sessions": {
+                    member: (now - self.heard.get(wire, now)) // 1_000_000 for member, wire in self.wires.items()
+                },
+                "busy": {
+                    name: round(stand.load(now), 1)
+                    for name, stand in self.junction.stands.by_name.items()
+                    if stand.load(now) >= 1
+                },
+            },
+        )
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -225,8 +282,9 @@
             wire = None
             try:
                 async with asyncio.timeout(DIAL):
-                    _, wire = await loop.create_connection(lambda: FrameConnection(self.on_frame, self.on_end), host,
-                                                           self.settings.telegraph_port())
+                    _, wire = await loop.create_connection(
+                        lambda: FrameConnection(self.on_frame, self.on_end), host, self.settings.telegraph_port()
+                    )
                 wire.peer, self.wires[member] = member, wire
                 self.heard[wire] = time.monotonic_ns()
                 while wire.open and time.monotonic_ns() - self.heard[wire] < SILENT:
--- a/kestrelplank/files/nodelist.py
+++ b/kestrelplank/files/nodelist.py
@@ -1,13 +1,13 @@
 """A node list in a file: its text to a checked part, and back.
 
-    [list]
-    confirm = 3f9a21c4          # the set in force that this replaces, where much of it goes
+[list]
+confirm = 3f9a21c4          # the set in force that this replaces, where much of it goes
 
-    [zone toronto]
-    order-4.toronto.example.org = 10.1.0.18:9000
-    order-5.toronto.example.org = 10.1.0.19:9000 weight 1.5 cell 3
-    order-6.toronto.example.org = 10.1.0.20:9000 draining
-    # end 3 nodes
+[zone toronto]
+order-4.toronto.example.org = 10.1.0.18:9000
+order-5.toronto.example.org = 10.1.0.19:9000 weight 1.5 cell 3
+order-6.toronto.example.org = 10.1.0.20:9000 draining
+# end 3 nodes
 """
 
 import re
--- a/kestrelplank/files/source.py
+++ b/kestrelplank/files/source.py
@@ -50,8 +50,16 @@
     """`on_event` takes the module's events, `addresses` (index to address) is discovery's, for probes. `grace` in ns
     holds where the operator's file has none."""
 
-    def __init__(self, loop: Loop, counters: Counters, nodes: Nodes, grace: int, ids: Ids, addresses: dict[int, str],
-                 on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        counters: Counters,
+        nodes: Nodes,
+        grace: int,
+        ids: Ids,
+        addresses: dict[int, str],
+        on_event: Callable[[tuple], None],
+    ) -> None:
         self._loop, self._counters, self._nodes, self._ids = loop, counters, nodes, ids
         self._addresses, self._on_event = addresses, on_event
         self._settling = Settling(nodes.quiet)
@@ -72,8 +80,14 @@
         return guards.Terms(self._nodes.most_closed, self._nodes.stand, self._nodes.zone_may_empty)
 
     def _watching(self) -> Watch:
-        return Watch(self._loop, self._nodes.files, self._nodes.poll, self._nodes.events, self._read,
-                     lambda why: self._counters.trouble("files_watch_troubles", why))
+        return Watch(
+            self._loop,
+            self._nodes.files,
+            self._nodes.poll,
+            self._nodes.events,
+            self._read,
+            lambda why: self._counters.trouble("files_watch_troubles", why),
+        )
 
     def _restored(self) -> Intake:
         if self._nodes.state:
--- a/kestrelplank/files/watch.py
+++ b/kestrelplank/files/watch.py
@@ -20,8 +20,15 @@
     """Files by path or by pattern (`*`, `?` in the last part). `on_change(path)` is called for a file that may have
     changed, come or gone; `on_trouble(why)` where events can't be had or were lost."""
 
-    def __init__(self, loop: Loop, patterns: tuple[str, ...], poll: int, events: bool,
-                 on_change: Callable[[str], None], on_trouble: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        patterns: tuple[str, ...],
+        poll: int,
+        events: bool,
+        on_change: Callable[[str], None],
+        on_trouble: Callable[[str], None],
+    ) -> None:
         self._loop, self._patterns, self._poll = loop, patterns, poll
         self._on_change, self._on_trouble = on_change, on_trouble
         self._seen: dict[str, tuple | None] = {}  # path to what tells one state of the file from another
@@ -91,8 +98,18 @@
         replaced under its name is watched anew."""
         from inotify_simple import flags
 
-        mask = (flags.CREATE | flags.CLOSE_WRITE | flags.MODIFY | flags.MOVED_FROM | flags.MOVED_TO | flags.DELETE
-                | flags.DELETE_SELF | flags.MOVE_SELF | flags.ATTRIB | flags.ONLYDIR)
+        mask = (
+            flags.CREATE
+            | flags.CLOSE_WRITE
+            | flags.MODIFY
+            | flags.MOVED_FROM
+            | flags.MOVED_TO
+            | flags.DELETE
+            | flags.DELETE_SELF
+            | flags.MOVE_SELF
+            | flags.ATTRIB
+            | flags.ONLYDIR
+        )
         wanted: dict[str, None] = {}
         for path in (*self._patterns, *self._seen):
             wanted[os.path.dirname(path) or "."] = None
--- a/kestrelplank/forwarding/passage.py
+++ b/kestrelplank/forwarding/passage.py
@@ -69,8 +69,7 @@
 
     __slots__ = ("route", "service", "key", "came", "deadline", "tried", "dials", "stand", "sent_at", "met", "size")
 
-    def __init__(self, route: Route, service: str, key: int | None, came: int, deadline: int,
-                 size: int = 0) -> None:
+    def __init__(self, route: Route, service: str, key: int | None, came: int, deadline: int, size: int = 0) -> None:
         self.route, self.service, self.key, self.came, self.deadline = route, service, key, came, deadline
         self.size = size
         self.tried: tuple[str, ...] = ()
@@ -82,16 +81,18 @@
 class Forwarder:
     """All requests of one edge member."""
 
-    def __init__(self, random: Random, outlook: EdgeView, zone: str, ratio: float, allowance: float,
-                 drain: int = 5 * S // 2) -> None:
+    def __init__(
+        self, random: Random, outlook: EdgeView, zone: str, ratio: float, allowance: float, drain: int = 5 * S // 2
+    ) -> None:
         """`drain`: ns after the platform lists a server as leaving after which no request may reach it."""
         self._random, self.outlook, self._drain = random, outlook, drain
         self.stands = Endpoints(random, zone)
         self.budget = Budget(ratio, allowance)
         self.keys: dict[str, list[int]] = {}  # that requests came for since the last report, by service
 
-    def begin(self, now: int, host: str, path: str, key: str | None, within: int,
-              size: int = 0) -> tuple[ForwardedRequest | None, Step]:
+    def begin(
+        self, now: int, host: str, path: str, key: str | None, within: int, size: int = 0
+    ) -> tuple[ForwardedRequest | None, Step]:
         """A request has come whole, its body `size` bytes; its client waits `within` ns. A passage and the first
         step."""
         timetable = self.outlook.timetable
@@ -115,8 +116,9 @@
         """The wait is over, or something has changed."""
         return self._next(now, passage)
 
-    def ended(self, now: int, passage: ForwardedRequest, outcome: str, status: int,
-              load: tuple[int, int, int] | None) -> Step:
+    def ended(
+        self, now: int, passage: ForwardedRequest, outcome: str, status: int, load: tuple[int, int, int] | None
+    ) -> Step:
         """The try that was out has ended so. `status` of an answer, else 0."""
         stand, passage.stand, passage.met = passage.stand, None, outcome
         if outcome == BUSY:
@@ -131,8 +133,11 @@
         if outcome == ANSWERED and (status < 500 or not passage.route.repeatable or not self._may_again(now, passage)):
             return ("give",)
         if outcome in (ANSWERED, BROKEN, SILENT):
-            if not passage.route.repeatable or not self._may_again(now, passage) \
-                    or not self.budget.spend(passage.service):
+            if (
+                not passage.route.repeatable
+                or not self._may_again(now, passage)
+                or not self.budget.spend(passage.service)
+            ):
                 return ("refuse", Fault.UNKNOWN_OUTCOME if outcome == BROKEN else Fault.TIMED_OUT, 0)
             return self._next(now, passage)
         if outcome == NOT_RUN and (not self._may_again(now, passage) or not self.budget.spend(passage.service)):
@@ -158,8 +163,13 @@
         held = self.outlook.holders.get(passage.service)
         holder = held.of(passage.key) if held else None
         stand = self.stands.by_name.get(holder.server) if holder else None
-        if stand is None or stand.closed(now, self._drain) or not stand.ready and stand.server in passage.tried or (
-                passage.met == NOT_RUN and stand.server == passage.tried[-1]):
+        if (
+            stand is None
+            or stand.closed(now, self._drain)
+            or not stand.ready
+            and stand.server in passage.tried
+            or (passage.met == NOT_RUN and stand.server == passage.tried[-1])
+        ):
             return self._keyless(now, passage)
         if passage.dials and self.stands.avoided(now, stand):
             return self._keyless(now, passage)
@@ -187,8 +197,12 @@
         self.stands.began(stand)
         within = passage.deadline - now
         # What is silent for long at a server that others stand beside is worth another try there; a key has one holder.
-        if passage.route.repeatable and passage.key is None and len(passage.tried) + 1 < passage.route.attempts \
-                and len(self.stands.services.get(passage.service, ())) > 1:
+        if (
+            passage.route.repeatable
+            and passage.key is None
+            and len(passage.tried) + 1 < passage.route.attempts
+            and len(self.stands.services.get(passage.service, ())) > 1
+        ):
             within = min(within, max(int(HUSH[0] * stand.took * S), int(HUSH[1] * passage.route.aim)))
         return ("send", stand, within)
 
--- a/kestrelplank/forwarding/stands.py
+++ b/kestrelplank/forwarding/stands.py
@@ -26,9 +26,29 @@
 class Endpoint:
     """One server (one life of it)."""
 
-    __slots__ = ("number", "server", "service", "address", "zone", "slots", "ready", "warm_at", "own", "told",
-                 "told_at", "took", "left_at", "tries", "failed", "told_busy", "told_times", "alone_logs",
-                 "alone_times", "listed", "kept")
+    __slots__ = (
+        "number",
+        "server",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "ready",
+        "warm_at",
+        "own",
+        "told",
+        "told_at",
+        "took",
+        "left_at",
+        "tries",
+        "failed",
+        "told_busy",
+        "told_times",
+        "alone_logs",
+        "alone_times",
+        "listed",
+        "kept",
+    )
 
     def __init__(self, number: int, entry: Entry) -> None:
         self.number, self.server, self.service, self.address = number, entry.server, entry.service, entry.address
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -49,6 +49,7 @@
 def configuration(path: str) -> Any:
     """The configuration in that file; Unusable, in one line, where it is none."""
     from kestrelplank.configuration.plan import read
+
     try:
         found = read(Path(path).read_bytes())
     except OSError as err:
@@ -71,6 +72,7 @@
     import json
 
     from kestrelplank.configuration.change import changes
+
     found = changes(configuration(old), configuration(new))
     if as_json:
         print(json.dumps([change._asdict() for change in found]))
@@ -85,6 +87,7 @@
     import json
 
     from kestrelplank.lab.yard import play
+
     if not requests.isdecimal():
         raise Unusable(f"--requests: {requests!r} is no whole number")
     seen = play(int(requests), log=level)
@@ -100,8 +103,12 @@
 async def call(address: str, method: bytes, path: bytes, body: bytes = b"") -> tuple[int, bytes]:
     """One call to a control member: status and body. Raises OSError or TimeoutError where it does not answer."""
     from kestrelplank.http.call import dial
-    headers = [(b"Host", b"control"), (b"Content-Type", b"application/json"),
-               (b"Content-Length", str(len(body)).encode())]
+
+    headers = [
+        (b"Host", b"control"),
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(len(body)).encode()),
+    ]
     async with asyncio.timeout(10):
         line = await dial(platform.endpoint(address, "ADDRESS"), 2)
         try:
@@ -115,6 +122,7 @@
     """Sends a configuration and waits until each edge and member in session has it; 1 where some have not by then."""
     import json
     import time
+
     timetable = configuration(path)
     try:
         until = time.monotonic() + float(wait)
@@ -127,8 +135,9 @@
         while answered == 200:
             seen = json.loads((await call(address, b"GET", b"/api/status"))[1])
             told = {**{name: one["version"] for name, one in seen["edges"].items()}, **seen["held"]}
-            behind = sorted(name for name, version in told.items()
-                            if version is None or int(version, 16) < timetable.key.version)
+            behind = sorted(
+                name for name, version in told.items() if version is None or int(version, 16) < timetable.key.version
+            )
             if not behind or time.monotonic() >= until:
                 break
             await asyncio.sleep(0.1)
@@ -140,14 +149,17 @@
     elif answered != 200:
         print(f"{address}: refused, {answered}: {json.loads(body).get('why')}")
     else:
-        print(f"{address}: version {timetable.key.version:08x} is acknowledged; "
-              + (f"behind: {', '.join(behind)}" if behind else "all in session have it"))
+        print(
+            f"{address}: version {timetable.key.version:08x} is acknowledged; "
+            + (f"behind: {', '.join(behind)}" if behind else "all in session have it")
+        )
     return 0 if answered == 200 and not behind else 1
 
 
 def status(address: str, as_json: bool) -> int:
     """What the control member at that address sees."""
     import msgspec
+
     _, body = asyncio.run(call(address, b"GET", b"/api/status"))
     if as_json:
         print(body.decode())
@@ -161,8 +173,10 @@
     for service, one in services.items():
         print(f"{service}: decided by {one['holder']}, ballot {one['ballot']}, record {one['record']}")
         for line in one["lines"]:
-            print(f"  {line['first']:5}-{line['last']:5} {line['state']:8} {line['server']} fence {line['fence']}"
-                  f" runs out in {line['runs_out_s']} s")
+            print(
+                f"  {line['first']:5}-{line['last']:5} {line['state']:8} {line['server']} fence {line['fence']}"
+                f" runs out in {line['runs_out_s']} s"
+            )
     return 0
 
 
@@ -196,8 +210,10 @@
             if not words["--trace"].isdecimal():
                 raise Unusable(f"--trace: {words['--trace']!r} is no whole number")
             from kestrelplank.edge.program import run as carry
+
             return asyncio.run(carry(settings, int(words["--trace"])))
         from kestrelplank.control.program import run
+
         return asyncio.run(run(settings))
     except (Unusable, ValueError) as err:
         print(f"kestrelplank: {err}", file=sys.stderr)
--- a/kestrelplank/http/serve.py
+++ b/kestrelplank/http/serve.py
@@ -65,8 +65,20 @@
 def server(app: Any, idle: float, grace: float) -> Server:
     """A server for that ASGI application. `idle`: seconds for which a kept connection may stand between requests;
     `grace`: seconds that requests in hand have once it is told to stop."""
-    config = uvicorn.Config(app, interface="asgi3", http="httptools", ws="none", lifespan="off", loop="asyncio",
-                            access_log=False, log_config=None, server_header=False, date_header=False,
-                            proxy_headers=False, backlog=BACKLOG, timeout_keep_alive=idle,  # type: ignore[arg-type]
-                            timeout_graceful_shutdown=grace)  # type: ignore[arg-type]
+    config = uvicorn.Config(
+        app,
+        interface="asgi3",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        loop="asyncio",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        backlog=BACKLOG,
+        timeout_keep_alive=idle,  # type: ignore[arg-type]
+        timeout_graceful_shutdown=grace,
+    )  # type: ignore[arg-type]
     return Server(config)
--- a/kestrelplank/lab/live.py
+++ b/kestrelplank/lab/live.py
@@ -56,7 +56,7 @@
 
     def lines(self, what: str) -> list[str]:
         """Whole lines of its log so far that say that."""
-        whole = self.log[:self.log.rfind(b"\n") + 1].decode()
+        whole = self.log[: self.log.rfind(b"\n") + 1].decode()
         return [line for line in whole.splitlines() if what in line]
 
     def address(self) -> tuple[str, int] | None:
@@ -144,10 +144,15 @@
 
     def start(self) -> None:
         self.alive, self.life, self.at = True, self.life + 1, None
-        config = {"name": f"n{self.number}", "listen": "127.0.0.1:0", "discovery": self.agent.at,
-                  "hub": {"address": self.relay.at}, "known": self._list(True),
-                  "seed": f"{self.world.seed * 977 + self.number * 31 + self.life:x}",
-                  "settings": conf(self.world.script, self.number)}
+        config = {
+            "name": f"n{self.number}",
+            "listen": "127.0.0.1:0",
+            "discovery": self.agent.at,
+            "hub": {"address": self.relay.at},
+            "known": self._list(True),
+            "seed": f"{self.world.seed * 977 + self.number * 31 + self.life:x}",
+            "settings": conf(self.world.script, self.number),
+        }
         with open(self.path, "w") as file:
             json.dump(config, file)
         self._process = Process(self.world.kit.loop, CONDUCTOR, NODE_CONFIG=self.path)
@@ -214,10 +219,13 @@
         elif word == "roster":
             self._listed(*fields)
         else:
-            line = {"joined": self._attach, "left": lambda proxy: news("detach", node=proxy),
-                    "applied": lambda proxy, mark, wait: news("done", node=proxy, nonce=mark, latency=wait / MS),
-                    "tenure": lambda table, held: news("owner", shard=table, set=held),
-                    "line": self._entry}[word](*fields)
+            line = {
+                "joined": self._attach,
+                "left": lambda proxy: news("detach", node=proxy),
+                "applied": lambda proxy, mark, wait: news("done", node=proxy, nonce=mark, latency=wait / MS),
+                "tenure": lambda table, held: news("owner", shard=table, set=held),
+                "line": self._entry,
+            }[word](*fields)
             for stream in self.streams:
                 stream.tell(line)
 
@@ -232,14 +240,32 @@
             return
         if word == "tries":
             node, zone, count, failed, mean, span, _ = fields
-            parts = [b"upstream_stats", b"locality", self.zone_name(zone), b"endpoint", b"s-%d" % node,
-                     b"total", b"%d" % count, b"errors", b"%d" % failed]
+            parts = [
+                b"upstream_stats",
+                b"locality",
+                self.zone_name(zone),
+                b"endpoint",
+                b"s-%d" % node,
+                b"total",
+                b"%d" % count,
+                b"errors",
+                b"%d" % failed,
+            ]
             parts += [b"rtt", b"%.3f" % (mean / MS)] if mean else []
         else:
             table, op_type, count, aborted, span = fields
             zone = 0
-            parts = [b"range_stats", b"shard", b"%d" % table, b"route", self.world.names[op_type].encode(),
-                     b"total", b"%d" % count, b"errors", b"%d" % aborted]
+            parts = [
+                b"range_stats",
+                b"shard",
+                b"%d" % table,
+                b"route",
+                self.world.names[op_type].encode(),
+                b"total",
+                b"%d" % count,
+                b"errors",
+                b"%d" % aborted,
+            ]
         self._collectors[zone].send(*parts, b"interval", b"%.1f" % (span / MS))
 
     # Its relay.
@@ -248,8 +274,11 @@
         world = self.world
         if path == "/api/stream":
             visitor.begin()
-            lines = [self._attach(relay.number, relay.zone, world.rate(world.kit.loop.now()) / len(world.relays), False)
-                     for relay in world.relays if self.number in relay.streams]
+            lines = [
+                self._attach(relay.number, relay.zone, world.rate(world.kit.loop.now()) / len(world.relays), False)
+                for relay in world.relays
+                if self.number in relay.streams
+            ]
             for table, charge in enumerate(world.hub.charge):
                 if charge == self.number:
                     lines.append(news("owner", shard=table, set=True))
@@ -282,10 +311,18 @@
         unix = time.time_ns() - self.world.kit.loop.now()
         new = []
         for node, condition, zone, cell, weight, boot in entries:
-            new.append({"instanceId": f"s-{node}", "hostPort": self.world.addresses[node],
-                        "zone": self.world.script.site.zones[zone], "machineType": "m", "cell": cell,
-                        "lifecycle": CONDITIONS[condition], "weight": weight,
-                        "startedAtMs": (boot + unix) / MS if boot else 0})
+            new.append(
+                {
+                    "instanceId": f"s-{node}",
+                    "hostPort": self.world.addresses[node],
+                    "zone": self.world.script.site.zones[zone],
+                    "machineType": "m",
+                    "cell": cell,
+                    "lifecycle": CONDITIONS[condition],
+                    "weight": weight,
+                    "startedAtMs": (boot + unix) / MS if boot else 0,
+                }
+            )
             self._entries[node] = new[-1]
         self._version += 1
         if how == "delta":
@@ -294,8 +331,11 @@
                 watch.tell({"generation": self._version, "reset": False, "instances": new})
 
     def _list(self, reset: bool) -> dict:
-        return {"generation": self._version, "reset": reset, "instances": [
-            entry for entry in self._entries.values() if entry["lifecycle"] != "terminated"]}
+        return {
+            "generation": self._version,
+            "reset": reset,
+            "instances": [entry for entry in self._entries.values() if entry["lifecycle"] != "terminated"],
+        }
 
     def _agent_asked(self, visitor: Visitor, path: str, body: bytes) -> None:
         query = dict(parse_qsl(urlsplit(path).query))
@@ -345,8 +385,9 @@
         self._asking[number] = visitor
         self._numbers[id(visitor)] = number
         target = self._world.nodes[self._node]
-        told = target.offer(now, number, int(op["type"]), float(op["work"]), int(op["key"]), op["new"] == "1",
-                            op["knowing"] == "1")
+        told = target.offer(
+            now, number, int(op["type"]), float(op["work"]), int(op["key"]), op["new"] == "1", op["knowing"] == "1"
+        )
         self._world.rules.pushed(self._node, target.worst_push)
         return told
 
@@ -387,14 +428,17 @@
 
     def __init__(self, world: "LiveWorld", relay: Relay, node: int) -> None:
         self.world, self.relay, self.node, self.number, self.idle_since = world, relay, node, -1, 0
-        self.client = Client(world.kit.loop, world.kit.pool, world.addresses[node], self, world.script.relays.dial,
-                             MOST_ANSWER)
+        self.client = Client(
+            world.kit.loop, world.kit.pool, world.addresses[node], self, world.script.relays.dial, MOST_ANSWER
+        )
         self.used = False
 
     def ask(self, number: int, ask: Ask, knowing: bool) -> None:
         self.number = number
-        path = (f"/op?number={number}&type={ask.op_type}&work={ask.work}&key={ask.key}"
-                f"&new={int(not self.used)}&knowing={int(knowing)}")
+        path = (
+            f"/op?number={number}&type={ask.op_type}&work={ask.work}&key={ask.key}"
+            f"&new={int(not self.used)}&knowing={int(knowing)}"
+        )
         self.used = True
         self.client.call("POST", path, b"", 3600_000 * MS)  # the relay's own core gives up, not the connection
 
--- a/kestrelplank/lab/node.py
+++ b/kestrelplank/lab/node.py
@@ -49,8 +49,9 @@
     """`on_run(number, op_type)` is called when an op begins to run: from then on its effect counts as made.
     `on_fall()` when it was pushed over. `down` nodes refuse connections, `silent` ones swallow all."""
 
-    def __init__(self, kind: Kind, random: Random, now: int, on_run: Callable[[int, int], None],
-                 on_fall: Callable[[], None]) -> None:
+    def __init__(
+        self, kind: Kind, random: Random, now: int, on_run: Callable[[int, int], None], on_fall: Callable[[], None]
+    ) -> None:
         self.kind, self._random, self._on_run, self._on_fall = kind, random, on_run, on_fall
         self._base, self._looked, self._started, self._warm_from = 0.0, now, now, None
         self._running: list[tuple[float, int, Run]] = []
@@ -142,8 +143,9 @@
         if self._warm_from is not None and self.warmth(now) >= 1.0:
             self._warm_from = None
 
-    def offer(self, now: int, number: int, op_type: int, work: float, key: int, new_connection: bool,
-              knowing: bool = True) -> str:
+    def offer(
+        self, now: int, number: int, op_type: int, work: float, key: int, new_connection: bool, knowing: bool = True
+    ) -> str:
         """One try of an op comes in, with the work (ns of one core at speed 1) that it would be to a node that
         does not know its key; `knowing`: whoever sent it could know of the node's last start. Returns taken, not
         started or failed."""
--- a/kestrelplank/lab/parties.py
+++ b/kestrelplank/lab/parties.py
@@ -68,8 +68,12 @@
 class Party:
     """Listens on a free port of loopback. `answer` says what it does with a request; by default nothing."""
 
-    def __init__(self, kit: Kit, answer: Callable[[Visitor, str, bytes], None] = lambda visitor, path, body: None,
-                 at: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+    def __init__(
+        self,
+        kit: Kit,
+        answer: Callable[[Visitor, str, bytes], None] = lambda visitor, path, body: None,
+        at: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> None:
         self.kit, self.answer = kit, answer
         self.visitors: list[Visitor] = []
         self.listener = Listener(kit.loop, at, self.accept, fail, MS)
@@ -99,8 +103,16 @@
 
 
 def instance(name, lifecycle="in_service", started=0):
-    return {"instanceId": name, "hostPort": "127.0.0.1:1", "zone": "a", "machineType": "m", "cell": 1,
-            "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started}
+    return {
+        "instanceId": name,
+        "hostPort": "127.0.0.1:1",
+        "zone": "a",
+        "machineType": "m",
+        "cell": 1,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": started,
+    }
 
 
 def node_list(version, *instances, reset=False):
--- a/kestrelplank/lab/queues.py
+++ b/kestrelplank/lab/queues.py
@@ -60,8 +60,17 @@
     """All servers of one service, `KeyRanges` and `Placing` over them, and a stream of requests by a Zipf law over
     neighbouring keys; `hot`: a key that takes a part of all (key, part)."""
 
-    def __init__(self, seed: int, speeds: list[float], per_s: float, work: float, aim: float, moves: bool = True,
-                 skew: float = 0.64, things: int = 60_000) -> None:
+    def __init__(
+        self,
+        seed: int,
+        speeds: list[float],
+        per_s: float,
+        work: float,
+        aim: float,
+        moves: bool = True,
+        skew: float = 0.64,
+        things: int = 60_000,
+    ) -> None:
         self.random, self.per_s, self.work, self.aim, self.moves = Random(seed), per_s, work, aim, moves
         self.servers = {f"s{number}": Server(2, speed) for number, speed in enumerate(speeds)}
         self.listed = [Listed(name, f"{name}:80", "abc"[at % 3], 2, True, 0) for at, name in enumerate(self.servers)]
@@ -111,8 +120,11 @@
                 self.settle()
             for server in self.servers.values():
                 server.drain(self.at)
-            self.placing.report(self.now(), keys, {name: server.met() for name, server in self.servers.items()
-                                                   if server.tries or server.told})
+            self.placing.report(
+                self.now(),
+                keys,
+                {name: server.met() for name, server in self.servers.items() if server.tries or server.told},
+            )
             for server in self.servers.values():
                 server.forget()
         return self.late / max(1, self.came)
@@ -123,7 +135,7 @@
         if not name:
             self.waiting.append((came, key))
             return
-        work = min(self.random.lognormvariate(math.log(self.work) - SPREAD ** 2 / 2, SPREAD), 6 * self.work)
+        work = min(self.random.lognormvariate(math.log(self.work) - SPREAD**2 / 2, SPREAD), 6 * self.work)
         self.late += self.servers[name].take(at, work, key) - came > self.aim
         self.by_server[name] += 1
 
--- a/kestrelplank/lab/rehearsal.py
+++ b/kestrelplank/lab/rehearsal.py
@@ -14,8 +14,14 @@
 STEP = 500 * MS  # of virtual time between two calls of progress
 
 
-def play(script: Script, seed: int, policy: Callable[..., Any] = Policy, proofs: tuple[str, ...] = PROOFS,
-         progress: Callable[[float], None] = lambda done: None, knowing: bool = False) -> dict:
+def play(
+    script: Script,
+    seed: int,
+    policy: Callable[..., Any] = Policy,
+    proofs: tuple[str, ...] = PROOFS,
+    progress: Callable[[float], None] = lambda done: None,
+    knowing: bool = False,
+) -> dict:
     """Plays it, tells progress as shares of its length, and returns the report. `knowing`: slices are placed by who
     knows the truth, the upper mark."""
     clock = Clock(1_000_000_000_000)  # a node's start is never 0, which would mean long ago
@@ -32,12 +38,18 @@
     world.rules.close(world.clock.now())
     site = world.script.site
     return {
-        "form": FORM, "how": how, "seed": world.seed,
+        "form": FORM,
+        "how": how,
+        "seed": world.seed,
         "site": {"nodes": site.nodes, "relays": site.relays, "conductors": site.conductors, "slices": site.slices},
-        **world.score.report(), "rules": world.rules.report(), "broken": world.rules.broken(),
+        **world.score.report(),
+        "rules": world.rules.report(),
+        "broken": world.rules.broken(),
         "duplicates": {name: world.rules.duplicates[name] for name in world.names},
         "acked_without_a_run": world.score.unproved,
         "second_tries": sum(relay.attempts.counts["second_tries"] for relay in world.relays),
         "channel": {"messages": world.hub.messages, "lines": world.hub.line_count, "moves": world.hub.moves},
         "cross_zone": round(world.cross / world.first, 4) if world.first else 0.0,
-        "events": world.score.events, "timelines": world.score.timelines()}
+        "events": world.score.events,
+        "timelines": world.score.timelines(),
+    }
--- a/kestrelplank/lab/rules.py
+++ b/kestrelplank/lab/rules.py
@@ -12,8 +12,13 @@
     time limits for the way there."""
 
     def __init__(self, bare_limit: int, grace: int, most_waiting: float, slack: int) -> None:
-        self.limits = {"bare": (bare_limit + slack) / 1e9, "repeats": 0, "drains": (grace + slack) / 1e9,
-                       "cold": 1.0, "queue": most_waiting}
+        self.limits = {
+            "bare": (bare_limit + slack) / 1e9,
+            "repeats": 0,
+            "drains": (grace + slack) / 1e9,
+            "cold": 1.0,
+            "queue": most_waiting,
+        }
         self.worst: dict[str, float] = dict.fromkeys(self.limits, 0.0)
         self.where: dict[str, str] = {}
         self._grace = grace
@@ -114,6 +119,13 @@
 
     def report(self) -> dict[str, dict]:
         """By rule: worst, limit, margin (the share of the limit that was left), kept, and where the worst was."""
-        return {rule: {"worst": round(self.worst[rule], 6), "limit": limit, "kept": self.worst[rule] <= limit,
-                       "margin": round(1 - self.worst[rule] / limit, 4) if limit else float(not self.worst[rule]),
-                       "where": self.where.get(rule, "")} for rule, limit in self.limits.items()}
+        return {
+            rule: {
+                "worst": round(self.worst[rule], 6),
+                "limit": limit,
+                "kept": self.worst[rule] <= limit,
+                "margin": round(1 - self.worst[rule] / limit, 4) if limit else float(not self.worst[rule]),
+                "where": self.where.get(rule, ""),
+            }
+            for rule, limit in self.limits.items()
+        }
--- a/kestrelplank/lab/score.py
+++ b/kestrelplank/lab/score.py
@@ -71,17 +71,31 @@
 
     def report(self) -> dict:
         worst = min((won / asked for asked, won in self._windows.values() if asked), default=1.0)
-        return {"service": round(self.service, 6), "worst_5s": round(worst, 6), "op_types": {
-            name: {**{key: counts[key] for key in ("asked", "in_time", "acked", "rejected", "aborted")},
-                   **{f"p{part:g}_ms": quantile(times, part) for part in (50, 95, 99)}}
-            for (name, counts), times in zip(self._by_type.items(), map(sorted, self._times))},
-            "ended": self.ends, "latest_end_ms": self.latest / 1e6, "lost": dict(sorted(self.lost_for.items())),
-            "fallen_nodes": self.falls}
+        return {
+            "service": round(self.service, 6),
+            "worst_5s": round(worst, 6),
+            "op_types": {
+                name: {
+                    **{key: counts[key] for key in ("asked", "in_time", "acked", "rejected", "aborted")},
+                    **{f"p{part:g}_ms": quantile(times, part) for part in (50, 95, 99)},
+                }
+                for (name, counts), times in zip(self._by_type.items(), map(sorted, self._times))
+            },
+            "ended": self.ends,
+            "latest_end_ms": self.latest / 1e6,
+            "lost": dict(sorted(self.lost_for.items())),
+            "fallen_nodes": self.falls,
+        }
 
     def timelines(self) -> list[list[list]]:
         """By node, rows of second, tries, failures and mean ms of the good."""
-        return [[[second, tries, failed, round(time / (tries - failed) / 1e6, 3) if tries > failed else None]
-                 for second, (tries, failed, time) in sorted(sums.items())] for sums in self._timeline]
+        return [
+            [
+                [second, tries, failed, round(time / (tries - failed) / 1e6, 3) if tries > failed else None]
+                for second, (tries, failed, time) in sorted(sums.items())
+            ]
+            for sums in self._timeline
+        ]
 
 
 def quantile(times: list[int], part: float) -> float | None:
--- a/kestrelplank/lab/script.py
+++ b/kestrelplank/lab/script.py
@@ -219,12 +219,20 @@
     if not (kind.cores and kind.slots and kind.speed):
         raise ini.fail(ini.find("nodes"), None, "cores, slots and speed are above 0")
     made = Script(
-        site=site, kind=kind, op_types={section.name: op for section, op in op_types},
-        clients=ini.one("clients", Clients), relays=ini.one("relays", Relays), channel=ini.one("channel", Channel),
-        reports=ini.one("reports", Reports), discovery=ini.one("discovery", Discovery),
-        network=ini.one("network", Network), rules=ini.one("rules", Rules), loads=tuple(loads),
+        site=site,
+        kind=kind,
+        op_types={section.name: op for section, op in op_types},
+        clients=ini.one("clients", Clients),
+        relays=ini.one("relays", Relays),
+        channel=ini.one("channel", Channel),
+        reports=ini.one("reports", Reports),
+        discovery=ini.one("discovery", Discovery),
+        network=ini.one("network", Network),
+        rules=ini.one("rules", Rules),
+        loads=tuple(loads),
         files=ini.one("files", Files) if ini.find("files") else None,
-        faults=tuple(fault(ini, section, read, site) for section, read in ini.each("fault", Fault)))
+        faults=tuple(fault(ini, section, read, site) for section, read in ini.each("fault", Fault)),
+    )
     ini.finish()
     return made
 
@@ -234,21 +242,47 @@
     ms = 1 / MS
     site, kind, rules, channel = made.site, made.kind, made.rules, made.channel
     return {
-        "Areas": list(site.zones), "Az": site.zones[ordinal % len(site.zones)], "Balancers": site.conductors,
-        "Ordinal": ordinal, "Tick": rules.tick * ms, "WeightSource": "nominal",
-        "Categories": [{"Name": name, "Target": op.target * ms, "Deadline": op.timeout * ms, "Importance": op.value,
-                        "Effect": {"retryable": "pure", "deduplicated": "token", "once-only": "side_effect"}[op.effect]}
-                       for name, op in made.op_types.items()],
+        "Areas": list(site.zones),
+        "Az": site.zones[ordinal % len(site.zones)],
+        "Balancers": site.conductors,
+        "Ordinal": ordinal,
+        "Tick": rules.tick * ms,
+        "WeightSource": "nominal",
+        "Categories": [
+            {
+                "Name": name,
+                "Target": op.target * ms,
+                "Deadline": op.timeout * ms,
+                "Importance": op.value,
+                "Effect": {"retryable": "pure", "deduplicated": "token", "once-only": "side_effect"}[op.effect],
+            }
+            for name, op in made.op_types.items()
+        ],
         "Specifics": {
-            "BaseMode": 1, "Blackhole": rules.bare * ms, "DataPlaneSize": site.relays, "Shards": site.slices,
-            "EgressPerS": channel.lines_per_s, "Envelope": channel.envelope, "LevelKind": "none",
+            "BaseMode": 1,
+            "Blackhole": rules.bare * ms,
+            "DataPlaneSize": site.relays,
+            "Shards": site.slices,
+            "EgressPerS": channel.lines_per_s,
+            "Envelope": channel.envelope,
+            "LevelKind": "none",
             "MostWaiting": most_waiting(made),
             "Pick": {"two": "p2c", "rotate": "rotate"}.get(made.relays.pick, "random"),
-            "ReportEvery": made.reports.every * ms, "Strikes": made.relays.strikes, "WarmKeys": kind.key_gain > 0,
-            "Transit": sum(channel.transit) / 2 * ms, "WorstTransit": channel.transit[1] * ms},
-        "Rules": {"ColdFrom": kind.cold_from, "FallMultiple": kind.fall_multiple, "WarmUp": kind.warm_up * ms,
-                  "StopSendingWithin": rules.grace * ms, "TipAfter": kind.tip_after * ms},
-        "Permissions": {"DialTimeout": made.relays.dial * ms, "Probes": False, "MayTell": False}}
+            "ReportEvery": made.reports.every * ms,
+            "Strikes": made.relays.strikes,
+            "WarmKeys": kind.key_gain > 0,
+            "Transit": sum(channel.transit) / 2 * ms,
+            "WorstTransit": channel.transit[1] * ms,
+        },
+        "Rules": {
+            "ColdFrom": kind.cold_from,
+            "FallMultiple": kind.fall_multiple,
+            "WarmUp": kind.warm_up * ms,
+            "StopSendingWithin": rules.grace * ms,
+            "TipAfter": kind.tip_after * ms,
+        },
+        "Permissions": {"DialTimeout": made.relays.dial * ms, "Probes": False, "MayTell": False},
+    }
 
 
 def most_waiting(made: Script) -> float:
--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -63,8 +63,15 @@
         self.random = random
         self.tables = Tables(script.site.slices, len(script.op_types), 1)
         avoidance = Avoidance(random, script.relays.strikes, script.relays.avoid)
-        self.attempts = Attempts(random, self.tables, [op.timeout for op in script.op_types.values()],
-                                 script.relays.pick, script.relays.hold, avoidance, self.world.proofs)
+        self.attempts = Attempts(
+            random,
+            self.tables,
+            [op.timeout for op in script.op_types.values()],
+            script.relays.pick,
+            script.relays.hold,
+            avoidance,
+            self.world.proofs,
+        )
 
     def awake(self, do: Callable, *arguments: Any) -> None:
         """Does it now, or once the relay is no longer stopped; never in another life."""
@@ -186,8 +193,9 @@
         """An event for the module, in the world's numbers, to arrive after that time; lost if it dies first."""
         life = self.life
         if self.alive:
-            self.world.clock.at(self.world.clock.now() + after,
-                                lambda: self._hear(event) if self.alive and self.life == life else None)
+            self.world.clock.at(
+                self.world.clock.now() + after, lambda: self._hear(event) if self.alive and self.life == life else None
+            )
 
     def _hear(self, event: tuple) -> None:
         word, *fields = event
@@ -203,15 +211,16 @@
     def _wake(self) -> None:
         if not self._due:
             self._due, life = True, self.life
-            self.world.clock.at(self.world.clock.now() + self.world.script.rules.tick,
-                                lambda: self._round() if self.alive and self.life == life else None)
+            self.world.clock.at(
+                self.world.clock.now() + self.world.script.rules.tick,
+                lambda: self._round() if self.alive and self.life == life else None,
+            )
 
     def _round(self) -> None:
         now = self.world.clock.now()
         if now < self.asleep_until:
             life = self.life
-            self.world.clock.at(self.asleep_until,
-                                lambda: self._round() if self.alive and self.life == life else None)
+            self.world.clock.at(self.asleep_until, lambda: self._round() if self.alive and self.life == life else None)
             return
         events, self._events, self._due, self._orders = self._events, [], False, []
         self.rounds += 1
@@ -293,8 +302,12 @@
             held[2] = max(held[2], leaves + transit)
             number, held[1] = held[1], held[1] + 1
             self.line_count += cost
-            world.clock.at(held[2], lambda relay=relay, held=held, number=number: relay.awake(
-                relay.take, conductor, held[0], number, orders, now))
+            world.clock.at(
+                held[2],
+                lambda relay=relay, held=held, number=number: relay.awake(
+                    relay.take, conductor, held[0], number, orders, now
+                ),
+            )
         self.free_at[conductor] = leaves
         world.rules.queue(conductor, (leaves - now) / 1e9 * channel.lines_per_s)
         return len(orders)
@@ -365,16 +378,22 @@
 
     def _list(self, nodes: list[int], condition: str, boot: int | None) -> None:
         world = self.world
-        nodes = [node for node in nodes if boot is not None or self.listed[node][1] in (None, world.boots[node])
-                 or condition == "draining"]
+        nodes = [
+            node
+            for node in nodes
+            if boot is not None or self.listed[node][1] in (None, world.boots[node]) or condition == "draining"
+        ]
         for node in nodes:
             self.listed[node] = condition, boot if boot is not None else self.listed[node][1]
         entries, now = [self.entry(node) for node in nodes], world.clock.now()
         for seat in world.seats:
-            self._last[seat.number] = max(self._last[seat.number],
-                                          now + self.random.randint(*world.script.discovery.spread))
-            world.clock.at(self._last[seat.number], lambda seat=seat, life=seat.life: self._tell(
-                seat, life, entries, condition, boot))
+            self._last[seat.number] = max(
+                self._last[seat.number], now + self.random.randint(*world.script.discovery.spread)
+            )
+            world.clock.at(
+                self._last[seat.number],
+                lambda seat=seat, life=seat.life: self._tell(seat, life, entries, condition, boot),
+            )
 
     def _tell(self, seat: Seat, life: int, entries: list[tuple], condition: str, boot: int | None) -> None:
         if seat.alive and seat.life == life and entries:
@@ -391,8 +410,10 @@
         super().__init__(world)
         script = world.script
         terms = script.files
-        self._nodes = {f"n{node}": Listed(script.site.zones[world.zone_of(node)], f"127.0.0.1:{9000 + node}")
-                       for node in range(script.site.nodes)}
+        self._nodes = {
+            f"n{node}": Listed(script.site.zones[world.zone_of(node)], f"127.0.0.1:{9000 + node}")
+            for node in range(script.site.nodes)
+        }
         self.intake = Intake(Terms(terms.most_closed, terms.stand, False))
         self._settling, self._roster = Settling(terms.quiet), Roster(Pace(script.rules.grace, terms.weight_step))
         self._text: bytes | None = nodelist.written(NodeSet(self._nodes)).encode()
@@ -415,12 +436,17 @@
         if fault.how == "remove":
             held = {name: listed for name, listed in held.items() if name not in changed}
         elif fault.how in ("drain", "weight"):
-            held.update({name: listed._replace(**{"draining": True} if fault.how == "drain"
-                                               else {"weight": listed.weight * fault.strength})
-                         for name, listed in changed.items()})
+            held.update(
+                {
+                    name: listed._replace(
+                        **{"draining": True} if fault.how == "drain" else {"weight": listed.weight * fault.strength}
+                    )
+                    for name, listed in changed.items()
+                }
+            )
         text = nodelist.written(NodeSet(held))
         if fault.how == "torn":
-            text = text[:self.random.randrange(1, len(text) - 1)]
+            text = text[: self.random.randrange(1, len(text) - 1)]
         elif fault.how == "twice":
             first = next(iter(held))
             text = text.replace(f"# end {len(held)}", f"{first} = 127.0.0.1:1\n# end {len(held) + 1}")
@@ -454,8 +480,11 @@
             return step
         if step == SETTLED:
             try:
-                found: Any = "nodes.ini: there is no such file" if self._text is None else nodelist.read(
-                    "nodes.ini", self._text, 2 * len(self._nodes), True)
+                found: Any = (
+                    "nodes.ini: there is no such file"
+                    if self._text is None
+                    else nodelist.read("nodes.ini", self._text, 2 * len(self._nodes), True)
+                )
             except Unusable as err:
                 found = str(err)
             self.intake.take("nodes.ini", found)
@@ -501,8 +530,10 @@
                 mean = time / (count - failed) if count > failed else 0
                 mean = round(mean * (1 + script.noise * self.random.uniform(-1, 1)))
                 queue.append(("tries", node, zone, count, failed, mean or None, script.every, {}))
-            queue += [("heat", table, op_type, count, aborted, script.every)
-                      for (table, op_type), (count, aborted) in heat.items()]
+            queue += [
+                ("heat", table, op_type, count, aborted, script.every)
+                for (table, op_type), (count, aborted) in heat.items()
+            ]
             most = max(1, script.intake_per_s * script.every // 1_000_000_000)
             late = self.random.randint(*script.late)
             for event in queue[:most]:
@@ -514,8 +545,15 @@
 class World:
     """`policy(now, seed, settings)` makes a conductor's module; `proofs` are what its relays take for proof."""
 
-    def __init__(self, script: Script, seed: int, clock: Any, policy: Callable[..., Any] = Policy,
-                 proofs: tuple[str, ...] = PROOFS, seat: Callable[..., Any] = Seat) -> None:
+    def __init__(
+        self,
+        script: Script,
+        seed: int,
+        clock: Any,
+        policy: Callable[..., Any] = Policy,
+        proofs: tuple[str, ...] = PROOFS,
+        seat: Callable[..., Any] = Seat,
+    ) -> None:
         self.script, self.seed, self.clock, self.policy, self.proofs = script, seed, clock, policy, proofs
         self.begun = now = clock.now()
         site, rules = script.site, script.rules
@@ -527,8 +565,10 @@
         self.boots: list[int | None] = [None] * site.nodes  # when its process last started, as discovery tells it
         self.lives = [0] * site.nodes
         self._node_timers: list[Any] = [None] * site.nodes
-        self.nodes = [Node(script.kind, chance(seed, "node", number), now, self._ran,
-                           lambda number=number: self._fell(number)) for number in range(site.nodes)]
+        self.nodes = [
+            Node(script.kind, chance(seed, "node", number), now, self._ran, lambda number=number: self._fell(number))
+            for number in range(site.nodes)
+        ]
         self.where: dict[int, Relay] = {}  # op to the relay that waits for it
         self.hub, self.reports = Hub(self), Reports(self)
         self.discovery = Files(self) if script.files else Discovery(self)
@@ -551,8 +591,13 @@
         random.shuffle(standing)
         for table, node in enumerate(standing):
             self.hub.lines[table] = {node: 1.0}
-        self._per_load = (site.nodes * self.script.kind.cores * self.script.kind.speed * 1e9
-                          / sum(op.share * op.work for op in self.op_types))
+        self._per_load = (
+            site.nodes
+            * self.script.kind.cores
+            * self.script.kind.speed
+            * 1e9
+            / sum(op.share * op.work for op in self.op_types)
+        )
 
     def zone_of(self, node: int) -> int:
         return node % len(self.script.site.zones)
@@ -578,9 +623,14 @@
         """Whether rule 1 binds for a slice: somebody alive has charge, and lists a warm node as up."""
         charge, now = self.hub.charge[table], self.clock.now()
         warm_up = self.script.kind.warm_up
-        return charge is not None and self.seats[charge].alive and any(
-            condition == "up" and (boot is None or now - boot >= warm_up)
-            for condition, boot in self.discovery.listed)
+        return (
+            charge is not None
+            and self.seats[charge].alive
+            and any(
+                condition == "up" and (boot is None or now - boot >= warm_up)
+                for condition, boot in self.discovery.listed
+            )
+        )
 
     # The day.
 
@@ -595,8 +645,12 @@
                 self.hub.join(relay, seat.number)
         script, now = self.script, self.begun
         for name, fault, end, whom in script.faults:
-            self.clock.at(now + fault.start, lambda name=name, fault=fault, whom=whom, end=end: self._fault(
-                name, fault, end, self.chosen(name, whom)))
+            self.clock.at(
+                now + fault.start,
+                lambda name=name, fault=fault, whom=whom, end=end: self._fault(
+                    name, fault, end, self.chosen(name, whom)
+                ),
+            )
         self.clock.at(now + script.reports.every, self.reports.close)
         self._arrive(False)
 
@@ -615,9 +669,11 @@
         random, found = chance(self.seed, "fault", name), {"node": {}, "relay": {}, "conductor": {}}
         counts = {"node": len(self.nodes), "relay": len(self.relays), "conductor": len(self.seats)}
         for one in whom:
-            all_of = [number for number in range(counts[one.kind])
-                      if one.zone in (None, number % len(self.script.site.zones))
-                      and one.number in (None, number)]
+            all_of = [
+                number
+                for number in range(counts[one.kind])
+                if one.zone in (None, number % len(self.script.site.zones)) and one.number in (None, number)
+            ]
             if one.share < 1:
                 all_of = sorted(random.sample(all_of, max(1, round(one.share * len(all_of)))))
             found[one.kind].update(dict.fromkeys(all_of))
@@ -631,8 +687,13 @@
             op_type = min(bisect(self._shares, random.random() * self._shares[-1]), len(self._shares) - 1)
             table = min(bisect(self._slices, random.random() * self._slices[-1]), len(self._slices) - 1)
             keys = self.script.clients.keys
-            ask = Ask(op_type, table, table * keys + int(keys ** random.random()) - 1,
-                      random.lognormvariate(*self._draws[op_type]), now)
+            ask = Ask(
+                op_type,
+                table,
+                table * keys + int(keys ** random.random()) - 1,
+                random.lognormvariate(*self._draws[op_type]),
+                now,
+            )
             self.score.asked(now, op_type)
             self.ask(ask)
         rate = self.rate(now)
@@ -669,8 +730,11 @@
         charge = self.hub.charge[ask.table]
         if verdict == "aborted" and charge is not None:
             self.reports.heat[charge].setdefault((ask.table, ask.op_type), [0, 0])[1] += 1
-        again = (ask.tries <= clients.retries and now + clients.wait - ask.begun < kind.timeout
-                 and (verdict == "rejected" or kind.effect == "retryable"))
+        again = (
+            ask.tries <= clients.retries
+            and now + clients.wait - ask.begun < kind.timeout
+            and (verdict == "rejected" or kind.effect == "retryable")
+        )
         if again:
             self.clock.at(now + clients.wait, lambda: self.ask(ask))
         else:
@@ -748,8 +812,10 @@
         """A node answers an op."""
         relay = self.where.get(number)
         if relay is not None:
-            self.clock.at(self.clock.now() + self.way(relay.zone, self.zone_of(node)),
-                          lambda: relay.awake(relay.ended, number, node, "acked"))
+            self.clock.at(
+                self.clock.now() + self.way(relay.zone, self.zone_of(node)),
+                lambda: relay.awake(relay.ended, number, node, "acked"),
+            )
 
     def tried(self, relay: Relay, ask: Ask, node: int, good: bool, time: int) -> None:
         """For the reports of whoever has charge."""
@@ -776,8 +842,10 @@
         now = self.clock.now()
         for number, relay in list(self.where.items()):
             if number in relay.ops and relay.ops[number][0].node == node:
-                self.clock.at(now + self.way(relay.zone, self.zone_of(node)),
-                              lambda relay=relay, number=number: relay.awake(relay.ended, number, node, RESET))
+                self.clock.at(
+                    now + self.way(relay.zone, self.zone_of(node)),
+                    lambda relay=relay, number=number: relay.awake(relay.ended, number, node, RESET),
+                )
 
     def _fault(self, name: str, fault: Fault, end: int, whom: dict[str, list[int]]) -> None:
         end += self.begun
@@ -815,8 +883,9 @@
             for number in numbers:
                 first = self.clock.now() + random.randrange(fault.every)
                 for at in range(first, end, fault.every):
-                    self.clock.at(at, lambda kind=kind, number=number, at=at: self._stand(
-                        (name, at), kind, number, fault.pause))
+                    self.clock.at(
+                        at, lambda kind=kind, number=number, at=at: self._stand((name, at), kind, number, fault.pause)
+                    )
 
     def _stand(self, name: object, kind: str, number: int, pause: int) -> None:
         until = self.clock.now() + pause
--- a/kestrelplank/lab/yard.py
+++ b/kestrelplank/lab/yard.py
@@ -91,8 +91,15 @@
         self.running += 1
         await asyncio.sleep(random.uniform(*WORK))
         self.running -= 1
-        return 200, [(b"x-attempt-id", attempt), (b"x-server-seal", self.name.encode()),
-                     (b"x-server-load", b"%d,0,4" % (self.running + 1))], b"%d" % len(body)
+        return (
+            200,
+            [
+                (b"x-attempt-id", attempt),
+                (b"x-server-seal", self.name.encode()),
+                (b"x-server-load", b"%d,0,4" % (self.running + 1)),
+            ],
+            b"%d" % len(body),
+        )
 
     async def start(self) -> None:
         self.front = server(self.app, 10, 1)
@@ -113,12 +120,23 @@
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         await receive()
-        listed = [{"server_id": one.name, "target_service": one.service, "address": "%s:%d" % one.address,
-                   "zone": "hall", "slots": 4, "state": one.state, "warmup_left_s": 0}
-                  for one in self.servers if one.state != "gone"]
+        listed = [
+            {
+                "server_id": one.name,
+                "target_service": one.service,
+                "address": "%s:%d" % one.address,
+                "zone": "hall",
+                "slots": 4,
+                "state": one.state,
+                "warmup_left_s": 0,
+            }
+            for one in self.servers
+            if one.state != "gone"
+        ]
         body = msgspec.json.encode({"instances": listed, "next_token": None})
-        await send({"type": "http.response.start", "status": 200,
-                    "headers": [(b"content-length", str(len(body)).encode())]})
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": [(b"content-length", str(len(body)).encode())]}
+        )
         await send({"type": "http.response.body", "body": body})
 
 
@@ -162,14 +180,16 @@
                 self.servers.append(StandIn(f"{service}-{number}", service, address, self.tally, self.servers))
         self.cloud = (f"127.0.{base}.99", free_port([f"127.0.{base}.99"]))
         self.seeds = [f"{ip}:{self.port}" for ip in ips[:cores]]
-        self.machines = [self.machine(folder, "control" if at < cores else "edge", ip, at)
-                         for at, ip in enumerate(ips)]
+        self.machines = [self.machine(folder, "control" if at < cores else "edge", ip, at) for at, ip in enumerate(ips)]
         self.processes: dict[Machine, asyncio.subprocess.Process] = {}
 
     def machine(self, folder: str, role: str, ip: str, number: int) -> Machine:
         name = f"{role}-{number}"
-        listens = f'control_plane = "{ip}:{self.port}"' if role == "control" else \
-            f'frontend = "{ip}:{self.port}"\nreadiness = "{ip}:{self.ready_port}"'
+        listens = (
+            f'control_plane = "{ip}:{self.port}"'
+            if role == "control"
+            else f'frontend = "{ip}:{self.port}"\nreadiness = "{ip}:{self.ready_port}"'
+        )
         text = f"""[local_system]
 node_name = "{name}"
 ip_address = "{ip}"
@@ -196,8 +216,13 @@
             with open(machine.settings, "w") as file:
                 file.write(text)
         self.processes[machine] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kestrelplank.gateway", machine.role, f"--settings={machine.settings}",
-            f"--level={self.log}")
+            sys.executable,
+            "-m",
+            "kestrelplank.gateway",
+            machine.role,
+            f"--settings={machine.settings}",
+            f"--level={self.log}",
+        )
 
     def end(self, machine: Machine, number: int = signal.SIGKILL) -> None:
         process = self.processes.pop(machine)
@@ -210,8 +235,12 @@
             async with asyncio.timeout(2.0):
                 line = await dial((ip, port), 1.0)
                 try:
-                    return await line.ask(method.encode(), path.encode(), [
-                        (b"Host", HOST.encode()), (b"Content-Length", str(len(body)).encode()), *more], body)
+                    return await line.ask(
+                        method.encode(),
+                        path.encode(),
+                        [(b"Host", HOST.encode()), (b"Content-Length", str(len(body)).encode()), *more],
+                        body,
+                    )
                 finally:
                     line.reset()
         except Exception:  # noqa: BLE001 - a client tells one failure from another as little
@@ -219,12 +248,26 @@
 
     async def configure(self, version: int) -> bool:
         kinds = {"views": "idempotent", "orders": "non_idempotent", "uploads": "upload"}
-        routes = [{"name": name, "path_prefix": path, "route_type": kinds[name], "timeout_s": 1.5,
-                   "target_latency_s": 0.5, "priority": 1, "target_service": name, "max_attempts": 2}
-                  for name, (_, path) in CALLS.items()]
-        text = msgspec.json.encode({"config_version": f"{version:08x}", "service_table": [
-            {"name": name, "sharded": name == "views"} for name in CALLS],
-            "virtual_hosts": [{"host_name": HOST, "host_routes": routes}]})
+        routes = [
+            {
+                "name": name,
+                "path_prefix": path,
+                "route_type": kinds[name],
+                "timeout_s": 1.5,
+                "target_latency_s": 0.5,
+                "priority": 1,
+                "target_service": name,
+                "max_attempts": 2,
+            }
+            for name, (_, path) in CALLS.items()
+        ]
+        text = msgspec.json.encode(
+            {
+                "config_version": f"{version:08x}",
+                "service_table": [{"name": name, "sharded": name == "views"} for name in CALLS],
+                "virtual_hosts": [{"host_name": HOST, "host_routes": routes}],
+            }
+        )
         for _ in range(60):
             for machine in self.machines:
                 if machine.role == "control" and machine in self.processes:
@@ -238,8 +281,11 @@
         """Whether all edges say so, and all keys are held."""
         until = time.monotonic() + PATIENCE
         while time.monotonic() < until:
-            asked = [await self.call(machine.ip, self.ready_port, "GET", "/api/readiness")
-                     for machine in self.processes if machine.role == "edge"]
+            asked = [
+                await self.call(machine.ip, self.ready_port, "GET", "/api/readiness")
+                for machine in self.processes
+                if machine.role == "edge"
+            ]
             now = time.monotonic()
             held = all(any(one.holds_key(key, now) for one in self.servers) for key in range(0, 65536, 512))
             if held and asked and all(answer is not None and answer.status == 200 for answer in asked):
@@ -259,9 +305,18 @@
             edge = self.random.choice(edges)
             if kind != "views":
                 self.tally.once[attempt] = None
-            answer = await self.call(edge.ip, self.port, method, f"{path}{number}", body, [
-                (b"X-Attempt-Id", attempt.encode()), (b"X-Deadline-Remaining", b"1500"),
-                (b"X-Shard-Key", str(self.random.randrange(65536)).encode())])
+            answer = await self.call(
+                edge.ip,
+                self.port,
+                method,
+                f"{path}{number}",
+                body,
+                [
+                    (b"X-Attempt-Id", attempt.encode()),
+                    (b"X-Deadline-Remaining", b"1500"),
+                    (b"X-Shard-Key", str(self.random.randrange(65536)).encode()),
+                ],
+            )
             status = answer.status if answer else 0
             self.tally.answered[status] = self.tally.answered.get(status, 0) + 1
             if status == 200 and answer.body == b"%d" % len(body):
@@ -325,13 +380,22 @@
             told = await self.losses()
             await loading
             twice = [attempt for attempt in self.tally.once if self.tally.runs.get(attempt, 0) > 1]
-            return {"ready": True, "ready_s": round(ready_s, 2), "losses": told, "asked": self.tally.asked,
-                    "served": self.tally.good, "answers": dict(sorted(self.tally.answered.items())),
-                    "run_twice": len(twice), "promised_and_ran": self.tally.promised_and_ran,
-                    "held_twice": self.tally.held_twice,
-                    "holders": {one.name: sum(last - first + 1 for first, last, _, until in one.holds
-                                              if until > time.monotonic())
-                                for one in self.servers if one.front and one.service == "views"}}
+            return {
+                "ready": True,
+                "ready_s": round(ready_s, 2),
+                "losses": told,
+                "asked": self.tally.asked,
+                "served": self.tally.good,
+                "answers": dict(sorted(self.tally.answered.items())),
+                "run_twice": len(twice),
+                "promised_and_ran": self.tally.promised_and_ran,
+                "held_twice": self.tally.held_twice,
+                "holders": {
+                    one.name: sum(last - first + 1 for first, last, _, until in one.holds if until > time.monotonic())
+                    for one in self.servers
+                    if one.front and one.service == "views"
+                },
+            }
         finally:
             for machine in list(self.processes):
                 process = self.processes[machine]
--- a/kestrelplank/net/conductor.py
+++ b/kestrelplank/net/conductor.py
@@ -16,8 +16,17 @@
     """The writer that the module orders through, and the events of its next round. A round is held `gather`
     after the first event, so that its cost follows the time and not the reads."""
 
-    def __init__(self, loop: Loop, counters: Counters, policy: Policy, gather: int, orders: Orders,
-                 discovery: Discovery, probes: Probes, peers: Peers | None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        counters: Counters,
+        policy: Policy,
+        gather: int,
+        orders: Orders,
+        discovery: Discovery,
+        probes: Probes,
+        peers: Peers | None,
+    ) -> None:
         self._loop, self._counters, self._policy, self._gather = loop, counters, policy, gather
         self._orders, self._discovery, self._probes, self._peers = orders, discovery, probes, peers
         self._events: list[tuple] = []
--- a/kestrelplank/net/connection.py
+++ b/kestrelplank/net/connection.py
@@ -126,8 +126,9 @@
 class Dialled(Connection):
     """A connection that we open ourselves: nothing is read or written before it is up, or `within` is over."""
 
-    def __init__(self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Dialler, most_waiting: int,
-                 within: int) -> None:
+    def __init__(
+        self, loop: Loop, pool: Pool, to: tuple[str, int], owner: Dialler, most_waiting: int, within: int
+    ) -> None:
         super().__init__(loop, pool, socket.socket(socket.AF_INET, socket.SOCK_STREAM), owner, most_waiting)
         self._up = False
         self._deadline = loop.at(loop.now() + within, lambda: self.close("does not come up"))
@@ -161,8 +162,14 @@
     who hears of any trouble, for room; without that it looks away for `pause`, as the socket stays ready and
     would spin."""
 
-    def __init__(self, loop: Loop, at: tuple[str, int] | socket.socket, on_accept: Callable[[socket.socket], None],
-                 on_trouble: Callable[[str], bool | None], pause: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        at: tuple[str, int] | socket.socket,
+        on_accept: Callable[[socket.socket], None],
+        on_trouble: Callable[[str], bool | None],
+        pause: int,
+    ) -> None:
         self._loop, self._on_accept, self._on_trouble, self._pause = loop, on_accept, on_trouble, pause
         self._sock = socket.create_server(at, backlog=BACKLOG) if isinstance(at, tuple) else at
         self._sock.setblocking(False)
--- a/kestrelplank/net/counters.py
+++ b/kestrelplank/net/counters.py
@@ -21,7 +21,7 @@
     def write(self, text: str) -> None:
         try:
             if select.select((), (self._fd,), (), 0)[1]:
-                os.write(self._fd, text.encode()[:select.PIPE_BUF])
+                os.write(self._fd, text.encode()[: select.PIPE_BUF])
         except OSError:
             pass
 
@@ -31,10 +31,14 @@
 
 def logger(name: str) -> structlog.BoundLogger:
     structlog.configure(
-        processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.add_log_level,
-                    structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.add_log_level,
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(20),
-        logger_factory=structlog.WriteLoggerFactory(Output(2)))
+        logger_factory=structlog.WriteLoggerFactory(Output(2)),
+    )
     return structlog.get_logger(conductor=name)
 
 
--- a/kestrelplank/net/discovery.py
+++ b/kestrelplank/net/discovery.py
@@ -25,8 +25,9 @@
 class Discovery:
     """`addresses` holds where each listed node is reached. The watch goes on from the newest list we have."""
 
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, at: str, ids: Ids,
-                 on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self, loop: Loop, pool: Pool, counters: Counters, at: str, ids: Ids, on_event: Callable[[tuple], None]
+    ) -> None:
         self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
         self._version, self.addresses = 0, {}
         self._pool, self._at, self._stream = pool, at, None
@@ -40,10 +41,19 @@
                 self._take(mapping(known), "cached")
             except Malformed as err:
                 self._counters.trouble("lists_skipped", err)
-        self._stream = Stream(self._loop, self._pool, self._at,
-                              lambda: f"{PATH}?follow=1&since={self._version}", self._line, lambda: None,
-                              lambda why: self._counters.trouble("discovery_broken", why), DIAL, SILENCE, PAUSES,
-                              MOST_LIST)
+        self._stream = Stream(
+            self._loop,
+            self._pool,
+            self._at,
+            lambda: f"{PATH}?follow=1&since={self._version}",
+            self._line,
+            lambda: None,
+            lambda why: self._counters.trouble("discovery_broken", why),
+            DIAL,
+            SILENCE,
+            PAUSES,
+            MOST_LIST,
+        )
         self._poll()
 
     def move(self, at: str) -> None:
@@ -121,10 +131,14 @@
         condition = CONDITION(instance.get("lifecycle"))
         zone, cell = instance.get("zone"), instance.get("cell")
         weight, started = instance.get("weight"), instance.get("startedAtMs")
-        entry = (self._ids.node(instance.get("instanceId")), condition,
-                 None if zone is None else self._ids.zone(zone), None if cell is None else whole(cell),
-                 1.0 if weight is None else count(weight),
-                 self._loop.from_unix(time(started)) if started else None)
+        entry = (
+            self._ids.node(instance.get("instanceId")),
+            condition,
+            None if zone is None else self._ids.zone(zone),
+            None if cell is None else whole(cell),
+            1.0 if weight is None else count(weight),
+            self._loop.from_unix(time(started)) if started else None,
+        )
         if isinstance(instance.get("hostPort"), str):
             self.addresses[entry[0]] = instance["hostPort"]
         return entry
--- a/kestrelplank/net/extras.py
+++ b/kestrelplank/net/extras.py
@@ -30,8 +30,9 @@
     return policy.levels.best / (policy.period / 1e9)
 
 
-def membership(loop: Loop, counters: Counters, file: MembersFile, settings: dict, policy: Conductor,
-               peers: Peers | None) -> Members | None:
+def membership(
+    loop: Loop, counters: Counters, file: MembersFile, settings: dict, policy: Conductor, peers: Peers | None
+) -> Members | None:
     """Membership, where the operator wants it and the platform's settings allow datagrams."""
     if not file.on:
         return None
@@ -39,10 +40,9 @@
         counters.trouble("members_off", "the settings allow no datagrams between conductors")
         return None
     terms = Terms(file.every, file.suspect, file.dead, file.grace)
-    life = int(time.time()) & 0xffffffff  # higher than in any former one, unless the clock has been set back past it
+    life = int(time.time()) & 0xFFFFFFFF  # higher than in any former one, unless the clock has been set back past it
     core = Membership(loop.now(), settings["ordinal"], life, settings["conductors"], terms)
-    return Members(loop, counters, core, file.every, peers.tell, lambda: seen(policy, loop.now()),
-                   lambda: best(policy))
+    return Members(loop, counters, core, file.every, peers.tell, lambda: seen(policy, loop.now()), lambda: best(policy))
 
 
 def shown(loop: Loop, file: StatusFile, policy: Conductor, ids: Ids, members: Members | None) -> Status | None:
@@ -58,8 +58,12 @@
             if node.zone is not None:
                 held = zones[names[node.zone]]
                 held.pop("zone", None)
-                for what, is_so in (("listed", node.state == "up"), ("withdrawn", node.out),
-                                    ("barred", now < node.barred_until), ("cold", policy.warmth(node, now) < 1.0)):
+                for what, is_so in (
+                    ("listed", node.state == "up"),
+                    ("withdrawn", node.out),
+                    ("barred", now < node.barred_until),
+                    ("cold", policy.warmth(node, now) < 1.0),
+                ):
                     held[what] = held.get(what, 0) + is_so
         return {"slices": len(policy.slices), "zones": zones, "members": members.shown() if members else None}
 
--- a/kestrelplank/net/front.py
+++ b/kestrelplank/net/front.py
@@ -18,8 +18,14 @@
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.loop import Loop
 
-LOADS = {"inflight": "inflight", "queue": "queued", "util": "util", "latency_ms": "service_ms",
-         "qps": "acked_per_s", "eps": "aborted_per_s"}
+LOADS = {
+    "inflight": "inflight",
+    "queue": "queued",
+    "util": "util",
+    "latency_ms": "service_ms",
+    "qps": "acked_per_s",
+    "eps": "aborted_per_s",
+}
 HB, HB_OK = b"hb", resp.encode(b"hb_ok")
 MOST_STRANGERS = 64  # connections that have not joined; the oldest goes first, as it had its chance
 MOST_OF_ZONE = 4  # joined: one reports; those of a machine that vanished are held until found out
@@ -96,8 +102,16 @@
             raise Malformed(f"{kind}, field locality: not this collector's")
         mean_time = time(read("rtt")) if tries > failed or "rtt" in fields else None
         metrics = (pair.split(":") for pair in fields.get("metrics", "").split(","))
-        return ("tries", known(kind, fields, "endpoint", ids.nodes), zone, tries, failed, mean_time, window,
-                load(metrics))
+        return (
+            "tries",
+            known(kind, fields, "endpoint", ids.nodes),
+            zone,
+            tries,
+            failed,
+            mean_time,
+            window,
+            load(metrics),
+        )
     shard = fields.get("shard", "")
     if not (shard.isdecimal() and len(shard) <= MOST_DIGITS and int(shard) < slices):
         raise Malformed(f"{kind}, field shard: {shard[:40]!r} is not known")
@@ -143,8 +157,16 @@
     """Callers stand in the order in which their time runs out: strangers by when they came, collectors of a zone
     by when they joined."""
 
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, at: tuple[str, int], ids: Ids, slices: int,
-                 on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        counters: Counters,
+        at: tuple[str, int],
+        ids: Ids,
+        slices: int,
+        on_event: Callable[[tuple], None],
+    ) -> None:
         self.loop, self.pool, self.counters = loop, pool, counters
         self._ids, self._slices, self._on_event = ids, slices, on_event
         self._strangers: dict[int, Caller] = {}
--- a/kestrelplank/net/http.py
+++ b/kestrelplank/net/http.py
@@ -162,9 +162,20 @@
     """A GET whose answer does not end: its lines as they come, and an end when it breaks or says nothing for
     `silence`. It is dialled again after a pause, which grows while streams do not last, until it is closed."""
 
-    def __init__(self, loop: Loop, pool: Pool, to: str, path: Callable[[], str],
-                 on_line: Callable[[bytes], None], on_start: Callable[[], None], on_end: Callable[[str], None],
-                 dial: int, silence: int, pauses: tuple[int, int], most_line: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        to: str,
+        path: Callable[[], str],
+        on_line: Callable[[bytes], None],
+        on_start: Callable[[], None],
+        on_end: Callable[[str], None],
+        dial: int,
+        silence: int,
+        pauses: tuple[int, int],
+        most_line: int,
+    ) -> None:
         super().__init__(loop, pool, to, dial)
         self._path, self._on_line, self._on_start, self._on_end = path, on_line, on_start, on_end
         self._silence, self._pauses, self._most_line = silence, pauses, most_line
--- a/kestrelplank/net/members.py
+++ b/kestrelplank/net/members.py
@@ -14,9 +14,16 @@
     """`tell(None, body)` sends to all; `seen()` gives the nodes as the module sees them, `best()` what one acks in a
     second."""
 
-    def __init__(self, loop: Loop, counters: Counters, membership: Membership, every: int,
-                 tell: Callable[[None, bytes], None], seen: Callable[[], list[Seen]],
-                 best: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        counters: Counters,
+        membership: Membership,
+        every: int,
+        tell: Callable[[None, bytes], None],
+        seen: Callable[[], list[Seen]],
+        best: Callable[[], float],
+    ) -> None:
         self._loop, self._counters, self._membership, self._every = loop, counters, membership, every
         self._tell, self._seen, self._best = tell, seen, best
         self._timer = loop.at(loop.now(), self._tick)
@@ -44,8 +51,11 @@
         now = self._loop.now()
         view = self._membership.view(now)
         zones = together(zone_sums(self._seen(), self._best()), self._membership.zones(now, AGE))
-        return {"view": view.version, "alive": view.alive,
-                "zones": {zone: found._asdict() for zone, found in zones.items()}}
+        return {
+            "view": view.version,
+            "alive": view.alive,
+            "zones": {zone: found._asdict() for zone, found in zones.items()},
+        }
 
     def close(self) -> None:
         self._timer.cancel()
--- a/kestrelplank/net/news.py
+++ b/kestrelplank/net/news.py
@@ -32,8 +32,18 @@
 
 
 class News:
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, proxies: int, slices: int,
-                 orders: Orders, on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        counters: Counters,
+        to: str,
+        ids: Ids,
+        proxies: int,
+        slices: int,
+        orders: Orders,
+        on_event: Callable[[tuple], None],
+    ) -> None:
         self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
         self._proxies, self._slices, self._orders = proxies, slices, orders
         self._joined: dict[int, int] = {}  # proxy to the last mark it was told to have applied
@@ -41,8 +51,9 @@
         self._picture: Picture | None = None
         self._giving: list[tuple] = []  # a slice given, and its lines so far
         self._timer = self._given = None
-        self._stream = Stream(loop, pool, to, lambda: PATH, self.take, self.start, self.end, DIAL, SILENCE,
-                              PAUSES, MOST_LINE)
+        self._stream = Stream(
+            loop, pool, to, lambda: PATH, self.take, self.start, self.end, DIAL, SILENCE, PAUSES, MOST_LINE
+        )
 
     def move(self, to: str) -> None:
         self._stream.move(to)
--- a/kestrelplank/net/orders.py
+++ b/kestrelplank/net/orders.py
@@ -44,8 +44,17 @@
     """Marks go out counted from `first_mark`, which is another at each start: an answer to a mark of a former
     life then means none of ours, as the module counts from 0 each time."""
 
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, to: str, ids: Ids, op_types: list[str],
-                 first_mark: int, transit: int = 0) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        counters: Counters,
+        to: str,
+        ids: Ids,
+        op_types: list[str],
+        first_mark: int,
+        transit: int = 0,
+    ) -> None:
         self._loop, self._counters, self._ids, self._op_types = loop, counters, ids, op_types
         self._first_mark, self._transit = first_mark, transit
         self._client = Client(loop, pool, to, self, DIAL, MOST_ANSWER)
--- a/kestrelplank/net/peers.py
+++ b/kestrelplank/net/peers.py
@@ -13,8 +13,16 @@
 
 
 class Peers:
-    def __init__(self, loop: Loop, counters: Counters, listen: str, peers: list[str], everyone: str,
-                 ids: Ids, on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        counters: Counters,
+        listen: str,
+        peers: list[str],
+        everyone: str,
+        ids: Ids,
+        on_event: Callable[[tuple], None],
+    ) -> None:
         self._loop, self._counters, self._ids, self._on_event = loop, counters, ids, on_event
         self._peers, self._everyone = [address(peer) for peer in peers], address(everyone) if everyone else None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/kestrelplank/net/probes.py
+++ b/kestrelplank/net/probes.py
@@ -46,8 +46,17 @@
 
 
 class Probes:
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, addresses: dict[int, str], allowed: bool,
-                 dial: int, with_load: bool, on_event: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        counters: Counters,
+        addresses: dict[int, str],
+        allowed: bool,
+        dial: int,
+        with_load: bool,
+        on_event: Callable[[tuple], None],
+    ) -> None:
         self.loop, self.pool, self.counters, self.on_event = loop, pool, counters, on_event
         self._addresses, self._allowed, self.dial = addresses, allowed, dial
         self.path = "/status/load" if with_load else "/health"
--- a/kestrelplank/net/resp.py
+++ b/kestrelplank/net/resp.py
@@ -31,9 +31,9 @@
                 end = self._at + self._size
                 if len(self._held) < end + 2:
                     break
-                if self._held[end:end + 2] != b"\r\n":
+                if self._held[end : end + 2] != b"\r\n":
                     raise Malformed("a bulk string does not end where it says")
-                self._parts.append(bytes(self._held[self._at:end]))
+                self._parts.append(bytes(self._held[self._at : end]))
                 self._at, self._size, self._left = end + 2, -1, self._left - 1
             else:
                 number = self._header(b"$" if self._left else b"*")
@@ -51,12 +51,12 @@
             if not self._left and self._parts:
                 message, self._parts = self._parts, []
                 yield message
-        del self._held[:self._at]
+        del self._held[: self._at]
         self._at = 0
 
     def _header(self, mark: bytes) -> int | None:
         end = self._held.find(b"\r\n", self._at, self._at + MOST_DIGITS + 3)
-        line = bytes(self._held[self._at:self._at + MOST_DIGITS + 3] if end < 0 else self._held[self._at:end])
+        line = bytes(self._held[self._at : self._at + MOST_DIGITS + 3] if end < 0 else self._held[self._at : end])
         if line and line[:1] != mark or end < 0 and len(line) > MOST_DIGITS + 2:
             raise Malformed(f"expected {mark.decode()} and a number, got {line!r}")
         if end < 0:
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -109,10 +109,21 @@
     wait for room, `weigh(node)`, the share of its weight that a node is given as yet, and `zones`, which are preferred.
     Where it has a queue, call `settled` after each of the calls below: what one op does may settle others."""
 
-    def __init__(self, random: Random, tables: Tables, op_timeouts: Sequence[int], pick: str, hold: int,
-                 avoidance: Avoidance, proofs: Sequence[str] = PROOFS, budget: Budget | None = None,
-                 limits: Limits | None = None, queue: Queue | None = None,
-                 weigh: Callable[[int], float] | None = None, zones: Preference | None = None) -> None:
+    def __init__(
+        self,
+        random: Random,
+        tables: Tables,
+        op_timeouts: Sequence[int],
+        pick: str,
+        hold: int,
+        avoidance: Avoidance,
+        proofs: Sequence[str] = PROOFS,
+        budget: Budget | None = None,
+        limits: Limits | None = None,
+        queue: Queue | None = None,
+        weigh: Callable[[int], float] | None = None,
+        zones: Preference | None = None,
+    ) -> None:
         self._random, self._tables, self._pick, self._hold = random, tables, pick, hold
         self._op_timeouts, self._avoidance, self._proofs = op_timeouts, avoidance, proofs
         self._budget, self._limits, self._queue, self._weigh, self._zones = budget, limits, queue, weigh, zones
@@ -123,8 +134,9 @@
         self._waiting: dict[int, dict[int, Op]] = {}  # by table, in order of arrival
         self.counts: Counter[str] = Counter()
 
-    def ask(self, now: int, number: int, op_type: int, table: int, within: int | None = None,
-            key: str = "") -> tuple[Op, tuple]:
+    def ask(
+        self, now: int, number: int, op_type: int, table: int, within: int | None = None, key: str = ""
+    ) -> tuple[Op, tuple]:
         """A new op, which its caller waits for so long (ns; its op timeout if that is less or nothing is said)."""
         self.counts["asked"] += 1
         limit = self._op_timeouts[op_type]
@@ -193,6 +205,7 @@
     def settled(self, now: int) -> list[tuple[Op, tuple]]:
         """What the last calls have settled of other ops: turned away for a dearer one, or sent as room was made."""
         if self._queued:
+
             def fits(number: int) -> bool:
                 op = self._queued[number]
                 node = self._choose(now, op)
--- a/kestrelplank/plan/gate.py
+++ b/kestrelplank/plan/gate.py
@@ -66,9 +66,14 @@
         -1, kept, to 1, undone; None while too few ops are in)."""
         ratio = self.ratio()
         near = None if ratio is None else max(-1.0, min(1.0, ratio / (self._high if ratio > 0 else -self._low)))
-        return {"verdict": self.verdict, "ops": self._mine[0], "others": self._others[0], "near": near,
-                "in_time": self._mine[1] / self._mine[0] if self._mine[0] else None,
-                "usual": self._others[1] / self._others[0] if self._others[0] else self._before}
+        return {
+            "verdict": self.verdict,
+            "ops": self._mine[0],
+            "others": self._others[0],
+            "near": near,
+            "in_time": self._mine[1] / self._mine[0] if self._mine[0] else None,
+            "usual": self._others[1] / self._others[0] if self._others[0] else self._before,
+        }
 
     def ratio(self) -> float | None:
         """The logarithm of how much likelier "worse by what matters" is than "as before", from the difference of the
--- a/kestrelplank/plan/limits.py
+++ b/kestrelplank/plan/limits.py
@@ -137,8 +137,9 @@
         until = min(deadline, now + round(self._targets[op_type] * self._part))
         turned: list[int] = []
         if len(self._waiting) >= self._most:
-            worst = max(self._waiting, key=lambda number: (-self._values[self._waiting[number][1]],
-                                                           self._waiting[number][0]))
+            worst = max(
+                self._waiting, key=lambda number: (-self._values[self._waiting[number][1]], self._waiting[number][0])
+            )
             if self._values[self._waiting[worst][1]] >= self._values[op_type]:
                 return None, []
             self.drop(worst)
--- a/kestrelplank/plan/picks.py
+++ b/kestrelplank/plan/picks.py
@@ -38,6 +38,7 @@
     goes only its keys move.
 
     Source: highest random weight (D. Thaler and C. Ravishankar, 1998), weighted as -w / ln(h)."""
+
     def score(line: tuple[int, float]) -> float:
         digest = blake2b(f"{key}/{line[0]}".encode(), digest_size=8).digest()
         return line[1] / -log((int.from_bytes(digest) + 1) / (2**64 + 2))
--- a/kestrelplank/plan/placement.py
+++ b/kestrelplank/plan/placement.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-EXACT = 6 ** 10  # ways to place, up to which the answer is exact
+EXACT = 6**10  # ways to place, up to which the answer is exact
 STEPS = 400_000  # of the search, after which the best so far is taken and said not to be proved
 ROUNDS = 50  # of moves and swaps
 TINY = 1e-12
@@ -43,8 +43,9 @@
     return max((load / node.capacity for load, node in zip(held, nodes) if node.capacity > 0), default=0.0)
 
 
-def place(loads: Sequence[float], nodes: Sequence[Node], most: float | None = None,
-          zone_share: float = 1.0) -> Placement:
+def place(
+    loads: Sequence[float], nodes: Sequence[Node], most: float | None = None, zone_share: float = 1.0
+) -> Placement:
     """Places every block. `most`: no node is filled over that share of its capacity; what does not fit then is left
     without a place, the largest blocks first to find one. `zone_share`: no zone holds more than that share of all load.
 
@@ -202,8 +203,11 @@
             if where[block] != fullest:
                 continue
             self._put(block, fullest, -1)
-            fits = [node for node in usable if node != fullest and self._fits(block, node)
-                    and self._fill(block, node) < peak * (1 - 1e-9)]
+            fits = [
+                node
+                for node in usable
+                if node != fullest and self._fits(block, node) and self._fill(block, node) < peak * (1 - 1e-9)
+            ]
             if fits:
                 where[block] = min(fits, key=lambda node: (self._fill(block, node), node))
                 self._put(block, where[block], 1)
@@ -220,8 +224,11 @@
                     continue
                 self._put(block, fullest, -1)
                 self._put(other, node, -1)
-                if (self._fits(block, node) and self._fits(other, fullest)
-                        and self._fill(block, node) < peak * (1 - 1e-9)):
+                if (
+                    self._fits(block, node)
+                    and self._fits(other, fullest)
+                    and self._fill(block, node) < peak * (1 - 1e-9)
+                ):
                     self._put(block, node, 1)
                     self._put(other, fullest, 1)
                     where[block], where[other] = node, fullest
--- a/kestrelplank/plan/tiers.py
+++ b/kestrelplank/plan/tiers.py
@@ -39,13 +39,17 @@
 
     def between(self, zone: int, other: int) -> float | None:
         """Learned in either direction; None while too little is known."""
-        found = [sorted(past)[len(past) // 4] for pair in ((zone, other), (other, zone))
-                 if len(past := self._past.get(pair, ())) >= LEAST_PERIODS]
+        found = [
+            sorted(past)[len(past) // 4]
+            for pair in ((zone, other), (other, zone))
+            if len(past := self._past.get(pair, ())) >= LEAST_PERIODS
+        ]
         return max(0.0, min(found)) if found else None
 
 
-def by_distance(zone: int, zones: Sequence[int], distances: Mapping[tuple[int, int], float],
-                near: float) -> list[list[int]]:
+def by_distance(
+    zone: int, zones: Sequence[int], distances: Mapping[tuple[int, int], float], near: float
+) -> list[list[int]]:
     """The other zones in tiers: each begins with the nearest that is left and takes whoever is no more than `near`
     farther than that. Zones without a distance come last, together; ties go by number."""
     known = sorted((distances[zone, other], other) for other in zones if other != zone and (zone, other) in distances)
@@ -69,8 +73,12 @@
     used: dict[tuple[int, int], float]
 
 
-def spread(demand: Mapping[int, float], capacity: Mapping[int, float], tiers: Mapping[int, Sequence[Sequence[int]]],
-           limits: Sequence[float]) -> Plan:
+def spread(
+    demand: Mapping[int, float],
+    capacity: Mapping[int, float],
+    tiers: Mapping[int, Sequence[Sequence[int]]],
+    limits: Sequence[float],
+) -> Plan:
     """Each zone's own work first, as far as its capacity goes; what is over spills tier by tier. In a tier a zone takes
     spill up to `limits[tier]` of the capacity that its own work left, less what nearer spill has taken; where more
     comes than that, every source gets its part in the ratio of what it brings, and whoever has another choice of the
@@ -110,8 +118,11 @@
             for other in comes:
                 room[other] = max(0.0, spare[other] * limit - taken[other])
                 room[other] = 0.0 if room[other] < 1e-9 else room[other]
-        choices = {zone: [other for other in tiers[zone][tier] if other in spare] for zone in zones
-                   if tier < len(tiers.get(zone, ()))}
+        choices = {
+            zone: [other for other in tiers[zone][tier] if other in spare]
+            for zone in zones
+            if tier < len(tiers.get(zone, ()))
+        }
         make_room(choices, flows, left, room, taken)
         for zone in spare:
             if taken[zone] > begun[zone]:
@@ -119,8 +130,13 @@
     return Plan(flows, {zone: amount for zone, amount in left.items() if amount > 1e-9}, used)
 
 
-def make_room(choices: Mapping[int, Sequence[int]], flows: dict[tuple[int, int], float], left: dict[int, float],
-              room: dict[int, float], taken: dict[int, float]) -> None:
+def make_room(
+    choices: Mapping[int, Sequence[int]],
+    flows: dict[tuple[int, int], float],
+    left: dict[int, float],
+    room: dict[int, float],
+    taken: dict[int, float],
+) -> None:
     """Moves spill of one tier among its targets until no more of what is left can be served: along shortest paths from
     a zone with work left over targets and the zones that fill them to a target with room (J. Edmonds and R. Karp,
     1972)."""
@@ -135,8 +151,11 @@
                         found = zone, other
                         break
                     for next_zone in sorted(choices):
-                        if next_zone not in came and other in choices[next_zone] \
-                                and flows.get((next_zone, other), 0.0) > 1e-9:
+                        if (
+                            next_zone not in came
+                            and other in choices[next_zone]
+                            and flows.get((next_zone, other), 0.0) > 1e-9
+                        ):
                             came[next_zone] = zone, other
                             queue.append(next_zone)
             if found is None:
@@ -146,8 +165,11 @@
                 path.append(came[zone])
                 zone = came[zone][0]
             path.reverse()
-            amount = min(left[source], room[found[1]],
-                         *(flows[path[place + 1][0], path[place][1]] for place in range(len(path) - 1)))
+            amount = min(
+                left[source],
+                room[found[1]],
+                *(flows[path[place + 1][0], path[place][1]] for place in range(len(path) - 1)),
+            )
             for place, (zone, other) in enumerate(path):
                 flows[zone, other] = flows.get((zone, other), 0.0) + amount
                 if place + 1 < len(path):
--- a/kestrelplank/plan/zones.py
+++ b/kestrelplank/plan/zones.py
@@ -46,8 +46,9 @@
 
     LOOKS = 1_000_000_000  # a zone that is lost is looked at so often, by one op
 
-    def __init__(self, own: int, terms: Terms, damping: Damping, strikes: int,
-                 room: Callable[[int], tuple[float, int]]) -> None:
+    def __init__(
+        self, own: int, terms: Terms, damping: Damping, strikes: int, room: Callable[[int], tuple[float, int]]
+    ) -> None:
         self._own, self._terms, self._damping, self._strikes = own, terms, damping, strikes
         self._room = room
         self._zones: dict[int, Zone] = {own: Zone(damping)}
@@ -168,6 +169,13 @@
             held = self._zones[zone]
             tier = next((place for place, zones in enumerate(self._tiers, 1) if zone in zones), 0)
             state = "lost" if not held.flaps.up else "held" if not held.flaps.feeds(now) else "fed"
-            rows.append({"zone": zone, "tier": tier, "state": state, "out": held.out,
-                         "held_for": max(0, held.flaps.held_until - now)})
+            rows.append(
+                {
+                    "zone": zone,
+                    "tier": tier,
+                    "state": state,
+                    "out": held.out,
+                    "held_for": max(0, held.flaps.held_until - now),
+                }
+            )
         return rows
--- a/kestrelplank/relay/control.py
+++ b/kestrelplank/relay/control.py
@@ -33,10 +33,21 @@
 class Control:
     """`on_change(tables)` hears which tables have other open lines; `addresses` is kept up to date, by node."""
 
-    def __init__(self, loop: Loop, pool: Pool, counters: Counters, hub: str, number: int, zone: str, ids: Ids,
-                 tables: Tables, op_types: list[str], addresses: dict[int, str],
-                 on_change: Callable[[list[int]], None],
-                 on_node: Callable[[int, int], None] = lambda *_: None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        counters: Counters,
+        hub: str,
+        number: int,
+        zone: str,
+        ids: Ids,
+        tables: Tables,
+        op_types: list[str],
+        addresses: dict[int, str],
+        on_change: Callable[[list[int]], None],
+        on_node: Callable[[int, int], None] = lambda *_: None,
+    ) -> None:
         self._loop, self._counters, self._ids, self._tables = loop, counters, ids, tables
         self._number, self._zone, self._op_types = number, zone, op_types
         self.addresses, self._on_change, self._on_node = addresses, on_change, on_node
@@ -46,8 +57,9 @@
         self._heat: dict[tuple[int, int], list[int]] = {}
         self._client = Client(loop, pool, hub, self, DIAL, 1 << 12)
         path = f"/v1/tables?relay={number}&zone={zone}"
-        self._stream = Stream(loop, pool, hub, lambda: path, self._line, self._begun, self._ended, DIAL, SILENCE,
-                              PAUSES, MOST_LINE)
+        self._stream = Stream(
+            loop, pool, hub, lambda: path, self._line, self._begun, self._ended, DIAL, SILENCE, PAUSES, MOST_LINE
+        )
         self._timer = loop.at(loop.now() + PERIOD, self._report)
 
     def close(self) -> None:
@@ -141,11 +153,19 @@
         if not (tries or heat) or self.joined_at is None:
             return
         names = self._ids.node_ids
-        self._post("/v1/reports", {
-            "relay": self._number, "zone": self._zone, "span": PERIOD / MS,
-            "tries": [[names[node], source, count, failed, time / (count - failed) / MS if count > failed else 0.0]
-                      for (node, source), (count, failed, time) in tries.items()],
-            "heat": [[table, self._op_types[op_type], *sums] for (table, op_type), sums in heat.items()]})
+        self._post(
+            "/v1/reports",
+            {
+                "relay": self._number,
+                "zone": self._zone,
+                "span": PERIOD / MS,
+                "tries": [
+                    [names[node], source, count, failed, time / (count - failed) / MS if count > failed else 0.0]
+                    for (node, source), (count, failed, time) in tries.items()
+                ],
+                "heat": [[table, self._op_types[op_type], *sums] for (table, op_type), sums in heat.items()],
+            },
+        )
 
     # Posts: one out, in order; a mark's answer is sent until it is taken, a report once.
 
--- a/kestrelplank/relay/message.py
+++ b/kestrelplank/relay/message.py
@@ -6,12 +6,35 @@
 
 from collections.abc import Iterable
 
-HOP = frozenset((  # looked up, never walked
-    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length"))
-REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
-           413: "Content Too Large", 417: "Expectation Failed", 431: "Request Header Fields Too Large",
-           501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
+HOP = frozenset(
+    (  # looked up, never walked
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+REASONS = {
+    100: "Continue",
+    200: "OK",
+    400: "Bad Request",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    417: "Expectation Failed",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 NO_BODY = (204, 304)
 
 Header = tuple[bytes, bytes]
@@ -42,8 +65,9 @@
     return (int(length) if length is not None else None), bool(coding), ""
 
 
-def head(first: bytes, headers: Iterable[Header], length: int | None, chunked: bool,
-         more: Iterable[Header] = ()) -> bytes:
+def head(
+    first: bytes, headers: Iterable[Header], length: int | None, chunked: bool, more: Iterable[Header] = ()
+) -> bytes:
     """A head as it goes out, with framing of its own."""
     lines = [first, *(name + b": " + value for name, value in (*headers, *more))]
     if chunked:
--- a/kestrelplank/relay/node.py
+++ b/kestrelplank/relay/node.py
@@ -28,8 +28,16 @@
     """`up` is called once it can be written to, `ended(why)` when an idle one has ended. `written`: whether any byte of
     the present op has been handed over; without that the node has seen nothing of it."""
 
-    def __init__(self, loop: Loop, buffers: Buffers, to: str, dial: int, number: int, up: Callable[["NodeSide"], None],
-                 ended: Callable[["NodeSide", str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        buffers: Buffers,
+        to: str,
+        dial: int,
+        number: int,
+        up: Callable[["NodeSide"], None],
+        ended: Callable[["NodeSide", str], None],
+    ) -> None:
         self._up, self._ended, self.number = up, ended, number
         self.sink: Sink | None = None
         self.written = self.is_up = self.closed = False
--- a/kestrelplank/relay/program.py
+++ b/kestrelplank/relay/program.py
@@ -33,14 +33,21 @@
 
 
 def kinds(file: config.RelayFile) -> list[Kind]:
-    return [Kind(name, op.method.upper().encode(), op.prefix.encode(), op.effect == "deduplicated", op.timeout)
-            for name, op in file.op_types.items()]
+    return [
+        Kind(name, op.method.upper().encode(), op.prefix.encode(), op.effect == "deduplicated", op.timeout)
+        for name, op in file.op_types.items()
+    ]
 
 
 def bounds(file: config.RelayFile) -> Bounds:
     clients = file.clients
-    return Bounds(head=clients.head_bytes, kept=clients.kept_bytes, body=clients.body_bytes, dial=file.tries.dial,
-                  key=clients.key.lower().encode())
+    return Bounds(
+        head=clients.head_bytes,
+        kept=clients.kept_bytes,
+        body=clients.body_bytes,
+        dial=file.tries.dial,
+        key=clients.key.lower().encode(),
+    )
 
 
 def client_terms(file: config.RelayFile) -> admission.Terms:
@@ -69,21 +76,54 @@
         self.distances = Distances()
         values, targets = [op.value for op in ops], [op.target for op in ops]
         self.attempts = Attempts(
-            random, self.tables, [op.timeout for op in ops], tries.pick, tries.hold,
-            Avoidance(random, tries.strikes, tries.avoid), budget=Budget(len(ops), tries.budget, tries.budget_saved),
-            limits=held if tries.limited else None, queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
-            weigh=self._weigh if file.nodes.warm_up else None, zones=self.zones)
+            random,
+            self.tables,
+            [op.timeout for op in ops],
+            tries.pick,
+            tries.hold,
+            Avoidance(random, tries.strikes, tries.avoid),
+            budget=Budget(len(ops), tries.budget, tries.budget_saved),
+            limits=held if tries.limited else None,
+            queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
+            weigh=self._weigh if file.nodes.warm_up else None,
+            zones=self.zones,
+        )
         self._by = b"" if place.block_by == "path" else place.block_by.lower().encode()
         self.kept_at: float | None = self._restore()
         clients = file.clients
-        self.proxy = Proxy(loop, self.pool, counters, listening, kinds(file), bounds(file), self.tables, self.attempts,
-                           admission.Admission(client_terms(file)),
-                           answers.Answers(answers.Terms(clients.answers, clients.answers_bytes, clients.answers_age)),
-                           node_terms(file), self.addresses, self._block, self._on_try, self._on_op)
+        self.proxy = Proxy(
+            loop,
+            self.pool,
+            counters,
+            listening,
+            kinds(file),
+            bounds(file),
+            self.tables,
+            self.attempts,
+            admission.Admission(client_terms(file)),
+            answers.Answers(answers.Terms(clients.answers, clients.answers_bytes, clients.answers_age)),
+            node_terms(file),
+            self.addresses,
+            self._block,
+            self._on_try,
+            self._on_op,
+        )
         self.control = None
         if place.hub:
-            self.control = Control(loop, self.pool, counters, place.hub, place.number, place.zone, self.ids,
-                                   self.tables, list(file.op_types), self.addresses, self._changed, self._placed)
+            self.control = Control(
+                loop,
+                self.pool,
+                counters,
+                place.hub,
+                place.number,
+                place.zone,
+                self.ids,
+                self.tables,
+                list(file.op_types),
+                self.addresses,
+                self._changed,
+                self._placed,
+            )
         self._looks = loop.at(loop.now() + PERIOD, self._look_at_distances)
         self._timer = loop.at(loop.now() + place.state_every, self._keep)
 
@@ -158,8 +198,14 @@
             return
         self._dirty = False
         names = self.ids.node_ids
-        data = sealed(FORM, {"at": time.time(), "tables": self.tables.kept(names.__getitem__),
-                             "addresses": {names[node]: at for node, at in self.addresses.items()}})
+        data = sealed(
+            FORM,
+            {
+                "at": time.time(),
+                "tables": self.tables.kept(names.__getitem__),
+                "addresses": {names[node]: at for node, at in self.addresses.items()},
+            },
+        )
         try:
             write_whole(path, data)
         except OSError as err:
@@ -229,10 +275,15 @@
         counters.add("reloads")
         counters.info("reloaded")
 
-    signals = Signals(loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload,
-                             signal.SIGUSR1: counters.report})
-    counters.info("started", listen="%s:%d" % relay.proxy.at, tables="kept" if relay.kept_at else "none yet",
-                  predecessor=bool(taken))
+    signals = Signals(
+        loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload, signal.SIGUSR1: counters.report}
+    )
+    counters.info(
+        "started",
+        listen="%s:%d" % relay.proxy.at,
+        tables="kept" if relay.kept_at else "none yet",
+        predecessor=bool(taken),
+    )
     if taken:
         listens(taken[1])
     loop.run()
--- a/kestrelplank/relay/proxy.py
+++ b/kestrelplank/relay/proxy.py
@@ -125,12 +125,20 @@
         self.node = node
         left = max(1, (self.op.deadline - self.proxy.loop.now()) // MS)
         more = [(DEADLINE_HEADER, b"%d" % left), (b"Host", one(self.headers, b"host") or b"")]
-        headers = [(name, value) for name, value in passed_on(self.headers)
-                   if name.lower() not in (b"host", DEADLINE_HEADER.lower())]
+        headers = [
+            (name, value)
+            for name, value in passed_on(self.headers)
+            if name.lower() not in (b"host", DEADLINE_HEADER.lower())
+        ]
         data = head(self.method + b" " + self.target + b" HTTP/1.1", headers, self.length, self.chunked, more)
         body = self.kept or []
-        node.begin(self, data + b"".join(map(chunk, body) if self.chunked else body)
-                   + (LAST if self.chunked and self.body_whole else b""), self.method == b"HEAD")
+        node.begin(
+            self,
+            data
+            + b"".join(map(chunk, body) if self.chunked else body)
+            + (LAST if self.chunked and self.body_whole else b""),
+            self.method == b"HEAD",
+        )
         if self.size > self.proxy.bounds.kept:
             self.kept = None
         self.client.hold(False)
@@ -178,8 +186,12 @@
             self._write(LAST)
         self.flush()
         node, self.node = self.node, None
-        self.proxy.tried(self, node, keep and self.body_whole,
-                         NOT_STARTED if self._swallow else FAILED if self._status >= 500 else GOOD)
+        self.proxy.tried(
+            self,
+            node,
+            keep and self.body_whole,
+            NOT_STARTED if self._swallow else FAILED if self._status >= 500 else GOOD,
+        )
 
     def on_lost(self, why: str) -> None:
         node, self.node = self.node, None
@@ -348,10 +360,24 @@
     `on_try` hears of each try's end as (table, node, op type, good, ns), `on_op` of each op as (table, op type,
     verdict)."""
 
-    def __init__(self, loop: Loop, buffers: Buffers, counters: Counters, at: tuple[str, int] | socket.socket,
-                 kinds: list[Kind], bounds: Bounds, tables: Tables, attempts: Attempts, admission: Admission,
-                 answers: Answers, terms: pools.Terms, addresses: dict[int, str], block: Callable[[Exchange], int],
-                 on_try: Callable[..., None] = lambda *_: None, on_op: Callable[..., None] = lambda *_: None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        buffers: Buffers,
+        counters: Counters,
+        at: tuple[str, int] | socket.socket,
+        kinds: list[Kind],
+        bounds: Bounds,
+        tables: Tables,
+        attempts: Attempts,
+        admission: Admission,
+        answers: Answers,
+        terms: pools.Terms,
+        addresses: dict[int, str],
+        block: Callable[[Exchange], int],
+        on_try: Callable[..., None] = lambda *_: None,
+        on_op: Callable[..., None] = lambda *_: None,
+    ) -> None:
         self.loop, self.buffers, self.counters, self.kinds, self.bounds = loop, buffers, counters, kinds, bounds
         self.tables, self.attempts, self.admission, self.answers = tables, attempts, admission, answers
         self._terms, self._addresses, self._block = terms, addresses, block
@@ -424,8 +450,14 @@
         if exchange.method == b"GET" and exchange.target == b"/health":
             self._answer(exchange, 200, "ok", False)
             return
-        exchange.kind = next((place for place, kind in enumerate(self.kinds)
-                              if kind.method in (b"", exchange.method) and exchange.target.startswith(kind.prefix)), -1)
+        exchange.kind = next(
+            (
+                place
+                for place, kind in enumerate(self.kinds)
+                if kind.method in (b"", exchange.method) and exchange.target.startswith(kind.prefix)
+            ),
+            -1,
+        )
         if exchange.kind < 0:
             self._answer(exchange, 501, "no op type has this method and target", False)
             return
@@ -479,8 +511,9 @@
 
     def _ask(self, exchange: Exchange) -> None:
         now = self.loop.now()
-        exchange.op, step = self.attempts.ask(now, exchange.number, exchange.kind, self._block(exchange),
-                                              exchange.deadline - now, exchange.key)
+        exchange.op, step = self.attempts.ask(
+            now, exchange.number, exchange.kind, self._block(exchange), exchange.deadline - now, exchange.key
+        )
         self._act(exchange, step)
         self._settle()
 
@@ -615,8 +648,12 @@
         def up(side: NodeSide) -> None:
             pool.opened(number)
             self._nodes[number] = node, side
-            if exchange.number in self._exchanges and exchange.at == node and exchange.op is not None \
-                    and pool.withdrawn_at is None:
+            if (
+                exchange.number in self._exchanges
+                and exchange.at == node
+                and exchange.op is not None
+                and pool.withdrawn_at is None
+            ):
                 exchange.send(side)
                 return
             # Given up meanwhile, or the node was withdrawn while it was dialled: nothing has been sent.
--- a/kestrelplank/sharding/claims.py
+++ b/kestrelplank/sharding/claims.py
@@ -71,8 +71,14 @@
             return []
         service, ballot = frame["service"], (frame["ballot"][0], frame["ballot"][1])
         register = self.registers.get(service, Register())
-        answer = {"t": "promised", "service": service, "nonce": frame["nonce"], "ok": False, "n": register.promised[0],
-                  "wait": max(0, self.free_at(service, member) - now)}
+        answer = {
+            "t": "promised",
+            "service": service,
+            "nonce": frame["nonce"],
+            "ok": False,
+            "n": register.promised[0],
+            "wait": max(0, self.free_at(service, member) - now),
+        }
         word = frame["t"]
         if word == "yield":
             if register.promised == ballot:
@@ -116,8 +122,9 @@
     """One member's wish to decide for one service. Each member wishes; who is nearer the front of the list wishes
     sooner, and nobody takes from a holder that is alive."""
 
-    def __init__(self, now: int, random: Random, me: str, members: tuple[str, ...], service: str,
-                 promised: int = 0) -> None:
+    def __init__(
+        self, now: int, random: Random, me: str, members: tuple[str, ...], service: str, promised: int = 0
+    ) -> None:
         """`promised`: the number of the highest ballot on our own disk."""
         self.me, self.members, self.service = me, members, service
         self.majority = len(members) // 2 + 1
--- a/kestrelplank/sharding/lines.py
+++ b/kestrelplank/sharding/lines.py
@@ -54,11 +54,26 @@
     not ended. `fence` is the grant's, `handover` what it carries. LEAVING: taken from `server`, for `heir` if one is
     known. FREE: `server` surely holds nothing. `bare_at`: since when nobody serves its keys, as far as is known."""
 
-    __slots__ = ("first", "last", "server", "address", "fence", "handover", "state", "until", "flying", "due", "heir",
-                 "laid", "refused", "bare_at")
-
-    def __init__(self, first: int, last: int, server: str, address: str, fence: int,
-                 handover: str | None = None) -> None:
+    __slots__ = (
+        "first",
+        "last",
+        "server",
+        "address",
+        "fence",
+        "handover",
+        "state",
+        "until",
+        "flying",
+        "due",
+        "heir",
+        "laid",
+        "refused",
+        "bare_at",
+    )
+
+    def __init__(
+        self, first: int, last: int, server: str, address: str, fence: int, handover: str | None = None
+    ) -> None:
         self.first, self.last, self.server, self.address = first, last, server, address
         self.fence, self.handover = fence, handover
         self.state, self.until, self.flying, self.due, self.refused = HELD, 0, 0, 0, 0
@@ -144,7 +159,8 @@
         """Whether `other`, the one behind `line`, can be made a part of it: one server holds both, and nothing is
         under way."""
         return line.server == other.server and all(
-            one.state == HELD and one.laid and not one.flying and one.bare_at is None for one in (line, other))
+            one.state == HELD and one.laid and not one.flying and one.bare_at is None for one in (line, other)
+        )
 
     def join(self, line: Line, other: Line) -> None:
         """Makes two lines of one server one again, under a fence above both, which is laid down first."""
--- a/kestrelplank/sharding/placing.py
+++ b/kestrelplank/sharding/placing.py
@@ -67,8 +67,12 @@
     def add(self, span: float, busy: float, told: float, logs: float, alone: float) -> None:
         """What a period of `span` seconds told: slots at work in sum, by how many answers; and of those that left no
         queue the logarithms of their times, by how many."""
-        for name, more in (("work", busy / told * span if told else 0.0), ("told", told), ("logs", logs),
-                           ("alone", alone)):
+        for name, more in (
+            ("work", busy / told * span if told else 0.0),
+            ("told", told),
+            ("logs", logs),
+            ("alone", alone),
+        ):
             setattr(self, name, getattr(self, name) * FORGETS + more)
 
     def known(self) -> float:
@@ -89,8 +93,9 @@
 class Placing:
     """One service's placement while we decide for it."""
 
-    def __init__(self, now: int, seed: int, lines: KeyRanges, target: int,
-                 known: Mapping[str, Sequence[float]] | None = None) -> None:
+    def __init__(
+        self, now: int, seed: int, lines: KeyRanges, target: int, known: Mapping[str, Sequence[float]] | None = None
+    ) -> None:
         """`known`: what who decided before us had learnt of servers, as `learnt` said there."""
         self._lines, self._orders = lines, Orders()
         self._seed, self._target = seed, target
@@ -268,8 +273,9 @@
         can = {name: rates[name] * server.slots for name, server in self._lines.servers.items()}
         room = max(0.0, sum(can.values()) - asked)
         room /= sum(math.sqrt(rate) for rate in can.values())
-        worth = {name: rates[name] / math.exp(-usual) * max(LEAST_SHARE, 1 - room / math.sqrt(can[name]))
-                 for name in can}
+        worth = {
+            name: rates[name] / math.exp(-usual) * max(LEAST_SHARE, 1 - room / math.sqrt(can[name])) for name in can
+        }
         if any(abs(one / self._worth.get(name, 1.0) - 1) > 0.1 for name, one in worth.items()):
             self._worth, self._roster_due = worth, True
 
@@ -296,9 +302,17 @@
         """Cuts what is too hot, the hottest first, each once a period."""
         events: list[tuple[Any, ...]] = []
         room = MOST_LINES * max(1, len(self._lines.servers)) - len(self._lines.lines)
-        hot = [line for line, heat in heats.items() if heat > CUT * mean and line.last > line.first
-               and line.state == HELD and line.laid and not line.flying and line in self._of]
-        for line in sorted(hot, key=lambda line: (-heats[line], line.first))[:max(0, room)]:
+        hot = [
+            line
+            for line, heat in heats.items()
+            if heat > CUT * mean
+            and line.last > line.first
+            and line.state == HELD
+            and line.laid
+            and not line.flying
+            and line in self._of
+        ]
+        for line in sorted(hot, key=lambda line: (-heats[line], line.first))[: max(0, room)]:
             keys = within(self._newest, line) if line in self._changed else []
             if len(keys) < LEAST:
                 keys = within(self._sorted, line)
@@ -330,10 +344,16 @@
                 del self._joining[line]  # the other has gone elsewhere: the pass is told of this one anew
         if self._joining or len(lines) <= JOIN_FROM * len(self._lines.servers):
             return []
-        pairs = [(line.server != other.server, other.last - other.first, line.first, line, other)
-                 for line, other in zip(lines, lines[1:]) if heats[line] + heats[other] < COOL * mean
-                 and line.state == other.state == HELD and line.laid and other.laid
-                 and line in self._of and other in self._of]
+        pairs = [
+            (line.server != other.server, other.last - other.first, line.first, line, other)
+            for line, other in zip(lines, lines[1:])
+            if heats[line] + heats[other] < COOL * mean
+            and line.state == other.state == HELD
+            and line.laid
+            and other.laid
+            and line in self._of
+            and other in self._of
+        ]
         if not pairs:
             return []
         *_, line, other = min(pairs, key=lambda pair: pair[:3])  # few keys change hands
@@ -347,7 +367,7 @@
 
 def within(keys: list[int], line: Line) -> list[int]:
     """Those of the sorted keys that lie in the line."""
-    return keys[bisect_left(keys, line.first):bisect_right(keys, line.last)]
+    return keys[bisect_left(keys, line.first) : bisect_right(keys, line.last)]
 
 
 def counted(keys: list[int], ends: list[int]) -> list[int]:
@@ -358,8 +378,27 @@
 
 def settings(target: int) -> dict[str, Any]:
     """What the pass is made with. Lines have one owner; there is no channel to keep short, and no level to set."""
-    return {"envelope": 0, "most_waiting": 1e9, "most_messages": 0, "messages_span": S, "lines_per_s": 1e9,
-            "subscribe": False, "report_every": PERIOD, "evidence": WINDOW, "fall_multiple": 4.0,
-            "only_draining_binds": False, "cold_from": COLD_FROM, "warm_up": WARM_UP, "exclusive": True,
-            "usual_again": 1, "pick": "random", "levels": "", "op_types": [{"target_latency": target, "value": 1.0}],
-            "grace": 3 * S, "write_life": 0, "lease": 0, "may_tell": False, "conductors": 1}
+    return {
+        "envelope": 0,
+        "most_waiting": 1e9,
+        "most_messages": 0,
+        "messages_span": S,
+        "lines_per_s": 1e9,
+        "subscribe": False,
+        "report_every": PERIOD,
+        "evidence": WINDOW,
+        "fall_multiple": 4.0,
+        "only_draining_binds": False,
+        "cold_from": COLD_FROM,
+        "warm_up": WARM_UP,
+        "exclusive": True,
+        "usual_again": 1,
+        "pick": "random",
+        "levels": "",
+        "op_types": [{"target_latency": target, "value": 1.0}],
+        "grace": 3 * S,
+        "write_life": 0,
+        "lease": 0,
+        "may_tell": False,
+        "conductors": 1,
+    }
--- a/kestrelplank/state/digest.py
+++ b/kestrelplank/state/digest.py
@@ -46,6 +46,10 @@
             if held is None:
                 found[one.zone] = Zone(one.demand, one.capacity, one.ready, 1)
             else:
-                found[one.zone] = Zone(held.demand + one.demand, min(held.capacity, one.capacity),
-                                       min(held.ready, one.ready), held.told_by + 1)
+                found[one.zone] = Zone(
+                    held.demand + one.demand,
+                    min(held.capacity, one.capacity),
+                    min(held.ready, one.ready),
+                    held.told_by + 1,
+                )
     return dict(sorted(found.items()))
--- a/kestrelplank/state/guards.py
+++ b/kestrelplank/state/guards.py
@@ -37,8 +37,11 @@
         return Verdict(ACCEPTED, "there was none")
     bare = [zone for zone, ready in force.zones.items() if ready and not new.zones.get(zone)]
     if bare and not terms.zone_may_empty:
-        return Verdict(REFUSED, f"zone {bare[0]} would be left without a ready node"
-                       + (f", and {len(bare) - 1} more" if len(bare) > 1 else ""))
+        return Verdict(
+            REFUSED,
+            f"zone {bare[0]} would be left without a ready node"
+            + (f", and {len(bare) - 1} more" if len(bare) > 1 else ""),
+        )
     found = difference(force, new)
     closed, ready = len(closing(force, found)), len(force.ready())
     if closed <= terms.most_closed * ready:
--- a/kestrelplank/state/intake.py
+++ b/kestrelplank/state/intake.py
@@ -69,8 +69,9 @@
     """`force` and `version`: what stood before a restart, if anything did. A problem with any file keeps the set in
     force: from the others alone nothing is made, as two files may make sense only together."""
 
-    def __init__(self, terms: Terms, force: NodeSet | None = None, version: int = 0,
-                 history: tuple[tuple, ...] = ()) -> None:
+    def __init__(
+        self, terms: Terms, force: NodeSet | None = None, version: int = 0, history: tuple[tuple, ...] = ()
+    ) -> None:
         self.terms, self.force, self.version = terms, force, version
         self.history: deque[tuple] = deque(history, MOST_HISTORY)  # (version, short, summary)
         self._parts: dict[str, Part] = {}
@@ -138,9 +139,15 @@
 
     def stored(self) -> bytes:
         """The set in force, to be kept in a file: read back by `restored`."""
-        return sealed(FORM, {"version": self.version, "hash": self.force.hash,
-                             "nodes": {name: list(listed) for name, listed in self.force.nodes.items()},
-                             "history": list(self.history)})
+        return sealed(
+            FORM,
+            {
+                "version": self.version,
+                "hash": self.force.hash,
+                "nodes": {name: list(listed) for name, listed in self.force.nodes.items()},
+                "history": list(self.history),
+            },
+        )
 
 
 def restored(data: bytes) -> tuple[NodeSet, int, tuple[tuple, ...]]:
--- a/kestrelplank/state/journal.py
+++ b/kestrelplank/state/journal.py
@@ -50,7 +50,7 @@
     end = at + HEAD.size + length
     if length > MOST_BODY or end > len(data):
         return None
-    body = data[at + HEAD.size:end]
+    body = data[at + HEAD.size : end]
     return (sequence, body, end) if digest(length, sequence, body) == checksum else None
 
 
@@ -65,8 +65,14 @@
     while at < len(data):
         found = _at(data, at)
         if found is None:
-            after = next((place for place in range(at + 1, len(data) - HEAD.size + 1)
-                          if (later := _at(data, place)) and (not records or later[0] > records[-1][0])), None)
+            after = next(
+                (
+                    place
+                    for place in range(at + 1, len(data) - HEAD.size + 1)
+                    if (later := _at(data, place)) and (not records or later[0] > records[-1][0])
+                ),
+                None,
+            )
             if after is not None:
                 raise Malformed(f"byte {at}: a damaged record, and a whole one follows at byte {after}")
             return Found(records, at, f"a torn record of {len(data) - at} bytes at byte {at}")
--- a/kestrelplank/state/membership.py
+++ b/kestrelplank/state/membership.py
@@ -50,12 +50,12 @@
 
 def encode(sender: int, members: list[tuple[int, int, int]], zones: list[Sums]) -> bytes:
     """One datagram: (member, incarnation, heartbeat) with the sender's own first; what does not fit is left out."""
-    zones = zones[:(MOST_BYTES - HEAD.size - MEMBER.size) // ZONE.size]
+    zones = zones[: (MOST_BYTES - HEAD.size - MEMBER.size) // ZONE.size]
     room = (MOST_BYTES - HEAD.size - len(zones) * ZONE.size) // MEMBER.size
     members = members[:room]
     parts = [HEAD.pack(FORM, len(members), len(zones), sender)]
     parts += [MEMBER.pack(*member) for member in members]
-    parts += [ZONE.pack(zone.zone, *(min(0xffff, max(0, figure)) for figure in zone[1:])) for zone in zones]
+    parts += [ZONE.pack(zone.zone, *(min(0xFFFF, max(0, figure)) for figure in zone[1:])) for zone in zones]
     return b"".join(parts)
 
 
@@ -117,9 +117,12 @@
         others = sorted(number for number in self._members)
         if others:
             self._turn = (self._turn + 1) % len(others)
-            others = others[self._turn:] + others[:self._turn]
-        known = [(number, self._members[number].incarnation, self._members[number].beat) for number in others
-                 if self.judge(now, number) == ALIVE]
+            others = others[self._turn :] + others[: self._turn]
+        known = [
+            (number, self._members[number].incarnation, self._members[number].beat)
+            for number in others
+            if self.judge(now, number) == ALIVE
+        ]
         return encode(self._me, [(self._me, self.incarnation, self._beat), *known], self._sums)
 
     def take(self, now: int, body: bytes) -> bool:
@@ -177,5 +180,8 @@
 
     def zones(self, now: int, age: int) -> dict[int, list[Sums]]:
         """By member that is alive, the sums of zones it told no longer ago than `age`."""
-        return {number: held.sums for number, held in sorted(self._members.items())
-                if held.sums_at is not None and now - held.sums_at <= age and self.judge(now, number) == ALIVE}
+        return {
+            number: held.sums
+            for number, held in sorted(self._members.items())
+            if held.sums_at is not None and now - held.sums_at <= age and self.judge(now, number) == ALIVE
+        }
--- a/kestrelplank/state/nodeset.py
+++ b/kestrelplank/state/nodeset.py
@@ -109,21 +109,32 @@
         for name, listed, line in part.lines:
             if name in where:
                 path, at, other = where[name]
-                what = (f"in zone {listed.zone} and in zone {other.zone}" if listed.zone != other.zone else
-                        f"at {listed.address} and at {other.address}" if listed.address != other.address else "twice")
+                what = (
+                    f"in zone {listed.zone} and in zone {other.zone}"
+                    if listed.zone != other.zone
+                    else f"at {listed.address} and at {other.address}"
+                    if listed.address != other.address
+                    else "twice"
+                )
                 conflicts.append(Conflict(part.path, line, f"{name} stands {what} ({path}, line {at})"))
                 continue
             where[name] = part.path, line, listed
             if listed.address in addresses:
                 path, at, other_name = addresses[listed.address]
-                conflicts.append(Conflict(part.path, line, f"{name} has the address of {other_name}, "
-                                          f"{listed.address} ({path}, line {at})"))
+                conflicts.append(
+                    Conflict(
+                        part.path, line, f"{name} has the address of {other_name}, {listed.address} ({path}, line {at})"
+                    )
+                )
             else:
                 addresses[listed.address] = part.path, line, name
             if not listed.draining:
                 weights.setdefault(listed.zone, []).append(listed.weight)
-    conflicts += [Conflict("", 0, f"zone {zone}: the weights of its {len(some)} open nodes sum to nothing")
-                  for zone, some in weights.items() if not sum(some)]
+    conflicts += [
+        Conflict("", 0, f"zone {zone}: the weights of its {len(some)} open nodes sum to nothing")
+        for zone, some in weights.items()
+        if not sum(some)
+    ]
     if conflicts:
         raise Refused(conflicts)
     return NodeSet({name: listed for name, (_, _, listed) in where.items()})
@@ -138,8 +149,7 @@
     closed: tuple[str, ...]
 
     def __str__(self) -> str:
-        return (f"{len(self.added)} added, {len(self.gone)} gone, {len(self.changed)} changed, "
-                f"{len(self.closed)} closed")
+        return f"{len(self.added)} added, {len(self.gone)} gone, {len(self.changed)} changed, {len(self.closed)} closed"
 
 
 def difference(old: NodeSet, new: NodeSet) -> Difference:
@@ -149,4 +159,5 @@
         tuple(name for name in new.nodes if name not in old.nodes),
         tuple(name for name in old.nodes if name not in new.nodes),
         tuple(name for name in both if old.nodes[name] != new.nodes[name]),
-        tuple(name for name in both if old.nodes[name].ready and not new.nodes[name].ready))
+        tuple(name for name in both if old.nodes[name].ready and not new.nodes[name].ready),
+    )
