--- a/kestrelplank/state/roster.py
+++ b/kestrelplank/state/roster.py
@@ -105,8 +105,9 @@
         for name, told in self._told.items():
             wanted = told.listed.weight
             if told.condition == "up" and told.weight != wanted:
-                told.weight = (min(wanted, told.weight * factor) if wanted > told.weight
-                               else max(wanted, told.weight / factor))
+                told.weight = (
+                    min(wanted, told.weight * factor) if wanted > told.weight else max(wanted, told.weight / factor)
+                )
                 self._changed[name] = None
 
     def due(self, now: int) -> int | None:
--- a/kestrelplank/state/tables.py
+++ b/kestrelplank/state/tables.py
@@ -99,8 +99,11 @@
             elif word == "level":
                 self._set_level(known, *fields)
         if turned:  # one walk a message, however many nodes a zone's loss withdraws
-            changed.update((table, None) for table, lines in enumerate(self._lines)
-                           if self._source[table] == source and not turned.keys().isdisjoint(lines))
+            changed.update(
+                (table, None)
+                for table, lines in enumerate(self._lines)
+                if self._source[table] == source and not turned.keys().isdisjoint(lines)
+            )
         for table in changed:
             self._open[table] = None
         return list(changed), marks
@@ -135,12 +138,16 @@
 
     def kept(self, name_of: Callable[[int], str]) -> dict[str, Any]:
         """All that holds, with nodes by name: for a file. Streams and the numbers of messages are of one life only."""
-        return {"lines": [{name_of(node): weight for node, weight in lines.items()} for lines in self._lines],
-                "sources": [[source, [name_of(node) for node in known.out], list(known.shares.items()), known.again]
-                            for source, known in self._sources.items()],
-                "charge": self._source,
-                "levels": [[table, list(shares.items())] for table, shares in self._levels.items()],
-                "again": list(self._again.items())}
+        return {
+            "lines": [{name_of(node): weight for node, weight in lines.items()} for lines in self._lines],
+            "sources": [
+                [source, [name_of(node) for node in known.out], list(known.shares.items()), known.again]
+                for source, known in self._sources.items()
+            ],
+            "charge": self._source,
+            "levels": [[table, list(shares.items())] for table, shares in self._levels.items()],
+            "again": list(self._again.items()),
+        }
 
     def restore(self, kept: dict[str, Any], node_of: Callable[[str], int]) -> None:
         """Takes what `kept` gave. Raises Refused where it is of another number of tables; nothing is taken then."""
--- a/kestrelplank/state/transactions.py
+++ b/kestrelplank/state/transactions.py
@@ -75,8 +75,20 @@
 class Leader:
     """One conductor's lead in one epoch. `version` and `content` are what is known to be decided."""
 
-    __slots__ = ("epoch", "phase", "version", "content", "joined", "_terms", "_wanted", "_answers", "_staged", "_uses",
-                 "_deadline", "_mine")
+    __slots__ = (
+        "epoch",
+        "phase",
+        "version",
+        "content",
+        "joined",
+        "_terms",
+        "_wanted",
+        "_answers",
+        "_staged",
+        "_uses",
+        "_deadline",
+        "_mine",
+    )
 
     def __init__(self, epoch: int, terms: Terms, version: int = 0, content: Any = None) -> None:
         self.epoch, self._terms, self.version, self.content = epoch, terms, version, content
@@ -96,8 +108,18 @@
 
     def state(self) -> tuple:
         """All that tells one state from another, for who compares them."""
-        return (self.epoch, self.phase, self.version, self.content, self.joined, self._wanted, self._mine,
-                tuple(sorted(self._answers.items())), tuple(sorted(self._staged)), tuple(sorted(self._uses.items())))
+        return (
+            self.epoch,
+            self.phase,
+            self.version,
+            self.content,
+            self.joined,
+            self._wanted,
+            self._mine,
+            tuple(sorted(self._answers.items())),
+            tuple(sorted(self._staged)),
+            tuple(sorted(self._uses.items())),
+        )
 
     def shown(self, now: int) -> dict:
         """What an operator is told of a lead: phase, versions, whom it waits for, and for how long yet (ns)."""
@@ -108,10 +130,15 @@
         else:
             waits = [relay for relay in self.joined if self._uses.get(relay, 0) < self.version]
         busy = self.phase in (ASKING, STAGING)
-        return {"epoch": self.epoch, "phase": self.phase, "version": self.version,
-                "staging": self._wanted[0] if self._wanted else None,
-                "taken over": bool(self._wanted) and not self._mine,
-                "waits for": waits, "left": max(0, self._deadline - now) if busy else 0}
+        return {
+            "epoch": self.epoch,
+            "phase": self.phase,
+            "version": self.version,
+            "staging": self._wanted[0] if self._wanted else None,
+            "taken over": bool(self._wanted) and not self._mine,
+            "waits for": waits,
+            "left": max(0, self._deadline - now) if busy else 0,
+        }
 
     def _quorum(self) -> int:
         return len(self._terms.voters) // 2 + 1
@@ -138,8 +165,7 @@
     def _stage(self, now: int, version: int, content: Any, mine: bool) -> list[tuple]:
         self.phase, self._wanted, self._staged, self._mine = STAGING, (version, content), {}, mine
         self._deadline = now + self._terms.within
-        return [("store", ("stage", self.epoch, version, content)),
-                *self._all(("stage", self.epoch, version, content))]
+        return [("store", ("stage", self.epoch, version, content)), *self._all(("stage", self.epoch, version, content))]
 
     def came(self, now: int, relay: int) -> list[tuple]:
         """A relay has joined. It is brought up to what is decided, and takes part in what is on its way."""
@@ -228,8 +254,11 @@
     def _decide(self, now: int) -> list[tuple]:
         version, content = self._wanted
         self.version, self.content, self._wanted, self.phase = version, content, None, IDLE
-        return [("store", ("decided", self.epoch, version, content)),
-                *self._all(("use", self.epoch, version, content)), ("told", COMMITTED, version, "")]
+        return [
+            ("store", ("decided", self.epoch, version, content)),
+            *self._all(("use", self.epoch, version, content)),
+            ("told", COMMITTED, version, ""),
+        ]
 
     def _confirm(self, now: int) -> list[tuple]:
         """All that are joined use what is decided."""
@@ -247,6 +276,7 @@
 
 # Contents that are mappings, node to what is said of it.
 
+
 def changed(base: dict, new: dict) -> dict:
     """What `new` changes of `base`: key to its new value, None where it goes."""
     found = {key: value for key, value in new.items() if base.get(key) != value}
--- a/kestrelplank/storage/store.py
+++ b/kestrelplank/storage/store.py
@@ -47,8 +47,14 @@
             self._open()
 
     def _open(self) -> None:
-        self._registers = lmdb.open(os.path.join(self.folder, PROMISES), map_size=MAP_BYTES, lock=False,
-                                    readahead=False, meminit=False, max_readers=4)
+        self._registers = lmdb.open(
+            os.path.join(self.folder, PROMISES),
+            map_size=MAP_BYTES,
+            lock=False,
+            readahead=False,
+            meminit=False,
+            max_readers=4,
+        )
 
     def _doubt(self) -> None:
         """From now on this disk vouches for nothing."""
@@ -136,5 +142,3 @@
         except (OSError, Malformed) as err:
             log.warning("Storage: %s can't be used: %s", name, err)
             return None
-
-
--- a/kestrelplank/transport/outlook.py
+++ b/kestrelplank/transport/outlook.py
@@ -115,17 +115,22 @@
 
     def stand(self) -> dict[str, Any]:
         """Where this member stands, as it says in each beat; what it lacks is sent in return."""
-        return {"t": "at", "edge": self.name, "key": self.timetable.key if self.timetable else None,
-                "lines": {service: held.at for service, held in self.holders.items()},
-                "roster": self.roster.digest() if self.roster.fetched_at is not None else None}
+        return {
+            "t": "at",
+            "edge": self.name,
+            "key": self.timetable.key if self.timetable else None,
+            "lines": {service: held.at for service, held in self.holders.items()},
+            "roster": self.roster.digest() if self.roster.fetched_at is not None else None,
+        }
 
     def ready(self) -> bool:
         """Whether a majority of the members vouches for nothing newer than what is held here."""
         if self.timetable is None or not self.known or self.roster.fetched_at is None:
             return False
-        agree = sum(member in self.vouched and (self.vouched[member] is None
-                                                or self.vouched[member] <= self.timetable.key)
-                    for member in self.members)
+        agree = sum(
+            member in self.vouched and (self.vouched[member] is None or self.vouched[member] <= self.timetable.key)
+            for member in self.members
+        )
         return agree >= len(self.members) // 2 + 1
 
     def decider(self, service: str) -> str | None:
--- a/kestrelplank/transport/roster.py
+++ b/kestrelplank/transport/roster.py
@@ -47,7 +47,8 @@
         for name in [name for name in self._draining if name not in found]:
             del self._draining[name]
         same = found.keys() == self.entries.keys() and all(
-            found[name][:6] == entry[:6] for name, entry in self.entries.items())
+            found[name][:6] == entry[:6] for name, entry in self.entries.items()
+        )
         self.entries = found
         if not same:
             self.changed_at = now
--- a/kestrelplank/transport/wire.py
+++ b/kestrelplank/transport/wire.py
@@ -49,8 +49,9 @@
 class FrameConnection(asyncio.Protocol):
     """One connection. `on_frame(wire, frame)` for each that came whole, `on_end(wire)` once when it has ended."""
 
-    def __init__(self, on_frame: Callable[["FrameConnection", Frame], None],
-                 on_end: Callable[["FrameConnection"], None]) -> None:
+    def __init__(
+        self, on_frame: Callable[["FrameConnection", Frame], None], on_end: Callable[["FrameConnection"], None]
+    ) -> None:
         self._on_frame, self._on_end = on_frame, on_end
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
@@ -70,8 +71,8 @@
                 return self.reset()
             if len(buffer) < 4 + size:
                 return None
-            body = bytes(buffer[4:4 + size])
-            del buffer[:4 + size]
+            body = bytes(buffer[4 : 4 + size])
+            del buffer[: 4 + size]
             try:
                 frame = unpacked(body, bool(head & COMPRESSED))
             except ValueError:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -67,7 +67,7 @@
 def test_a_broken_rule_is_exit_code_1(path, monkeypatch):
     from kestrelplank.lab import world
 
-    monkeypatch.setattr(world, "SLACK", -10**12)  # so that no time is short enough
+    monkeypatch.setattr(world, "SLACK", -(10**12))  # so that no time is short enough
     done = run("rehearse", path)
     assert done.exit_code == 1 and "BROKEN" in done.output
 
@@ -75,11 +75,19 @@
 def test_the_platforms_run_imports_nothing_new():
     """Without an operator's file, nothing of the command line, the lab or an extra is loaded."""
     code = "import sys, kestrelplank.__main__; print('\\n'.join(sys.modules))"
-    loaded = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
-                            timeout=60, env=os.environ | {"PYTHONPATH": str(ROOT)}).stdout.split()
+    loaded = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=60,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+    ).stdout.split()
     ours = {name for name in loaded if name.startswith("kestrelplank.")}
     assert ours <= {"kestrelplank.__main__", "kestrelplank.decode", "kestrelplank.interface", "kestrelplank.policy"} | {
-        name for name in ours if name.split(".")[1] in ("net", "policy")}
+        name for name in ours if name.split(".")[1] in ("net", "policy")
+    }
     assert not {"click", "hypothesis", "configparser", "h2", "google", "wasmtime", "numpy"} & set(loaded)
 
 
@@ -97,7 +105,9 @@
 def site(tmp_path):
     (tmp_path / "nodes").mkdir()
     (tmp_path / "nodes" / "a.ini").write_text(NODES)
-    (tmp_path / "k.ini").write_text(f"[nodes]\nfiles = {tmp_path}/nodes/*.ini\nquiet = 300ms\nstate = {tmp_path}/state\n")
+    (tmp_path / "k.ini").write_text(
+        f"[nodes]\nfiles = {tmp_path}/nodes/*.ini\nquiet = 300ms\nstate = {tmp_path}/state\n"
+    )
     return tmp_path
 
 
@@ -114,7 +124,10 @@
     done = run("check", str(site / "k.ini"), str(site / "nodes" / "a.ini"), path)
     assert done.exit_code == 0 and "4 nodes, 3 ready, in 2 zones" in done.output
     assert [line.rpartition(": ")[2] for line in done.output.splitlines()[:3]] == [
-        "operator's file, good", "node list, good", "script, good"]
+        "operator's file, good",
+        "node list, good",
+        "script, good",
+    ]
     (site / "nodes" / "b.ini").write_text("[zone a]\nn3 = 10.0.0.9:1\n")
     done = run("check", str(site / "nodes" / "a.ini"), str(site / "nodes" / "b.ini"))
     assert done.exit_code == 2 and "b.ini, line 2: n3 stands in zone a and in zone b" in done.output
@@ -133,28 +146,48 @@
     ini = ("--ini", str(site / "k.ini"))
     assert "4 nodes, 3 ready; hash" in run("nodes", "list", *ini).output
     assert json.loads(run("nodes", "list", *ini, "--json").output)[2] == {
-        "name": "n3", "zone": "b", "address": "10.0.0.1:3", "weight": 1.0, "draining": True, "cell": None}
+        "name": "n3",
+        "zone": "b",
+        "address": "10.0.0.1:3",
+        "weight": 1.0,
+        "draining": True,
+        "cell": None,
+    }
     assert run("nodes", "list", *ini, "--in-force").exit_code == 1
     short = keep(site)
     (site / "nodes" / "a.ini").write_text(NODES.replace("n1 = 10.0.0.1:1\n", "").replace("4 nodes", "3 nodes"))
     assert f"4 nodes, 3 ready; hash {short}" in run("nodes", "list", *ini, "--in-force").output
     done = run("nodes", "check", *ini)
     assert done.exit_code == 1 and f"put `confirm = {short}`" in done.output
-    assert json.loads(run("nodes", "history", *ini, "--json").output) == [{"version": 1, "hash": short, "what": "4 nodes"}]
+    assert json.loads(run("nodes", "history", *ini, "--json").output) == [
+        {"version": 1, "hash": short, "what": "4 nodes"}
+    ]
 
 
 def test_the_difference_of_two_lists(site):
-    (site / "new.ini").write_text(NODES.replace("n2 = 10.0.0.1:2 weight 2", "n2 = 10.0.0.1:2 draining\nn5 = 10.0.0.1:5")
-                                  .replace("n4 = 10.0.0.1:4\n", ""))
+    (site / "new.ini").write_text(
+        NODES.replace("n2 = 10.0.0.1:2 weight 2", "n2 = 10.0.0.1:2 draining\nn5 = 10.0.0.1:5").replace(
+            "n4 = 10.0.0.1:4\n", ""
+        )
+    )
     done = run("nodes", "diff", str(site / "nodes" / "a.ini"), str(site / "new.ini"))
     assert done.exit_code == 1 and done.output.splitlines() == [
-        "+ n5", "- n4", "~ n2 (closed)", "1 added, 1 gone, 1 changed, 1 closed"]
+        "+ n5",
+        "- n4",
+        "~ n2 (closed)",
+        "1 added, 1 gone, 1 changed, 1 closed",
+    ]
     assert run("nodes", "diff", str(site / "new.ini"), str(site / "new.ini")).exit_code == 0
 
 
-@pytest.mark.parametrize("words, says", [
-    (("list",), "no operator's file: name one with --ini or KESTRELPLANK_INI"), (("list", "--ini", "none.ini"), "none.ini: can't be read"),
-    (("diff", "none", "none"), "none: can't be read")])
+@pytest.mark.parametrize(
+    "words, says",
+    [
+        (("list",), "no operator's file: name one with --ini or KESTRELPLANK_INI"),
+        (("list", "--ini", "none.ini"), "none.ini: can't be read"),
+        (("diff", "none", "none"), "none: can't be read"),
+    ],
+)
 def test_what_the_nodes_commands_cannot_use_is_one_line(words, says, monkeypatch):
     monkeypatch.delenv("KESTRELPLANK_INI", raising=False)
     done = run("nodes", *words)
--- a/tests/config/test_ini.py
+++ b/tests/config/test_ini.py
@@ -45,35 +45,48 @@
 def test_a_file_is_read_with_its_units_and_each_value_knows_its_line():
     ini = Ini("k.ini", GOOD)
     watch = ini.one("watch", Watch)
-    assert watch == Watch("/etc/nodes", 1500 * MS, 0.025, 300.0, 9, True, ("niagara", "windsor"),
-                          (4000 * MS, 7000 * MS), "part", 0)
+    assert watch == Watch(
+        "/etc/nodes", 1500 * MS, 0.025, 300.0, 9, True, ("niagara", "windsor"), (4000 * MS, 7000 * MS), "part", 0
+    )
     [(section, zone)] = ini.each("zone", Watch)
     ini.finish()
     assert (section.name, section.line, zone) == ("windsor", 15, Watch("w"))
     assert ("[watch]", "most", 9, "line 8") in ini.origins and ("[zone windsor]", "most", 3, "default") in ini.origins
 
 
-@pytest.mark.parametrize("old, new, says", [
-    ("every = 1.5s", "every = 1.5", "k.ini, line 4, [watch], field every: expected a time such as 200ms or 1.5s, got '1.5'"),
-    ("every = 1.5s", "every = -1s", "line 4, [watch], field every: expected a time of 0 or more"),
-    ("every = 1.5s", "evry = 1.5s", "line 4, [watch], field evry: no field is called that; is every meant?"),
-    ("every = 1.5s", "colour = red", "field colour: no field is called that; there are folder, every,"),
-    ("step = 2.5%", "step = 102%", "line 5, [watch], field step: expected a share up to 100%"),
-    ("weight = 3e2", "weight = nan", "line 6, [watch], field weight: expected a number of 0 or more, got 'nan'"),
-    ("weight = 3e2", "weight = 1e999", "line 6, [watch], field weight"),
-    ("most = 9", "most = 10", "line 8, [watch], field most: expected `int` <= 9, got '10'"),
-    ("most = 9", "most = 2.5", "line 8, [watch], field most: expected a whole number"),
-    ("twice = Yes", "twice = perhaps", "line 9, [watch], field twice: expected yes or no"),
-    ("zones = niagara, windsor", "zones = niagara,,windsor", "line 10, [watch], field zones: expected words between"),
-    ("wait = 4s..7s", "wait = 7s..4s", "line 11, [watch], field wait: expected a range from less to more"),
-    ("how = part", "how = half", "line 12, [watch], field how: invalid enum value 'half'"),
-    ("after = 0", "after = soon", "line 13, [watch], field after: expected a time"),
-    ("folder = /etc/nodes", "# no folder", "line 2, [watch]: field folder of [watch]: missing"),
-    ("[zone windsor]", "[zon windsor]", "line 15: no section is called [zon windsor]; is zone NAME meant?"),
-    ("most = 9", "every = 2s", "line 8, [watch]: the field every stands twice"),
-    ("[zone windsor]", "[watch]", "line 15, [watch]: the section stands twice"),
-    ("# an operator's file", "every = 1s", "line 1: a field before the first section"),
-    ("most = 9", "most", "line 8: neither a section nor a field")])
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        (
+            "every = 1.5s",
+            "every = 1.5",
+            "k.ini, line 4, [watch], field every: expected a time such as 200ms or 1.5s, got '1.5'",
+        ),
+        ("every = 1.5s", "every = -1s", "line 4, [watch], field every: expected a time of 0 or more"),
+        ("every = 1.5s", "evry = 1.5s", "line 4, [watch], field evry: no field is called that; is every meant?"),
+        ("every = 1.5s", "colour = red", "field colour: no field is called that; there are folder, every,"),
+        ("step = 2.5%", "step = 102%", "line 5, [watch], field step: expected a share up to 100%"),
+        ("weight = 3e2", "weight = nan", "line 6, [watch], field weight: expected a number of 0 or more, got 'nan'"),
+        ("weight = 3e2", "weight = 1e999", "line 6, [watch], field weight"),
+        ("most = 9", "most = 10", "line 8, [watch], field most: expected `int` <= 9, got '10'"),
+        ("most = 9", "most = 2.5", "line 8, [watch], field most: expected a whole number"),
+        ("twice = Yes", "twice = perhaps", "line 9, [watch], field twice: expected yes or no"),
+        (
+            "zones = niagara, windsor",
+            "zones = niagara,,windsor",
+            "line 10, [watch], field zones: expected words between",
+        ),
+        ("wait = 4s..7s", "wait = 7s..4s", "line 11, [watch], field wait: expected a range from less to more"),
+        ("how = part", "how = half", "line 12, [watch], field how: invalid enum value 'half'"),
+        ("after = 0", "after = soon", "line 13, [watch], field after: expected a time"),
+        ("folder = /etc/nodes", "# no folder", "line 2, [watch]: field folder of [watch]: missing"),
+        ("[zone windsor]", "[zon windsor]", "line 15: no section is called [zon windsor]; is zone NAME meant?"),
+        ("most = 9", "every = 2s", "line 8, [watch]: the field every stands twice"),
+        ("[zone windsor]", "[watch]", "line 15, [watch]: the section stands twice"),
+        ("# an operator's file", "every = 1s", "line 1: a field before the first section"),
+        ("most = 9", "most", "line 8: neither a section nor a field"),
+    ],
+)
 def test_what_cannot_be_used_is_one_line_with_its_place(old, new, says):
     assert old in GOOD
     with pytest.raises(Unusable) as found:
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -37,16 +37,19 @@
         found.listen("readiness")
 
 
-@pytest.mark.parametrize("old, new, says", [
-    ('zone = "hall"\n', "", "local_system.zone: missing"),
-    ('zone = "hall"', "zone = 3", "local_system.zone: 3 is no str"),
-    ("grace_s = 7", 'grace_s = "7"', "policy_terms.bounds.grace_s"),
-    ('"10.0.0.9:80"', '"10.0.0.9"', "network.seed_nodes[0]"),
-    ("[7540, 7555]", "[]", "internal_port_range"),
-    ("[7540, 7555]", '["a"]', "internal_port_range[0]"),
-    ('address = "10.9.0.1:80"', "", "platform.cloud_api.address: missing"),
-    ("[local_system]", "[local_system", "line 2"),
-])
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        ('zone = "hall"\n', "", "local_system.zone: missing"),
+        ('zone = "hall"', "zone = 3", "local_system.zone: 3 is no str"),
+        ("grace_s = 7", 'grace_s = "7"', "policy_terms.bounds.grace_s"),
+        ('"10.0.0.9:80"', '"10.0.0.9"', "network.seed_nodes[0]"),
+        ("[7540, 7555]", "[]", "internal_port_range"),
+        ("[7540, 7555]", '["a"]', "internal_port_range[0]"),
+        ('address = "10.9.0.1:80"', "", "platform.cloud_api.address: missing"),
+        ("[local_system]", "[local_system", "line 2"),
+    ],
+)
 def test_what_can_not_be_used_is_one_line_that_names_the_place(tmp_path, old, new, says):
     (tmp_path / "node.toml").write_text(GOOD.replace(old, new))
     with pytest.raises(Unusable) as met:
@@ -56,6 +59,7 @@
 
 @pytest.mark.parametrize("words, code", [(["edge", "--settings=none.toml"], 2), (["fly"], 2), (["--help"], 0)])
 def test_bad_input_is_exit_code_2(words, code):
-    done = subprocess.run([sys.executable, "-m", "kestrelplank.gateway", *words], cwd=ROOT, capture_output=True, text=True,
-                          timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "kestrelplank.gateway", *words], cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
     assert done.returncode == code and "Traceback" not in done.stderr
--- a/tests/configuration/test_plan.py
+++ b/tests/configuration/test_plan.py
@@ -12,18 +12,41 @@
     """A valid configuration as the operator sends it; `changes` replace its parts."""
     found = {
         "config_version": version,
-        "service_table": [{"name": "views", "health_check_path": "/health", "max_connections": 110, "sharded": True,
-                           "prewarm_s": 5.0, "grants": "call"}, {"name": "orders"}],
+        "service_table": [
+            {
+                "name": "views",
+                "health_check_path": "/health",
+                "max_connections": 110,
+                "sharded": True,
+                "prewarm_s": 5.0,
+                "grants": "call",
+            },
+            {"name": "orders"},
+        ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
         "virtual_hosts": [
-            {"host_name": "shop.example", "host_routes": [route("/a/", "idempotent"), route("/a/b/", "upload", "orders")]},
-            {"host_name": "pay.example", "host_routes": [route("/a/", "non_idempotent", "orders")]}]}
+            {
+                "host_name": "shop.example",
+                "host_routes": [route("/a/", "idempotent"), route("/a/b/", "upload", "orders")],
+            },
+            {"host_name": "pay.example", "host_routes": [route("/a/", "non_idempotent", "orders")]},
+        ],
+    }
     return {**found, **changes}
 
 
 def route(prefix, kind, service="views", **more):
-    return {"name": "r", "path_prefix": prefix, "route_type": kind, "timeout_s": 1.5, "target_latency_s": 0.6,
-            "priority": 2, "target_service": service, "max_attempts": 2, **more}
+    return {
+        "name": "r",
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_s": 1.5,
+        "target_latency_s": 0.6,
+        "priority": 2,
+        "target_service": service,
+        "max_attempts": 2,
+        **more,
+    }
 
 
 def encoded(**changes):
@@ -31,29 +54,54 @@
 
 
 def with_route(**changes):
-    return {"virtual_hosts": [{"host_name": "shop.example", "host_routes": [{**route("/a/", "idempotent"), **changes}]}]}
-
-
-@pytest.mark.parametrize("changes, names", [
-    (with_route(target_service="nobody"), "target_service"),
-    (with_route(target_service=None), "target_service"),
-    (with_route(traffic_split=[{"target_service": "views", "weight": 0}, {"target_service": "orders", "weight": 0}]), "weights"),
-    (with_route(traffic_split=[{"target_service": "views", "weight": 1}, {"target_service": "nobody", "weight": 0}]), "traffic_split[1]"),
-    (with_route(traffic_split=[{"target_service": "views", "weight": -1}]), "weight"),
-    (with_route(traffic_split=[]), "weights"),
-    (with_route(route_type="sometimes"), "route_type"),
-    (with_route(timeout_s=601), "timeout_s"),
-    (with_route(timeout_s=0), "timeout_s"),
-    (with_route(timeout_s="1"), "virtual_hosts[0].host_routes[0].timeout_s"),
-    ({"virtual_hosts": [{"host_name": "", "host_routes": []}]}, "host_name"),
-    ({"virtual_hosts": [{"host_name": "a", "host_routes": [route("/a/", "upload"), route("/a/", "upload")]}]}, "twice"),
-    ({"virtual_hosts": [{"host_name": "a", "host_routes": [route("/a/", "upload")]},
-                        {"host_name": "A", "host_routes": [route("/a/", "upload")]}]}, "twice"),
-    ({"config_version": 7}, "config_version"),
-    ({"config_version": "not hex"}, "config_version"),
-    ({"service_table": None}, "service_table"),
-    ({"virtual_hosts": "none"}, "virtual_hosts"),
-])
+    return {
+        "virtual_hosts": [{"host_name": "shop.example", "host_routes": [{**route("/a/", "idempotent"), **changes}]}]
+    }
+
+
+@pytest.mark.parametrize(
+    "changes, names",
+    [
+        (with_route(target_service="nobody"), "target_service"),
+        (with_route(target_service=None), "target_service"),
+        (
+            with_route(
+                traffic_split=[{"target_service": "views", "weight": 0}, {"target_service": "orders", "weight": 0}]
+            ),
+            "weights",
+        ),
+        (
+            with_route(
+                traffic_split=[{"target_service": "views", "weight": 1}, {"target_service": "nobody", "weight": 0}]
+            ),
+            "traffic_split[1]",
+        ),
+        (with_route(traffic_split=[{"target_service": "views", "weight": -1}]), "weight"),
+        (with_route(traffic_split=[]), "weights"),
+        (with_route(route_type="sometimes"), "route_type"),
+        (with_route(timeout_s=601), "timeout_s"),
+        (with_route(timeout_s=0), "timeout_s"),
+        (with_route(timeout_s="1"), "virtual_hosts[0].host_routes[0].timeout_s"),
+        ({"virtual_hosts": [{"host_name": "", "host_routes": []}]}, "host_name"),
+        (
+            {"virtual_hosts": [{"host_name": "a", "host_routes": [route("/a/", "upload"), route("/a/", "upload")]}]},
+            "twice",
+        ),
+        (
+            {
+                "virtual_hosts": [
+                    {"host_name": "a", "host_routes": [route("/a/", "upload")]},
+                    {"host_name": "A", "host_routes": [route("/a/", "upload")]},
+                ]
+            },
+            "twice",
+        ),
+        ({"config_version": 7}, "config_version"),
+        ({"config_version": "not hex"}, "config_version"),
+        ({"service_table": None}, "service_table"),
+        ({"virtual_hosts": "none"}, "virtual_hosts"),
+    ],
+)
 def test_what_is_invalid_is_refused_with_the_place(changes, names):
     assert names in read(encoded(**changes)).failure()
 
--- a/tests/control/test_box.py
+++ b/tests/control/test_box.py
@@ -62,8 +62,16 @@
         self.lives[name] += 1
         if first:
             disk.keep_roll(NAMES)
-        self.boxes[name] = Box(self.now, Random(self.random.random()), name, NAMES, disk.roll() is not None, first,
-                               disk.word(), disk.registers())
+        self.boxes[name] = Box(
+            self.now,
+            Random(self.random.random()),
+            name,
+            NAMES,
+            disk.roll() is not None,
+            first,
+            disk.word(),
+            disk.registers(),
+        )
 
     def kill(self, name, wipe=False):
         del self.boxes[name]
@@ -88,7 +96,9 @@
             elif effect[0] == "call":
                 _, word, service, server, address, line, until = effect
                 body = {"first": line.first, "last": line.last, "fence": line.fence}
-                self.later(self.random.choice((1, 3)) * MS, self.called, name, life, word, service, server, line, body, until)
+                self.later(
+                    self.random.choice((1, 3)) * MS, self.called, name, life, word, service, server, line, body, until
+                )
             elif effect[0] == "frames":
                 for frame in effect[1]:
                     self.edge.frame(self.now, name, frame)
@@ -162,15 +172,22 @@
         for name in list(self.boxes):
             if name not in self.frozen:
                 if self.now % (500 * MS) == 0:
-                    self.boxes[name].listed(self.now, 0, [
-                        (server, "views", self.addresses.get(server, f"{server}:80"), "z", 2, state, 0)
-                        for server, state in self.state.items()])
+                    self.boxes[name].listed(
+                        self.now,
+                        0,
+                        [
+                            (server, "views", self.addresses.get(server, f"{server}:80"), "z", 2, state, 0)
+                            for server, state in self.state.items()
+                        ],
+                    )
                 if self.now % (50 * MS) == 0:
                     self.run(name, self.boxes[name].tick(self.now))
         if self.now % (500 * MS) == 0 and self.hot is not None:
             self.report()
         for key in PROBES:
-            holders = [server for server, holding in self.servers.items() if holding.up and holding.until[key] > self.now]
+            holders = [
+                server for server, holding in self.servers.items() if holding.up and holding.until[key] > self.now
+            ]
             assert len(holders) <= 1, (key, holders, self.now)
             self.bare += not holders
 
@@ -180,20 +197,27 @@
             if name not in self.frozen:
                 for frame in box.lacking(self.now, self.edge.stand()):
                     self.edge.frame(self.now, name, frame)
-                keys = [self.hot + self.random.randrange(300) if self.random.random() < 0.8 else
-                        self.random.randrange(KEYS) for _ in range(40)]
+                keys = [
+                    self.hot + self.random.randrange(300) if self.random.random() < 0.8 else self.random.randrange(KEYS)
+                    for _ in range(40)
+                ]
                 box.report(self.now, {"service": "views", "keys": keys, "servers": {}})
 
     def lines(self):
         """The decider's lines: key ranges and servers."""
-        return [(line.first, line.last, line.server) for decision in self.boxes[self.decider()].decisions.values()
-                for line in decision.lines.lines]
+        return [
+            (line.first, line.last, line.server)
+            for decision in self.boxes[self.decider()].decisions.values()
+            for line in decision.lines.lines
+        ]
 
     def moving(self):
         """Lines of the decider, and whether each is held."""
         decision = next(iter(self.boxes[self.decider()].decisions.values())) if self.decider() else None
-        return [((line.first, line.last, line.server), line.state == HELD) for line in
-                (decision.lines.lines if decision else ())]
+        return [
+            ((line.first, line.last, line.server), line.state == HELD)
+            for line in (decision.lines.lines if decision else ())
+        ]
 
     def turn(self, seconds):
         for _ in range(round(seconds * 100)):
@@ -208,12 +232,20 @@
         return self.ended.get(version) == SETTLED
 
     def decider(self):
-        return next((name for name, box in self.boxes.items() for decision in box.decisions.values()
-                     if decision.claimer.decides(self.now)), None)
+        return next(
+            (
+                name
+                for name, box in self.boxes.items()
+                for decision in box.decisions.values()
+                if decision.claimer.decides(self.now)
+            ),
+            None,
+        )
 
     def all_held(self):
-        return all(any(holding.up and holding.until[key] > self.now for holding in self.servers.values())
-                   for key in PROBES)
+        return all(
+            any(holding.up and holding.until[key] > self.now for holding in self.servers.values()) for key in PROBES
+        )
 
     def begin(self):
         self.turn(0.5)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -32,16 +32,24 @@
 @asynccontextmanager
 async def edge():
     ports = [free_port([IP]) for _ in range(4)]
-    settings = Settings(Local("edge-1", IP, "hall"), Network([ports[2]], [f"{IP}:{ports[3]}"], {
-        "frontend": f"{IP}:{ports[0]}", "readiness": f"{IP}:{ports[1]}"}), CloudApi("127.0.0.1:9"), Bounds())
+    settings = Settings(
+        Local("edge-1", IP, "hall"),
+        Network([ports[2]], [f"{IP}:{ports[3]}"], {"frontend": f"{IP}:{ports[0]}", "readiness": f"{IP}:{ports[1]}"}),
+        CloudApi("127.0.0.1:9"),
+        Bounds(),
+    )
     tally = Tally()
     behind = Slow("orders-0", "orders", (IP, free_port([IP])), tally, [])
     await behind.start()
     found = EdgeProgram(settings)
     found.listen()
-    found.on_frame(type("FrameConnection", (), {"peer": "m"})(), {"t": "word", "key": (7, ""), "text": encoded(limits=LIMITS)})
-    found.on_frame(type("FrameConnection", (), {"peer": "m"})(), {"t": "roster", "age": 0, "list": [
-        ("orders-0", "orders", f"{IP}:{behind.address[1]}", "hall", 4, "ready", 0)]})
+    found.on_frame(
+        type("FrameConnection", (), {"peer": "m"})(), {"t": "word", "key": (7, ""), "text": encoded(limits=LIMITS)}
+    )
+    found.on_frame(
+        type("FrameConnection", (), {"peer": "m"})(),
+        {"t": "roster", "age": 0, "list": [("orders-0", "orders", f"{IP}:{behind.address[1]}", "hall", 4, "ready", 0)]},
+    )
     while not found.front.started:
         await asyncio.sleep(0)
     try:
@@ -72,12 +80,15 @@
     asyncio.run(whole())
 
 
-@pytest.mark.parametrize("parts", [
-    [head("/a/b/x", "Content-Length: 5") + b"whole"],
-    [head("/a/b/x", "Content-Length: 5") + b"wh", b"ole"],
-    [head("/a/b/x", "Transfer-Encoding: chunked") + b"2\r\nwh\r\n3\r\nole\r\n0\r\nX-Trailer: t\r\n\r\n"],
-    [head("/a/b/x", "Content-Length: 5", "Expect: 100-continue"), b"whole"],
-])
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [head("/a/b/x", "Content-Length: 5") + b"whole"],
+        [head("/a/b/x", "Content-Length: 5") + b"wh", b"ole"],
+        [head("/a/b/x", "Transfer-Encoding: chunked") + b"2\r\nwh\r\n3\r\nole\r\n0\r\nX-Trailer: t\r\n\r\n"],
+        [head("/a/b/x", "Content-Length: 5", "Expect: 100-continue"), b"whole"],
+    ],
+)
 def test_a_body_arrives_whole_however_it_comes(parts):
     async def play(found, behind, port):
         behind.let.set()
@@ -93,8 +104,14 @@
     run(play)
 
 
-@pytest.mark.parametrize("lengths", [("Content-Length: 5", "Transfer-Encoding: chunked"),
-                                     ("Content-Length: 5", "Content-Length: 6"), ("Transfer-Encoding: gzip, x",)])
+@pytest.mark.parametrize(
+    "lengths",
+    [
+        ("Content-Length: 5", "Transfer-Encoding: chunked"),
+        ("Content-Length: 5", "Content-Length: 6"),
+        ("Transfer-Encoding: gzip, x",),
+    ],
+)
 def test_a_request_with_two_lengths_reaches_no_server(lengths):
     async def play(found, behind, port):
         behind.let.set()
@@ -214,11 +231,30 @@
     assert next(record for record in caplog.records if record.message == "Edge: counts").counts["try answered"] == 1
 
 
-PIECES = [b"POST /a/b/x HTTP/1.1\r\n", b"GET /a/b/x HTTP/1.1\r\n", b"GET /nowhere HTTP/1.0\r\n", b"BREW / HTTP/9.9\r\n",
-          b"Host: shop.example\r\n", b"X-Attempt-Id: a%d\r\n", b"X-Deadline-Remaining: 100\r\n", b"X-Deadline-Remaining: x\r\n",
-          b"Content-Length: 4\r\n", b"Content-Length: 4\r\n", b"Content-Length: -1\r\n", b"Transfer-Encoding: chunked\r\n",
-          b"Expect: 100-continue\r\n", b"Connection: close\r\n", b"\r\n", b"\r\n", b"body", b"4\r\nbody\r\n", b"0\r\n\r\n", b"\x00\xff\r",
-          b"X-Target-Instance: other\r\n", b": \r\n"]
+PIECES = [
+    b"POST /a/b/x HTTP/1.1\r\n",
+    b"GET /a/b/x HTTP/1.1\r\n",
+    b"GET /nowhere HTTP/1.0\r\n",
+    b"BREW / HTTP/9.9\r\n",
+    b"Host: shop.example\r\n",
+    b"X-Attempt-Id: a%d\r\n",
+    b"X-Deadline-Remaining: 100\r\n",
+    b"X-Deadline-Remaining: x\r\n",
+    b"Content-Length: 4\r\n",
+    b"Content-Length: 4\r\n",
+    b"Content-Length: -1\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Expect: 100-continue\r\n",
+    b"Connection: close\r\n",
+    b"\r\n",
+    b"\r\n",
+    b"body",
+    b"4\r\nbody\r\n",
+    b"0\r\n\r\n",
+    b"\x00\xff\r",
+    b"X-Target-Instance: other\r\n",
+    b": \r\n",
+]
 
 
 def test_whatever_bytes_clients_send_servers_meet_whole_requests_with_one_length_and_others_are_served():
@@ -244,7 +280,9 @@
                 if random.random() < 0.3:
                     del parts[random.randrange(len(parts))]
                 data = b"".join(parts)
-                writer.write(data.replace(b"%d", b"%d" % number) + (b"" if number % 10 else head("/a/b/x", "Content-Length: 0")))
+                writer.write(
+                    data.replace(b"%d", b"%d" % number) + (b"" if number % 10 else head("/a/b/x", "Content-Length: 0"))
+                )
                 writer.write_eof()
                 answers = await reader.read()
                 assert not answers or answers.startswith((b"HTTP/1.1 ", b"HTTP/1.0 ")), (data, answers)
--- a/tests/edge/test_lines.py
+++ b/tests/edge/test_lines.py
@@ -20,6 +20,7 @@
 def played(*scripts, within=1.0, wait=0.0):
     """Tries one after the other at a server that answers each request with the next script: bytes, or `close`, or
     `silence`. Returns how they ended and how many connections it took."""
+
     async def play():
         left, came = list(scripts), []
 
@@ -50,7 +51,9 @@
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         lines, ended = Lines(time.monotonic_ns), []
         for _ in range(len(scripts)):
-            ended.append(await lines.carry(address, b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me", int(within * 1e9), 24))
+            ended.append(
+                await lines.carry(address, b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me", int(within * 1e9), 24)
+            )
             await asyncio.sleep(wait)
         lines.tidy(set())
         server.close()
@@ -70,18 +73,21 @@
     assert ended[1].answer.status == 500 and ended[1].answer.body == b"failed"
 
 
-@pytest.mark.parametrize("script, kind", [
-    (answer(503, OURS + b"X-Not-Executed: 1\r\n"), NOT_RUN),
-    (answer(429, b"X-Not-Executed: 1\r\n"), NOT_RUN),
-    (answer(503), ANSWERED),  # its own word: it may have run
-    (answer(421, b"X-Instance-Id: i-2\r\n"), NOT_RUN),
-    (answer(200, OURS), BROKEN),  # no stamp: not the server's answer
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", BROKEN),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcut", BROKEN),
-    (b"no answer at all\r\n\r\n", BROKEN),
-    ("close", BROKEN),
-    ("silence", SILENT),
-])
+@pytest.mark.parametrize(
+    "script, kind",
+    [
+        (answer(503, OURS + b"X-Not-Executed: 1\r\n"), NOT_RUN),
+        (answer(429, b"X-Not-Executed: 1\r\n"), NOT_RUN),
+        (answer(503), ANSWERED),  # its own word: it may have run
+        (answer(421, b"X-Instance-Id: i-2\r\n"), NOT_RUN),
+        (answer(200, OURS), BROKEN),  # no stamp: not the server's answer
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", BROKEN),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcut", BROKEN),
+        (b"no answer at all\r\n\r\n", BROKEN),
+        ("close", BROKEN),
+        ("silence", SILENT),
+    ],
+)
 def test_what_an_answer_proves(script, kind):
     assert kinds(script, within=0.3) == [kind]
 
@@ -105,7 +111,9 @@
     assert [one.kind for one in ended] == [ANSWERED, ANSWERED] and connections == 2
 
 
-@pytest.mark.parametrize("told, connections", [(b"timeout=1", 2), (b"timeout=30, max=9", 1), (b"max=9", 1), (b"timeout=x", 1)])
+@pytest.mark.parametrize(
+    "told, connections", [(b"timeout=1", 2), (b"timeout=30, max=9", 1), (b"max=9", 1), (b"timeout=x", 1)]
+)
 def test_a_connection_is_kept_for_less_than_its_server_says(told, connections):
     keeps = answer(head=OURS + b"X-Server-Seal: s\r\nKeep-Alive: %s\r\n" % told)
     ended, came = played(keeps, keeps)
@@ -134,8 +142,9 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         lines = Lines(time.monotonic_ns)
-        ended = await asyncio.gather(*(
-            lines.carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 200_000_000, 2) for _ in range(5)))
+        ended = await asyncio.gather(
+            *(lines.carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 200_000_000, 2) for _ in range(5))
+        )
         server.close()
         for writer in came:
             writer.close()
@@ -144,10 +153,26 @@
     assert asyncio.run(play()) == ([BUSY] * 3 + [SILENT] * 2, 2)
 
 
-PIECES = [b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Full\r\n", b"HTTP/1.1 100 Continue\r\n\r\n", b"Content-Length: 5\r\n",
-          b"Content-Length: 50\r\n", b"Transfer-Encoding: chunked\r\n", b"X-Attempt-Id: me\r\n", b"X-Attempt-Id: other\r\n",
-          b"X-Server-Seal: s\r\n", b"X-Not-Executed: 1\r\n", b"Connection: close\r\n", b"\r\n", b"whole", b"5\r\nwhole\r\n",
-          b"0\r\n\r\n", b"\x00\xff", b"HTTP/1.1 ", b": \r\n"]
+PIECES = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 503 Full\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"Content-Length: 5\r\n",
+    b"Content-Length: 50\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"X-Attempt-Id: me\r\n",
+    b"X-Attempt-Id: other\r\n",
+    b"X-Server-Seal: s\r\n",
+    b"X-Not-Executed: 1\r\n",
+    b"Connection: close\r\n",
+    b"\r\n",
+    b"whole",
+    b"5\r\nwhole\r\n",
+    b"0\r\n\r\n",
+    b"\x00\xff",
+    b"HTTP/1.1 ",
+    b": \r\n",
+]
 
 
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
--- a/tests/files/test_nodelist.py
+++ b/tests/files/test_nodelist.py
@@ -25,26 +25,55 @@
 
 
 def test_a_list_is_read_with_its_lines():
-    assert part() == ("n.ini", (
-        Line("order-4.toronto.example.org", Listed("toronto", "10.1.0.18:9000"), 6),
-        Line("order-5.toronto.example.org", Listed("toronto", "10.1.0.19:9000", 1.5, False, 3), 7),
-        Line("order-1.windsor.example.org", Listed("windsor", "10.2.0.1:9000", 1.0, True), 10)), "3f9a21c4")
-
-
-@pytest.mark.parametrize("old, new, says", [
-    ("10.1.0.18:9000", "10.1.0.18", "line 6, [zone toronto], field order-4.toronto.example.org: expected an IPv4 address"),
-    ("10.1.0.18:9000", "", "line 6, [zone toronto], field order-4.toronto.example.org: an address is missing"),
-    ("weight 1.5", "weight -1.5", "line 7, [zone toronto], field order-5.toronto.example.org: expected a number of 0 or more"),
-    ("weight 1.5", "weight nan", "expected a number of 0 or more, got 'nan'"), ("weight 1.5", "weight 1e9", "a weight is at most"),
-    ("weight 1.5", "weight", "line 7"), ("weight 1.5", "weigth 1.5", "expected weight W, cell N or draining, got 'weigth'"),
-    ("cell 3", "weight 3", "weight stands twice"), ("cell 3", "cell 3.5", "expected a whole number"),
-    ("order-1.windsor.example.org =", "order 1 =", "line 10, [zone windsor], field order 1: 'order 1' is no name for a node"),
-    ("[zone windsor]", "[zone wind sor]", "line 9, [zone wind sor]: 'wind sor' is no name for a zone"),
-    ("[zone windsor]", "[zon windsor]", "line 9: no section is called [zon windsor]"),
-    ("order-5.toronto", "order-4.toronto", "line 7, [zone toronto]: the field order-4.toronto.example.org stands twice"),
-    ("confirm", "confirms", "line 3, [list], field confirms: no field is called that; is confirm meant?"),
-    ("# end 3 nodes\n", "", "line 10: the last line is not `# end N nodes`: the file may be cut short"),
-    ("# end 3 nodes\n", "# end 3 nodes", "line 11: the last line is not"), ("# end 3", "# end 4", "line 11: 4 nodes are announced and 3 are listed")])
+    assert part() == (
+        "n.ini",
+        (
+            Line("order-4.toronto.example.org", Listed("toronto", "10.1.0.18:9000"), 6),
+            Line("order-5.toronto.example.org", Listed("toronto", "10.1.0.19:9000", 1.5, False, 3), 7),
+            Line("order-1.windsor.example.org", Listed("windsor", "10.2.0.1:9000", 1.0, True), 10),
+        ),
+        "3f9a21c4",
+    )
+
+
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        (
+            "10.1.0.18:9000",
+            "10.1.0.18",
+            "line 6, [zone toronto], field order-4.toronto.example.org: expected an IPv4 address",
+        ),
+        ("10.1.0.18:9000", "", "line 6, [zone toronto], field order-4.toronto.example.org: an address is missing"),
+        (
+            "weight 1.5",
+            "weight -1.5",
+            "line 7, [zone toronto], field order-5.toronto.example.org: expected a number of 0 or more",
+        ),
+        ("weight 1.5", "weight nan", "expected a number of 0 or more, got 'nan'"),
+        ("weight 1.5", "weight 1e9", "a weight is at most"),
+        ("weight 1.5", "weight", "line 7"),
+        ("weight 1.5", "weigth 1.5", "expected weight W, cell N or draining, got 'weigth'"),
+        ("cell 3", "weight 3", "weight stands twice"),
+        ("cell 3", "cell 3.5", "expected a whole number"),
+        (
+            "order-1.windsor.example.org =",
+            "order 1 =",
+            "line 10, [zone windsor], field order 1: 'order 1' is no name for a node",
+        ),
+        ("[zone windsor]", "[zone wind sor]", "line 9, [zone wind sor]: 'wind sor' is no name for a zone"),
+        ("[zone windsor]", "[zon windsor]", "line 9: no section is called [zon windsor]"),
+        (
+            "order-5.toronto",
+            "order-4.toronto",
+            "line 7, [zone toronto]: the field order-4.toronto.example.org stands twice",
+        ),
+        ("confirm", "confirms", "line 3, [list], field confirms: no field is called that; is confirm meant?"),
+        ("# end 3 nodes\n", "", "line 10: the last line is not `# end N nodes`: the file may be cut short"),
+        ("# end 3 nodes\n", "# end 3 nodes", "line 11: the last line is not"),
+        ("# end 3", "# end 4", "line 11: 4 nodes are announced and 3 are listed"),
+    ],
+)
 def test_what_cannot_be_used_names_its_line(old, new, says):
     assert old in TEXT
     with pytest.raises(Unusable) as found:
@@ -52,7 +81,9 @@
     assert says in str(found.value) and str(found.value).startswith("n.ini")
 
 
-@pytest.mark.parametrize("data, says", [("", "the file is empty"), (" \n\n", "the file is empty"), (b"\xff", "no UTF-8")])
+@pytest.mark.parametrize(
+    "data, says", [("", "the file is empty"), (" \n\n", "the file is empty"), (b"\xff", "no UTF-8")]
+)
 def test_a_file_without_text_is_refused(data, says):
     with pytest.raises(Unusable, match=says):
         part(data)
@@ -77,14 +108,27 @@
 
 
 def test_one_node_in_two_zones_of_one_file_is_refused_with_both_lines():
-    with pytest.raises(Refused, match="n.ini, line 10: order-4.toronto.example.org stands in zone windsor and in zone toronto .n.ini, line 6."):
+    with pytest.raises(
+        Refused,
+        match="n.ini, line 10: order-4.toronto.example.org stands in zone windsor and in zone toronto .n.ini, line 6.",
+    ):
         assemble([part(TEXT.replace("order-1.windsor", "order-4.toronto"))])
 
 
 names = some.from_regex(r"[a-z][a-z0-9-]{0,5}[a-z0-9](\.[a-z]{2,4})?", fullmatch=True)
-sets = some.dictionaries(names, some.builds(
-    Listed, names, some.integers(0, 65535).map(lambda port: f"10.0.0.1:{port}"), some.floats(0, 1e6),
-    some.booleans(), some.one_of(some.none(), some.integers(0, 10**6))), min_size=1, max_size=8).map(NodeSet)
+sets = some.dictionaries(
+    names,
+    some.builds(
+        Listed,
+        names,
+        some.integers(0, 65535).map(lambda port: f"10.0.0.1:{port}"),
+        some.floats(0, 1e6),
+        some.booleans(),
+        some.one_of(some.none(), some.integers(0, 10**6)),
+    ),
+    min_size=1,
+    max_size=8,
+).map(NodeSet)
 
 
 @given(sets)
--- a/tests/files/test_source.py
+++ b/tests/files/test_source.py
@@ -24,9 +24,13 @@
 from kestrelplank.state.tables import Tables
 
 RELAYS, SLICES = 2, 12
-CONF = {"Areas": ["toronto", "windsor"], "Categories": [{"Name": "look"}], "Tick": 2.0,
-        "Specifics": {"Shards": SLICES, "DataPlaneSize": RELAYS, "MostWaiting": 9e6, "EgressPerS": 9e6, "BaseMode": 1},
-        "Rules": {"StopSendingWithin": 40.0, "WarmUp": 0.0, "ColdFrom": 1.0, "FallMultiple": 3.0}}
+CONF = {
+    "Areas": ["toronto", "windsor"],
+    "Categories": [{"Name": "look"}],
+    "Tick": 2.0,
+    "Specifics": {"Shards": SLICES, "DataPlaneSize": RELAYS, "MostWaiting": 9e6, "EgressPerS": 9e6, "BaseMode": 1},
+    "Rules": {"StopSendingWithin": 40.0, "WarmUp": 0.0, "ColdFrom": 1.0, "FallMultiple": 3.0},
+}
 
 
 def name(number):
@@ -64,8 +68,17 @@
         probes = Probes(kit.loop, kit.pool, kit.counters, discovery.addresses, False, MS, False, self.on_event)
         self.policy = Policy(kit.loop.now(), 5, found)
         self.conductor = Conductor(kit.loop, kit.counters, self.policy, found["tick"], orders, discovery, probes, None)
-        nodes = Nodes(**{"files": (str(folder / "*.ini"),), "quiet": 4 * MS, "poll": 20 * MS, "weight_step": 0.0, "stand": 0,
-                         "state": str(folder / "state"), **fields})
+        nodes = Nodes(
+            **{
+                "files": (str(folder / "*.ini"),),
+                "quiet": 4 * MS,
+                "poll": 20 * MS,
+                "weight_step": 0.0,
+                "stand": 0,
+                "state": str(folder / "state"),
+                **fields,
+            }
+        )
         self.source = Source(kit.loop, kit.counters, nodes, 40 * MS, ids, discovery.addresses, self.on_event)
         self.conductor.holders.append(self.source)
         told = News(kit.loop, kit.pool, kit.counters, self.hub.at, ids, RELAYS, SLICES, orders, self.on_event)
@@ -83,14 +96,25 @@
             visitor.begin()
             visitor.tell(*(attach(relay) | {"type": "attach"} for relay in range(RELAYS)))
             for table in range(SLICES):
-                visitor.tell(news("owner", shard=table, set=True), *(
-                    news("entry", shard=table, endpoint=node, w=weight) for node, weight in self.relays[0].lines(table).items()))
+                visitor.tell(
+                    news("owner", shard=table, set=True),
+                    *(
+                        news("entry", shard=table, endpoint=node, w=weight)
+                        for node, weight in self.relays[0].lines(table).items()
+                    ),
+                )
             visitor.tell({})
             return
         ops = json.loads(body)["ops"]
-        orders = [("line", op["cluster"], op["endpoint"], op["w"]) if op["verb"] == "put" else
-                  ("take_out", op["endpoint"], op["verb"] == "eject") if "eject" in op["verb"] else
-                  ("mark", op["stamp"]) for op in ops if op["verb"] != "gate"]
+        orders = [
+            ("line", op["cluster"], op["endpoint"], op["w"])
+            if op["verb"] == "put"
+            else ("take_out", op["endpoint"], op["verb"] == "eject")
+            if "eject" in op["verb"]
+            else ("mark", op["stamp"])
+            for op in ops
+            if op["verb"] != "gate"
+        ]
         for relay in self.relays:
             relay.apply(0, self.numbers, orders)
             self.bare += sum(not relay.open(table) for table in range(SLICES))
@@ -163,11 +187,16 @@
     return data.replace("[zone windsor]", "[zone windsor]\n" + name(1) + " = 10.9.9.9:1", 1)
 
 
-@pytest.mark.parametrize("spoil, says", [
-    (spoil_zone_twice, "stands in zone windsor and in zone toronto"),
-    (lambda data: data[:len(data) // 2], "line"), (lambda data: "", "the file is empty"),
-    (lambda data: data.replace("10.1.0.1", "10.1.0.x", 1), "expected an IPv4 address"),
-    (lambda data: "[zone toronto]\n# end 0 nodes\n", "it lists no node")])
+@pytest.mark.parametrize(
+    "spoil, says",
+    [
+        (spoil_zone_twice, "stands in zone windsor and in zone toronto"),
+        (lambda data: data[: len(data) // 2], "line"),
+        (lambda data: "", "the file is empty"),
+        (lambda data: data.replace("10.1.0.1", "10.1.0.x", 1), "expected an IPv4 address"),
+        (lambda data: "[zone toronto]\n# end 0 nodes\n", "it lists no node"),
+    ],
+)
 def test_what_cannot_be_used_changes_nothing_and_is_said_with_its_place(site, capfd, spoil, says):
     here = site(text_of(range(1, 9)), trailer=True)
     here.wait(lambda: len(here.in_force()) == 8)
@@ -325,10 +354,10 @@
         data = text_of(sorted(wanted - {*random.sample(valid, random.randrange(4))}))
         how = random.choice(["valid", "torn", "byte", "twice", "gone", "empty", "in place", "valid", "none"])
         if how == "torn":
-            data = data[:random.randrange(len(data))]
+            data = data[: random.randrange(len(data))]
         elif how == "byte":
             at = random.randrange(len(data))
-            data = data[:at] + random.choice("\x00=[]#\n") + data[at + 1:]
+            data = data[:at] + random.choice("\x00=[]#\n") + data[at + 1 :]
             try:
                 names.update(line.name for line in read("a.ini", data.encode(), 99, True).lines)
             except Unusable:
@@ -364,6 +393,11 @@
         for order in orders:
             assert order[0] == "mark" or order[2 if order[0] == "line" else 1] in nodes
     force = set(here.in_force())
-    here.wait(lambda: all(set(dict(relay.open(table))) <= force and relay.open(table)
-                          for relay in here.relays for table in range(SLICES)))
+    here.wait(
+        lambda: all(
+            set(dict(relay.open(table))) <= force and relay.open(table)
+            for relay in here.relays
+            for table in range(SLICES)
+        )
+    )
     assert here.bare == 0 and here.count("files_refused") > 20 and here.count("files_accepted") > 20
--- a/tests/forwarding/test_passage.py
+++ b/tests/forwarding/test_passage.py
@@ -16,11 +16,16 @@
 def junction(servers=3, keys=True, state="ready", **changes):
     outlook = EdgeView("edge-1", ("10.0.0.1:80",))
     outlook.frame(NOW, "m", {"t": "word", "key": (7, ""), "text": encoded(**changes)})
-    entries = [(f"{service}-{number}", service, f"10.1.0.{number}:80", "z", 2, state, 0)
-               for service in ("views", "orders") for number in range(servers)]
+    entries = [
+        (f"{service}-{number}", service, f"10.1.0.{number}:80", "z", 2, state, 0)
+        for service in ("views", "orders")
+        for number in range(servers)
+    ]
     outlook.frame(NOW, "m", {"t": "roster", "age": 0, "list": entries})
     if keys:
-        outlook.frame(NOW, "m", lines(1, [[0, 32767, "views-0", "10.1.0.0:80"], [32768, 65535, "views-1", "10.1.0.1:80"]]))
+        outlook.frame(
+            NOW, "m", lines(1, [[0, 32767, "views-0", "10.1.0.0:80"], [32768, 65535, "views-1", "10.1.0.1:80"]])
+        )
     found = Forwarder(Random(1), outlook, "z", 0.2, 64)
     found.stands.listed(NOW, NOW, outlook.roster.entries.values())
     return found
@@ -41,9 +46,16 @@
     assert begin(junction(), within=400 * MS)[1][2] == 400 * MS
 
 
-@pytest.mark.parametrize("given, fault", [
-    ({"path": "/b/x"}, Fault.NO_ROUTE), ({"host": "nobody"}, Fault.NO_ROUTE), ({"key": None}, Fault.BAD_REQUEST),
-    ({"key": "65536"}, Fault.BAD_REQUEST), ({"key": "-1"}, Fault.BAD_REQUEST)])
+@pytest.mark.parametrize(
+    "given, fault",
+    [
+        ({"path": "/b/x"}, Fault.NO_ROUTE),
+        ({"host": "nobody"}, Fault.NO_ROUTE),
+        ({"key": None}, Fault.BAD_REQUEST),
+        ({"key": "65536"}, Fault.BAD_REQUEST),
+        ({"key": "-1"}, Fault.BAD_REQUEST),
+    ],
+)
 def test_what_can_go_nowhere_is_refused(given, fault):
     assert begin(junction(), **given)[1][:2] == ("refuse", fault)
 
@@ -138,14 +150,18 @@
     found = junction()
     passage, step = begin(found)
     changed = [{"host_name": "shop.example", "host_routes": [route("/a/", "non_idempotent", "orders")]}]
-    found.outlook.frame(NOW, "m", {"t": "word", "key": (9, ""), "text": encoded(version="00000009", virtual_hosts=changed)})
+    found.outlook.frame(
+        NOW, "m", {"t": "word", "key": (9, ""), "text": encoded(version="00000009", virtual_hosts=changed)}
+    )
     assert found.ended(NOW + MS, passage, BROKEN, 0, None)[1].service == "views"
     assert begin(found, key=None)[1][1].service == "orders"
     assert configuration()["config_version"] == "00000007"
 
 
 def test_connections_to_a_server_are_shared_by_all_edges():
-    found = junction(**{"service_table": [{"name": "views", "max_connections": 110, "sharded": True}, {"name": "orders"}]})
+    found = junction(
+        **{"service_table": [{"name": "views", "max_connections": 110, "sharded": True}, {"name": "orders"}]}
+    )
     for edges, most in ((1, 88), (12, 7), (52, 2)):  # two at least: one in use and one that comes up
         found.outlook.edges = edges
         assert found.connections("views") == most
@@ -163,8 +179,14 @@
 
 
 def test_a_repeatable_request_that_any_server_may_run_is_not_waited_for_to_the_end_at_a_silent_one():
-    found = junction(virtual_hosts=[{"host_name": "shop.example", "host_routes": [
-        route("/c/", "idempotent", "orders"), route("/once/", "non_idempotent", "orders")]}])
+    found = junction(
+        virtual_hosts=[
+            {
+                "host_name": "shop.example",
+                "host_routes": [route("/c/", "idempotent", "orders"), route("/once/", "non_idempotent", "orders")],
+            }
+        ]
+    )
     passage, step = begin(found, "/c/x", None)
     first = step[1].server
     assert step[2] == 600 * MS  # four times what is usual
@@ -175,7 +197,9 @@
 
 
 def test_of_servers_alike_the_one_with_a_kept_connection_is_chosen_until_it_has_work_enough():
-    found = junction(virtual_hosts=[{"host_name": "shop.example", "host_routes": [route("/c/", "non_idempotent", "orders")]}])
+    found = junction(
+        virtual_hosts=[{"host_name": "shop.example", "host_routes": [route("/c/", "non_idempotent", "orders")]}]
+    )
     found.stands.by_name["orders-1"].kept = 3
     chosen = [begin(found, "/c/x", None)[1][1].server for _ in range(4)]
     assert chosen[:2] == ["orders-1"] * 2 and set(chosen[2:]) != {"orders-1"}
@@ -208,8 +232,10 @@
 def test_a_server_that_leaves_gets_nothing_long_before_its_time_is_over_though_it_still_holds_the_key():
     """Guards against a decider that is lost just then: lines stand, and the edge would send by them to the end."""
     found = junction()
-    entries = [entry._replace(state="draining") if entry.server == "views-0" else entry
-               for entry in found.outlook.roster.entries.values()]
+    entries = [
+        entry._replace(state="draining") if entry.server == "views-0" else entry
+        for entry in found.outlook.roster.entries.values()
+    ]
     found.stands.listed(NOW + S, NOW + S, entries)
     assert found.begin(NOW + S, "shop.example", "/a/x", "5", 2 * S)[1][0] == "send"  # its keys are on their way
     passage, step = found.begin(NOW + 2 * S, "shop.example", "/a/x", "5", 2 * S)
--- a/tests/lab/test_node.py
+++ b/tests/lab/test_node.py
@@ -12,8 +12,13 @@
 
 def node(**fields):
     runs, falls = Counter(), []
-    made = Node(Kind(**{"cores": 2, "slots": 4, "room": 3, "key_gain": 0.0, "connection": 0, **fields}), Random(1), 0,
-                lambda number, op_type: runs.update([number]), lambda: falls.append(1))
+    made = Node(
+        Kind(**{"cores": 2, "slots": 4, "room": 3, "key_gain": 0.0, "connection": 0, **fields}),
+        Random(1),
+        0,
+        lambda number, op_type: runs.update([number]),
+        lambda: falls.append(1),
+    )
     return made, runs, falls
 
 
@@ -154,10 +159,17 @@
     assert fell and made.worst_push < 1
 
 
-@pytest.mark.parametrize("before, at, key, new, cost", [
-    ((), 0, 7, False, 100), (((0, 7),), 500, 7, False, 50), (((0, 7),), 1500, 7, False, 100),
-    (((0, 7), (100, 8), (200, 9)), 500, 7, False, 100), (((0, 7), (100, 8), (200, 9)), 500, 8, False, 50),
-    ((), 0, 7, True, 110)])
+@pytest.mark.parametrize(
+    "before, at, key, new, cost",
+    [
+        ((), 0, 7, False, 100),
+        (((0, 7),), 500, 7, False, 50),
+        (((0, 7),), 1500, 7, False, 100),
+        (((0, 7), (100, 8), (200, 9)), 500, 7, False, 100),
+        (((0, 7), (100, 8), (200, 9)), 500, 8, False, 50),
+        ((), 0, 7, True, 110),
+    ],
+)
 def test_a_key_met_lately_costs_less_only_so_many_are_remembered_and_a_connection_costs(before, at, key, new, cost):
     made, _, _ = node(key_gain=0.5, key_for=S, keys=2, connection=10 * MS)
     for met_at, met in before:
@@ -167,8 +179,16 @@
     assert [round((ended - at * MS) / MS) for _, ended in finish(made, at * MS)] == [cost]
 
 
-@given(some.lists(some.tuples(some.sampled_from(("offer", "offer", "offer", "cancel", "stall", "slow", "mend", "kill", "start")),
-                              some.integers(0, 9), some.integers(0, 400)), max_size=60))
+@given(
+    some.lists(
+        some.tuples(
+            some.sampled_from(("offer", "offer", "offer", "cancel", "stall", "slow", "mend", "kill", "start")),
+            some.integers(0, 9),
+            some.integers(0, 400),
+        ),
+        max_size=60,
+    )
+)
 def test_work_done_is_never_over_cores_times_time_and_nothing_acked_has_not_run(steps):
     made, runs, _ = node(cores=2, slots=3, cold_from=0.5)
     now, acked, number = 0, Counter(), 0
--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -49,8 +49,17 @@
     for old, new in changes.items():
         lines = [line for line in site.splitlines() if line.startswith(f"{old} =")]
         site = site.replace(lines[0], f"{old} = {new}", 1)
-    return script(Ini("s.ini", site + "\n" + "\n\n".join(f"[fault f{place}]\n" + fault.replace(", ", "\n").replace(" & ", ", ")
-                                                          for place, fault in enumerate(faults))))
+    return script(
+        Ini(
+            "s.ini",
+            site
+            + "\n"
+            + "\n\n".join(
+                f"[fault f{place}]\n" + fault.replace(", ", "\n").replace(" & ", ", ")
+                for place, fault in enumerate(faults)
+            ),
+        )
+    )
 
 
 def test_the_same_script_and_seed_give_the_same_bytes_and_another_seed_others():
@@ -66,9 +75,22 @@
     for place, seed in enumerate(("0", "77")):
         (tmp_path / seed).mkdir()
         root = str(Path(__file__).parents[2])
-        subprocess.run([sys.executable, "-c", "from kestrelplank.cli import main; main()", "rehearse", str(path),
-                        "--json", "r.json"], cwd=tmp_path / seed, check=True, timeout=120, capture_output=True,
-                       env=os.environ | {"PYTHONHASHSEED": seed, "PYTHONPATH": root})
+        subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "from kestrelplank.cli import main; main()",
+                "rehearse",
+                str(path),
+                "--json",
+                "r.json",
+            ],
+            cwd=tmp_path / seed,
+            check=True,
+            timeout=120,
+            capture_output=True,
+            env=os.environ | {"PYTHONHASHSEED": seed, "PYTHONPATH": root},
+        )
         found.append((tmp_path / seed / "r.json").read_bytes())
     assert found[0] == found[1]
 
@@ -92,9 +114,13 @@
 
 def test_a_stall_that_begins_while_a_second_try_is_in_flight_gets_no_third_try():
     """Nodes 0 to 2 are gone, so what is sent there is proved not to have run and goes to others, which stall."""
-    made = read("kind = lost, who = node 0 & node 1 & node 2, start = 3s, length = 8s",
-                "kind = stall, who = nodes, start = 3010ms, length = 8s, pause = 1900ms, every = 2s",
-                slices="9", strikes="0", site=SITE + "\n[relays]\nstrikes = 5\n[discovery]\nnotice = 7s\n")
+    made = read(
+        "kind = lost, who = node 0 & node 1 & node 2, start = 3s, length = 8s",
+        "kind = stall, who = nodes, start = 3010ms, length = 8s, pause = 1900ms, every = 2s",
+        slices="9",
+        strikes="0",
+        site=SITE + "\n[relays]\nstrikes = 5\n[discovery]\nnotice = 7s\n",
+    )
     clock = Clock(10**12)
     world = World(made, 5, clock, Standing)
     world.hub.lines = [{table % 3: 1.0, 3 + table % 6: 1.0} for table in range(9)]
@@ -107,8 +133,10 @@
 
 
 def test_a_node_that_dies_after_the_work_and_before_the_answer_is_no_proof():
-    made = read("kind = mute, who = nodes 50%, start = 3s, length = 3s, strength = 1",
-                "kind = lost, who = nodes, start = 3050ms, length = 1s")
+    made = read(
+        "kind = mute, who = nodes 50%, start = 3s, length = 3s, strength = 1",
+        "kind = lost, who = nodes, start = 3050ms, length = 1s",
+    )
     found = play(made, 2)
     assert "aborted: reset" in found["lost"] and found["broken"] == [] and found["duplicates"]["order-place"] == 0
 
@@ -122,8 +150,10 @@
 
 
 def test_two_faults_on_one_node_hold_together():
-    made = read("kind = slow, who = nodes, start = 3s, length = 9s, strength = 2",
-                "kind = fail, who = nodes, start = 3s, length = 9s, strength = 0.2")
+    made = read(
+        "kind = slow, who = nodes, start = 3s, length = 9s, strength = 2",
+        "kind = fail, who = nodes, start = 3s, length = 9s, strength = 0.2",
+    )
     slower = read("kind = slow, who = nodes, start = 3s, length = 9s, strength = 2")
     found, slow, calm = (play(one, 2) for one in (made, slower, read()))
     assert found["service"] < slow["service"] < calm["service"] and "aborted: failed" in found["lost"]
@@ -173,33 +203,67 @@
     assert held == [18, 0, 18] and world.rules.broken() == []
 
 
-@pytest.mark.parametrize("fault, says", [
-    ("kind = stall, who = node 1, start = 5s, end = 4s", "line 32, [fault f0], field end: the fault ends before it begins"),
-    ("kind = stall, who = node 1, start = 5s, length = 0", "line 32, [fault f0], field length: the fault ends before it begins"),
-    ("kind = stall, who = node 1, start = 5s", "line 28, [fault f0]: give either length or end"),
-    ("kind = stall, who = node 1, start = 50s, length = 1s", "field start: the rehearsal is over by then"),
-    ("kind = stall, who = node 9, start = 5s, length = 1s", "field who: there is no node 9: there are 9, counted from 0"),
-    ("kind = stall, who = zone detroit, start = 5s, length = 1s", "no zone is called 'detroit'; there are niagara, windsor"),
-    ("kind = stall, who = zone, start = 5s, length = 1s", "names no zone"),
-    ("kind = stall, who = bridges, start = 5s, length = 1s", "expected zone, nodes, relays or conductors, got 'bridges'"),
-    ("kind = slow, who = relays 10%, start = 5s, length = 1s, strength = 2", "field who: slow is for nodes alone"),
-    ("kind = slow, who = nodes, start = 5s, length = 1s", "expected how many times slower, over 1"),
-    ("kind = fail, who = nodes, start = 5s, length = 1s, strength = 2", "expected a share over 0 and up to 1"),
-    ("kind = stall, who = nodes, start = 5s, length = 1s, pause = 3s", "a pause is shorter than"),
-    ("kind = quake, who = nodes, start = 5s, length = 1s", "line 29, [fault f0], field kind: invalid enum value 'quake'"),
-    ("kind = stall, who = , start = 5s, length = 1s", "names nobody")])
+@pytest.mark.parametrize(
+    "fault, says",
+    [
+        (
+            "kind = stall, who = node 1, start = 5s, end = 4s",
+            "line 32, [fault f0], field end: the fault ends before it begins",
+        ),
+        (
+            "kind = stall, who = node 1, start = 5s, length = 0",
+            "line 32, [fault f0], field length: the fault ends before it begins",
+        ),
+        ("kind = stall, who = node 1, start = 5s", "line 28, [fault f0]: give either length or end"),
+        ("kind = stall, who = node 1, start = 50s, length = 1s", "field start: the rehearsal is over by then"),
+        (
+            "kind = stall, who = node 9, start = 5s, length = 1s",
+            "field who: there is no node 9: there are 9, counted from 0",
+        ),
+        (
+            "kind = stall, who = zone detroit, start = 5s, length = 1s",
+            "no zone is called 'detroit'; there are niagara, windsor",
+        ),
+        ("kind = stall, who = zone, start = 5s, length = 1s", "names no zone"),
+        (
+            "kind = stall, who = bridges, start = 5s, length = 1s",
+            "expected zone, nodes, relays or conductors, got 'bridges'",
+        ),
+        ("kind = slow, who = relays 10%, start = 5s, length = 1s, strength = 2", "field who: slow is for nodes alone"),
+        ("kind = slow, who = nodes, start = 5s, length = 1s", "expected how many times slower, over 1"),
+        ("kind = fail, who = nodes, start = 5s, length = 1s, strength = 2", "expected a share over 0 and up to 1"),
+        ("kind = stall, who = nodes, start = 5s, length = 1s, pause = 3s", "a pause is shorter than"),
+        (
+            "kind = quake, who = nodes, start = 5s, length = 1s",
+            "line 29, [fault f0], field kind: invalid enum value 'quake'",
+        ),
+        ("kind = stall, who = , start = 5s, length = 1s", "names nobody"),
+    ],
+)
 def test_a_fault_that_cannot_be_played_is_refused_with_its_line(fault, says):
     with pytest.raises(Unusable) as found:
         read(fault)
     assert says in str(found.value) and str(found.value).startswith("s.ini")
 
 
-@pytest.mark.parametrize("old, new, says", [
-    ("share = 60%", "share = 50%", "do not sum to 100%"), ("target = 700ms", "target = 3s", "within the op timeout"),
-    ("zones = niagara, windsor, toronto", "zones = a, a", "each once"), ("settle = 2s", "settle = 20s", "nothing is left"),
-    ("[nodes]", "[node]", "no section is called [node]; is nodes meant?"), ("work = 100ms", "work = 0", "expected some"),
-    ("warm_up = 4s", "cancel = some", "expected waiting, all or none"), ("nodes = 9", "nodes = 0", "expected `int` >= 1"),
-    ("load = 50%", "load = 50%\n[load b]\nat = 5s\nload = 1\n[load c]\nat = 4s\nload = 1", "loads stand in the order of time")])
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        ("share = 60%", "share = 50%", "do not sum to 100%"),
+        ("target = 700ms", "target = 3s", "within the op timeout"),
+        ("zones = niagara, windsor, toronto", "zones = a, a", "each once"),
+        ("settle = 2s", "settle = 20s", "nothing is left"),
+        ("[nodes]", "[node]", "no section is called [node]; is nodes meant?"),
+        ("work = 100ms", "work = 0", "expected some"),
+        ("warm_up = 4s", "cancel = some", "expected waiting, all or none"),
+        ("nodes = 9", "nodes = 0", "expected `int` >= 1"),
+        (
+            "load = 50%",
+            "load = 50%\n[load b]\nat = 5s\nload = 1\n[load c]\nat = 4s\nload = 1",
+            "loads stand in the order of time",
+        ),
+    ],
+)
 def test_a_site_that_cannot_be_played_is_refused(old, new, says):
     with pytest.raises(Unusable) as found:
         script(Ini("s.ini", SITE.replace(old, new, 1)))
--- a/tests/net/test_extras.py
+++ b/tests/net/test_extras.py
@@ -56,9 +56,19 @@
         ini.write_text(f"[members]\non = yes\nevery = 50ms\n[status]\nsocket = {tmp_path}/s{number}\n")
         monkeypatch.setenv("KESTRELPLANK_INI", str(ini))
         settings = SETTINGS | {"Ordinal": number, "Balancers": 2, "Permissions": {"MayTell": True}}
-        programs.append(Program(kit, tmp_path / f"c{number}.json", discovery=closed_port(), hub={"address": closed_port()},
-                                settings=settings, peer_listen=at[number], peers=at, peers_all=at[1 - number]))
-    until(kit.loop, lambda: all(program.lines('alive=0,1') or program.lines('alive="0,1"') for program in programs))
+        programs.append(
+            Program(
+                kit,
+                tmp_path / f"c{number}.json",
+                discovery=closed_port(),
+                hub={"address": closed_port()},
+                settings=settings,
+                peer_listen=at[number],
+                peers=at,
+                peers_all=at[1 - number],
+            )
+        )
+    until(kit.loop, lambda: all(program.lines("alive=0,1") or program.lines('alive="0,1"') for program in programs))
     done = CliRunner().invoke(group, ["zones", "--socket", f"{tmp_path}/s0"])
     assert done.exit_code == 0 and "conductors 0, 1 alive" in done.output
     assert asked(f"{tmp_path}/s1", 5)["members"]["alive"] == [0, 1]
@@ -71,7 +81,9 @@
 def test_where_the_settings_bar_talk_it_is_off_and_said_so(kit, tmp_path, monkeypatch):
     (tmp_path / "k.ini").write_text("[members]\non = yes\n")
     monkeypatch.setenv("KESTRELPLANK_INI", str(tmp_path / "k.ini"))
-    program = Program(kit, tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()}, peer_listen=free_udp())
+    program = Program(
+        kit, tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()}, peer_listen=free_udp()
+    )
     assert program.lines("event=members_off")
     code, said = program.end(signal.SIGTERM)
     assert code == 0 and "datagrams_sent" not in said
@@ -80,13 +92,27 @@
 def test_members_tick_take_and_show_whatever_comes(kit):
     sent = []
     nodes = [Seen(0, True, 10.0, 9.0)]
-    made = [Members(kit.loop, Counts(), Membership(kit.loop.now(), number, 5, 2, Terms(every=10_000_000)), 10_000_000,
-                    lambda to, body, number=number: sent.append((number, body)), lambda: nodes, lambda: 20.0) for number in range(2)]
+    made = [
+        Members(
+            kit.loop,
+            Counts(),
+            Membership(kit.loop.now(), number, 5, 2, Terms(every=10_000_000)),
+            10_000_000,
+            lambda to, body, number=number: sent.append((number, body)),
+            lambda: nodes,
+            lambda: 20.0,
+        )
+        for number in range(2)
+    ]
     until(kit.loop, lambda: len(sent) >= 6)
     for number, body in sent:
         made[1 - number].take(number, body)
     made[0].take(1, b"junk")
-    assert made[0].shown() == {"view": 2, "alive": (0, 1), "zones": {0: {"demand": 20, "capacity": 20, "ready": 1, "told_by": 2}}}
+    assert made[0].shown() == {
+        "view": 2,
+        "alive": (0, 1),
+        "zones": {0: {"demand": 20, "capacity": 20, "ready": 1, "told_by": 2}},
+    }
     assert made[0]._counters.counts["members_unreadable"] == 1
     for one in made:
         one.close()
@@ -121,8 +147,14 @@
     assert not os.path.exists(path)
 
 
-@pytest.mark.parametrize("words, code, says", [
-    ((), 2, "no status socket"), (("--socket", "/none"), 1, "/none: No such file"), (("--ini", "/none"), 2, "can't be read")])
+@pytest.mark.parametrize(
+    "words, code, says",
+    [
+        ((), 2, "no status socket"),
+        (("--socket", "/none"), 1, "/none: No such file"),
+        (("--ini", "/none"), 2, "can't be read"),
+    ],
+)
 def test_zones_that_cannot_be_asked_for_are_one_line(words, code, says, monkeypatch):
     monkeypatch.delenv("KESTRELPLANK_INI", raising=False)
     done = CliRunner().invoke(group, ["zones", *words])
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -56,8 +56,9 @@
         self.bodies, self.busy = [], False
 
     def call(self, method, path, body, within):
-        self.bodies.append([(o["verb"], o.get("cluster", o.get("endpoint", o.get("stamp"))))
-                            for o in json.loads(body)["ops"]])
+        self.bodies.append(
+            [(o["verb"], o.get("cluster", o.get("endpoint", o.get("stamp")))) for o in json.loads(body)["ops"]]
+        )
         self.busy = True
 
 
--- a/tests/plan/test_admission.py
+++ b/tests/plan/test_admission.py
@@ -50,7 +50,9 @@
     assert admission.late(2 * LINGER, True) == [(0, "idle"), (2, "idle")]
 
 
-@given(some.lists(some.tuples(some.sampled_from("abc"), some.sampled_from(("come", "go", "busy", "idle"))), max_size=60))
+@given(
+    some.lists(some.tuples(some.sampled_from("abc"), some.sampled_from(("come", "go", "busy", "idle"))), max_size=60)
+)
 def test_there_are_never_more_than_allowed_and_what_is_busy_is_never_pushed_out(steps):
     admission, held, busy, number = made(), {}, set(), 0
     for client, what in steps:
--- a/tests/plan/test_attempts.py
+++ b/tests/plan/test_attempts.py
@@ -40,17 +40,34 @@
 
 def relay(*lines, again=1, strikes=0, hold=S // 2, pick="random", seed=1, share=None, proofs=PROOFS):
     random = Random(seed)
-    return Attempts(random, tables(*lines, again=again, share=share), (4 * S, 2 * S), pick, hold,
-                    Avoidance(random, strikes, (4 * S, 4 * S)), proofs)
+    return Attempts(
+        random,
+        tables(*lines, again=again, share=share),
+        (4 * S, 2 * S),
+        pick,
+        hold,
+        Avoidance(random, strikes, (4 * S, 4 * S)),
+        proofs,
+    )
 
 
 def other(node):
     return 8 - node  # of nodes 1 and 7
 
 
-@pytest.mark.parametrize("outcome, again, second", [
-    (NOT_STARTED, 1, True), (REFUSED, 1, True), (UNSENT, 1, True), (NOT_STARTED, 0, False),
-    (FAILED, 1, False), (RESET, 1, False), (CUT, 1, False), (SILENT, 1, False)])
+@pytest.mark.parametrize(
+    "outcome, again, second",
+    [
+        (NOT_STARTED, 1, True),
+        (REFUSED, 1, True),
+        (UNSENT, 1, True),
+        (NOT_STARTED, 0, False),
+        (FAILED, 1, False),
+        (RESET, 1, False),
+        (CUT, 1, False),
+        (SILENT, 1, False),
+    ],
+)
 def test_only_proof_that_the_first_try_never_ran_brings_a_second_elsewhere(outcome, again, second):
     made = relay({1: 1.0, 7: 1.0}, again=again)
     op, (_, node) = made.ask(0, 5, 0, 0)
@@ -102,8 +119,7 @@
     assert made.changed(S // 2, [0]) == [] and made.waiting() == 0 and ops[1][0].until is None
 
 
-@pytest.mark.parametrize("hold, op_type, step", [
-    (0, 0, ("end", REJECTED, "no line")), (9 * S, 1, ("wait", 2 * S))])
+@pytest.mark.parametrize("hold, op_type, step", [(0, 0, ("end", REJECTED, "no line")), (9 * S, 1, ("wait", 2 * S))])
 def test_nobody_waits_for_a_line_past_the_op_timeout_or_where_none_may_wait(hold, op_type, step):
     assert relay({}, hold=hold).ask(0, 1, op_type, 0)[1] == step
 
@@ -165,8 +181,12 @@
     assert made.own == {1: 20, 7: 20}
 
 
-@given(seed=some.integers(0, 10**6), outcomes=some.lists(some.sampled_from(OUTCOMES), min_size=3, max_size=3),
-       nodes=some.integers(1, 4), again=some.sampled_from((0, 1)))
+@given(
+    seed=some.integers(0, 10**6),
+    outcomes=some.lists(some.sampled_from(OUTCOMES), min_size=3, max_size=3),
+    nodes=some.integers(1, 4),
+    again=some.sampled_from((0, 1)),
+)
 def test_no_op_is_sent_after_a_try_that_may_have_run_nor_twice_to_one_node(seed, outcomes, nodes, again):
     made = relay({node: 1.0 for node in range(nodes)}, again=again, seed=seed)
     op, step = made.ask(0, 1, 0, 0)
@@ -182,9 +202,18 @@
 def limited(*lines, first=1, queue=2, share=0.5, most=1.0, weigh=None):
     random = Random(1)
     terms = Terms(first=first, least=first, most=first)
-    return Attempts(random, tables(*lines), (4 * S, 2 * S), "random", 0, Avoidance(random, 0, (S, S)),
-                    budget=Budget(2, share, most), limits=Limits(terms), queue=Queue(queue, (S, S), (1.0, 5.0), 0.5),
-                    weigh=weigh)
+    return Attempts(
+        random,
+        tables(*lines),
+        (4 * S, 2 * S),
+        "random",
+        0,
+        Avoidance(random, 0, (S, S)),
+        budget=Budget(2, share, most),
+        limits=Limits(terms),
+        queue=Queue(queue, (S, S), (1.0, 5.0), 0.5),
+        weigh=weigh,
+    )
 
 
 def test_an_op_waits_for_room_the_dearest_first_and_the_cheapest_is_turned_away():
--- a/tests/plan/test_gate.py
+++ b/tests/plan/test_gate.py
@@ -15,7 +15,9 @@
     return gate.verdict, gate.ops
 
 
-@pytest.mark.parametrize("before, after, verdict, most", [(0.97, 0.97, KEEP, 0.02), (0.97, 0.95, UNDO, 0.07), (0.97, 0.80, UNDO, 0.0)])
+@pytest.mark.parametrize(
+    "before, after, verdict, most", [(0.97, 0.97, KEEP, 0.02), (0.97, 0.95, UNDO, 0.07), (0.97, 0.80, UNDO, 0.0)]
+)
 def test_errors_stay_within_what_was_stated_and_the_worse_the_earlier(before, after, verdict, most):
     found = [play(seed, before, after) for seed in range(300)]
     assert sum(one != verdict for one, _ in found) <= most * 300
@@ -39,7 +41,9 @@
     assert [gate.with_it(50, 25), gate.with_it(50, 25)] == [WAIT, KEEP]
 
 
-@pytest.mark.parametrize("relays, canary, found", [
-    ([0, 1, 2, 3], 2, [[2], [0], [1, 3]]), ([2], 2, [[2]]), ([0, 1], 7, [[0, 1]]), ([], 7, [])])
+@pytest.mark.parametrize(
+    "relays, canary, found",
+    [([0, 1, 2, 3], 2, [[2], [0], [1, 3]]), ([2], 2, [[2]]), ([0, 1], 7, [[0, 1]]), ([], 7, [])],
+)
 def test_a_change_reaches_one_relay_then_its_zone_then_all(relays, canary, found):
     assert steps(relays, {0: 0, 1: 1, 2: 0, 3: 1}, canary) == found
--- a/tests/plan/test_limits.py
+++ b/tests/plan/test_limits.py
@@ -70,7 +70,11 @@
     assert made.best() == 9 * MS
 
 
-@given(some.lists(some.one_of(some.none(), some.integers(1, 10**10)), max_size=80), some.integers(1, 9), some.integers(10, 50))
+@given(
+    some.lists(some.one_of(some.none(), some.integers(1, 10**10)), max_size=80),
+    some.integers(1, 9),
+    some.integers(10, 50),
+)
 def test_a_limit_stays_within_its_terms_whatever_is_met(times, least, most):
     made = Gradient(Terms(first=10, least=least, most=most, window=3))
     for time in times:
@@ -114,7 +118,9 @@
     assert made.put(0, 5, 1, 9 * S) == (200 * MS, [3]) and made.next(lambda number: True) == [5, 1, 2]
 
 
-@pytest.mark.parametrize("op_type, deadline, until", [(0, 9 * S, 500 * MS), (1, 9 * S, 200 * MS), (0, 100 * MS, 100 * MS)])
+@pytest.mark.parametrize(
+    "op_type, deadline, until", [(0, 9 * S, 500 * MS), (1, 9 * S, 200 * MS), (0, 100 * MS, 100 * MS)]
+)
 def test_nobody_waits_past_a_share_of_its_target_latency_or_its_deadline(op_type, deadline, until):
     assert queue().put(0, 1, op_type, deadline) == (until, [])
 
@@ -131,7 +137,11 @@
     assert [comes_back(wait, queued, 10) for wait, queued in ((0, 0), (2 * S, 0), (2 * S, 10))] == [1, 2, 4]
 
 
-@given(some.lists(some.tuples(some.sampled_from(("put", "drop", "next")), some.integers(0, 6), some.integers(0, 1)), max_size=60))
+@given(
+    some.lists(
+        some.tuples(some.sampled_from(("put", "drop", "next")), some.integers(0, 6), some.integers(0, 1)), max_size=60
+    )
+)
 def test_a_queue_is_never_over_its_length_and_loses_nobody(steps):
     made, inside = queue(), set()
     for what, number, op_type in steps:
--- a/tests/plan/test_placement.py
+++ b/tests/plan/test_placement.py
@@ -17,20 +17,40 @@
                 held[node] += loads[block]
                 blocks[node] += 1
                 zones[nodes[node].zone] = zones.get(nodes[node].zone, 0.0) + loads[block]
-        if any(node.blocks is not None and count > node.blocks or load and not node.capacity
-               or most is not None and load > most * node.capacity * (1 + 1e-9) for node, count, load in zip(nodes, blocks, held)):
+        if any(
+            node.blocks is not None
+            and count > node.blocks
+            or load
+            and not node.capacity
+            or most is not None
+            and load > most * node.capacity * (1 + 1e-9)
+            for node, count, load in zip(nodes, blocks, held)
+        ):
             continue
-        if any(load > zone_share * total + 1e-9 for load in zones.values()) or any(count and not node.capacity for node, count in zip(nodes, blocks)):
+        if any(load > zone_share * total + 1e-9 for load in zones.values()) or any(
+            count and not node.capacity for node, count in zip(nodes, blocks)
+        ):
             continue
-        key = (round(sum(loads[block] for block, node in enumerate(where) if node is None), 9), peak_of(loads, nodes, where))
+        key = (
+            round(sum(loads[block] for block, node in enumerate(where) if node is None), 9),
+            peak_of(loads, nodes, where),
+        )
         best = key if best is None or key < best else best
     return best
 
 
 instances = some.tuples(
     some.lists(some.integers(1, 9).map(float), min_size=1, max_size=5),
-    some.lists(some.builds(Node, some.sampled_from((0.0, 3.0, 5.0, 8.0)), some.integers(0, 1), some.sampled_from((None, 1, 2))), min_size=1, max_size=3),
-    some.sampled_from((None, 0.5, 1.0)), some.sampled_from((1.0, 0.6)))
+    some.lists(
+        some.builds(
+            Node, some.sampled_from((0.0, 3.0, 5.0, 8.0)), some.integers(0, 1), some.sampled_from((None, 1, 2))
+        ),
+        min_size=1,
+        max_size=3,
+    ),
+    some.sampled_from((None, 0.5, 1.0)),
+    some.sampled_from((1.0, 0.6)),
+)
 
 
 @given(instances)
@@ -42,22 +62,32 @@
     assert bool(found.why) == (found.unplaced > 0) and place(loads, nodes, most, share) == found
 
 
-@pytest.mark.parametrize("loads, nodes, most, share, where, peak", [
-    ([4, 3, 3], [Node(10), Node(10)], None, 1.0, (0, 1, 1), 0.6),
-    ([4, 3, 3], [Node(10), Node(5)], None, 1.0, (0, 0, 1), 0.7),
-    ([5, 5, 5, 5], [Node(10), Node(10), Node(20)], None, 1.0, (0, 1, 2, 2), 0.5),
-    ([6, 4], [Node(10, 0), Node(10, 0), Node(10, 1)], None, 0.6, (0, 2), 0.6),
-    ([1, 1, 1], [Node(100, 0, 1), Node(1)], None, 1.0, (0, 1, 1), 2.0),
-    ([], [Node(1)], None, 1.0, (), 0.0)])
+@pytest.mark.parametrize(
+    "loads, nodes, most, share, where, peak",
+    [
+        ([4, 3, 3], [Node(10), Node(10)], None, 1.0, (0, 1, 1), 0.6),
+        ([4, 3, 3], [Node(10), Node(5)], None, 1.0, (0, 0, 1), 0.7),
+        ([5, 5, 5, 5], [Node(10), Node(10), Node(20)], None, 1.0, (0, 1, 2, 2), 0.5),
+        ([6, 4], [Node(10, 0), Node(10, 0), Node(10, 1)], None, 0.6, (0, 2), 0.6),
+        ([1, 1, 1], [Node(100, 0, 1), Node(1)], None, 1.0, (0, 1, 1), 2.0),
+        ([], [Node(1)], None, 1.0, (), 0.0),
+    ],
+)
 def test_hand_worked_optima(loads, nodes, most, share, where, peak):
     found = place(loads, nodes, most, share)
     assert found.where == where and found.peak == pytest.approx(peak) and found.why == ""
 
 
-@pytest.mark.parametrize("loads, nodes, most, share, unplaced, says", [
-    ([5, 4], [Node(5)], 1.0, 1.0, 4, "1 of 2 blocks have no place, 4 of 9 load"), ([9], [Node(5)], 1.0, 1.0, 9, "block 0 alone is more than any node"),
-    ([2, 2], [Node(9, 0, 1)], None, 1.0, 2, "as many blocks as they may"), ([2], [Node(0)], None, 1.0, 2, "no node can take anything"),
-    ([5, 1], [Node(9), Node(9)], None, 0.5, 5, "block 0 alone is more than a zone may hold")])
+@pytest.mark.parametrize(
+    "loads, nodes, most, share, unplaced, says",
+    [
+        ([5, 4], [Node(5)], 1.0, 1.0, 4, "1 of 2 blocks have no place, 4 of 9 load"),
+        ([9], [Node(5)], 1.0, 1.0, 9, "block 0 alone is more than any node"),
+        ([2, 2], [Node(9, 0, 1)], None, 1.0, 2, "as many blocks as they may"),
+        ([2], [Node(0)], None, 1.0, 2, "no node can take anything"),
+        ([5, 1], [Node(9), Node(9)], None, 0.5, 5, "block 0 alone is more than a zone may hold"),
+    ],
+)
 def test_what_cannot_be_met_is_said(loads, nodes, most, share, unplaced, says):
     found = place(loads, nodes, most, share)
     assert found.unplaced == pytest.approx(unplaced) and says in found.why
@@ -67,7 +97,9 @@
     assert place([1, 1], [Node(5)] * 4).where == (0, 1) and place([2, 2, 2, 2], [Node(4)] * 2).where == (0, 0, 1, 1)
 
 
-@given(some.lists(some.floats(0.1, 10), min_size=20, max_size=60), some.lists(some.floats(5, 50), min_size=7, max_size=12))
+@given(
+    some.lists(some.floats(0.1, 10), min_size=20, max_size=60), some.lists(some.floats(5, 50), min_size=7, max_size=12)
+)
 def test_large_instances_are_near_what_no_placement_can_beat(loads, capacities):
     nodes = [Node(capacity) for capacity in capacities]
     found = place(loads, nodes)
--- a/tests/plan/test_pools.py
+++ b/tests/plan/test_pools.py
@@ -79,8 +79,15 @@
     assert made.share(40 * S) == 1.0
 
 
-@given(some.lists(some.tuples(some.sampled_from(("take", "open", "fail", "done", "drop", "lost", "age", "withdraw", "restore")),
-                              some.integers(0, 4 * S)), max_size=60))
+@given(
+    some.lists(
+        some.tuples(
+            some.sampled_from(("take", "open", "fail", "done", "drop", "lost", "age", "withdraw", "restore")),
+            some.integers(0, 4 * S),
+        ),
+        max_size=60,
+    )
+)
 def test_no_connection_is_used_twice_at_once_kept_when_shut_or_over_the_limit(steps):
     made, now, given, dials, busy, idle, shut = pool(), 0, 0, 0, set(), set(), False
     for what, wait in steps:
--- a/tests/plan/test_returning.py
+++ b/tests/plan/test_returning.py
@@ -45,7 +45,12 @@
         assert sent < can * WARMTH.multiple
 
 
-@given(some.lists(some.tuples(some.integers(0, 2 * S), some.integers(0, 50), some.integers(0, 50), some.floats(1, 500)), max_size=30))
+@given(
+    some.lists(
+        some.tuples(some.integers(0, 2 * S), some.integers(0, 50), some.integers(0, 50), some.floats(1, 500)),
+        max_size=30,
+    )
+)
 def test_whatever_is_reported_an_allowance_is_within_the_budget_and_never_of_an_older_node(reports):
     ramp, now = Ramp(WARMTH, 0, 0), 0
     for wait, acked, failed, time in reports:
--- a/tests/plan/test_tiers.py
+++ b/tests/plan/test_tiers.py
@@ -40,16 +40,21 @@
     assert plan.flows[1, 2] == pytest.approx(40) and plan.flows[0, 3] == pytest.approx(50) and plan.unserved == {}
 
 
-@given(some.lists(some.floats(0, 100), min_size=3, max_size=3), some.lists(some.floats(0, 100), min_size=3, max_size=3),
-       some.lists(some.sets(some.integers(3, 5)), min_size=3, max_size=3))
+@given(
+    some.lists(some.floats(0, 100), min_size=3, max_size=3),
+    some.lists(some.floats(0, 100), min_size=3, max_size=3),
+    some.lists(some.sets(some.integers(3, 5)), min_size=3, max_size=3),
+)
 def test_within_a_tier_as_much_is_served_as_can_be(brings, rooms, choices):
     """Against the least cut, by every subset of the zones that bring something."""
     demand = {zone: amount for zone, amount in enumerate(brings)}
     tiers = {zone: [sorted(choice)] for zone, choice in enumerate(choices)}
     plan = spread(demand, {3 + place: room for place, room in enumerate(rooms)}, tiers, (1.0,))
-    least = min(sum(brings[zone] for zone in range(3) if not subset >> zone & 1)
-                + sum(rooms[other - 3] for other in set().union(*(choices[zone] for zone in range(3) if subset >> zone & 1)))
-                for subset in range(8))
+    least = min(
+        sum(brings[zone] for zone in range(3) if not subset >> zone & 1)
+        + sum(rooms[other - 3] for other in set().union(*(choices[zone] for zone in range(3) if subset >> zone & 1)))
+        for subset in range(8)
+    )
     assert sum(plan.flows.values()) == pytest.approx(least, abs=1e-5)
 
 
@@ -105,7 +110,8 @@
 def test_distances_are_learned_in_the_right_order():
     found = learned(30)
     assert [round(found.between(*pair) / MS) for pair in ((0, 1), (1, 2), (0, 2))] == sorted(
-        round(found.between(*pair) / MS) for pair in ((0, 1), (1, 2), (0, 2)))
+        round(found.between(*pair) / MS) for pair in ((0, 1), (1, 2), (0, 2))
+    )
     assert found.between(0, 1) == found.between(1, 0) and learned(4).between(0, 1) is None
 
 
@@ -137,6 +143,8 @@
     assert switch.look(1.0, 0.0) and not switch.look(0.0, 0.0)
 
 
-@pytest.mark.parametrize("ready, known, panic", [(5, 12, True), (6, 12, False), (0, 0, False), (0, 1, True), (1, 1, False)])
+@pytest.mark.parametrize(
+    "ready, known, panic", [(5, 12, True), (6, 12, False), (0, 0, False), (0, 1, True), (1, 1, False)]
+)
 def test_below_the_panic_level_all_known_nodes_are_used_again(ready, known, panic):
     assert panics(ready, known, 0.5) is panic
--- a/tests/plan/test_zones.py
+++ b/tests/plan/test_zones.py
@@ -68,7 +68,12 @@
     site = Site()
     site.lose(0, OWN)
     assert site.zones(1) == [OWN]  # the first look
-    assert site.zones(2) == [NEAR] and site.zones(S) == [NEAR] and site.zones(S + 1) == [OWN] and site.zones(S + 2) == [NEAR]
+    assert (
+        site.zones(2) == [NEAR]
+        and site.zones(S) == [NEAR]
+        and site.zones(S + 1) == [OWN]
+        and site.zones(S + 2) == [NEAR]
+    )
     site.meet(2 * S, OWN)
     assert site.zones(2 * S) == [OWN] and site.made.counts == {"zones_lost": 1, "zones_back": 1, "spilled": 3}
 
@@ -113,7 +118,12 @@
     assert site.zones(lines=()) == []
 
 
-@given(some.lists(some.tuples(some.integers(0, 5), some.sampled_from(("met", "nobody", "fill")), some.integers(0, 2 * S)), max_size=60))
+@given(
+    some.lists(
+        some.tuples(some.integers(0, 5), some.sampled_from(("met", "nobody", "fill")), some.integers(0, 2 * S)),
+        max_size=60,
+    )
+)
 def test_what_is_chosen_is_one_of_the_lines_and_never_past_a_limit_but_in_panic(steps):
     site, now = Site(), 0
     for place, what, wait in steps:
--- a/tests/relay/test_control.py
+++ b/tests/relay/test_control.py
@@ -15,8 +15,19 @@
         self.kit, self.standing, self.changed, self.fails = Kit(), standing, [], 0
         self.hub = Party(self.kit, self.asked)
         self.tables, self.ids = Tables(4, 2, 1), Ids(text)
-        self.control = Control(self.kit.loop, self.kit.pool, self.kit.counters, self.hub.at, 17, "a", self.ids, self.tables,
-                               ["look", "place"], {}, self.changed.append)
+        self.control = Control(
+            self.kit.loop,
+            self.kit.pool,
+            self.kit.counters,
+            self.hub.at,
+            17,
+            "a",
+            self.ids,
+            self.tables,
+            ["look", "place"],
+            {},
+            self.changed.append,
+        )
 
     def asked(self, visitor, path, body):
         if path.startswith("/v1/tables"):
@@ -56,8 +67,12 @@
     return {"type": kind, "object": fields}
 
 
-STANDING = (message("node", name="s-1", address="127.0.0.1:1", zone="a"), message("joined", source=0),
-            message("table", table=1, source=0, lines={"s-1": 1.0, "s-2": 2.0}), {})
+STANDING = (
+    message("node", name="s-1", address="127.0.0.1:1", zone="a"),
+    message("joined", source=0),
+    message("table", table=1, source=0, lines={"s-1": 1.0, "s-2": 2.0}),
+    {},
+)
 
 
 @pytest.fixture
@@ -78,26 +93,42 @@
     here = site(*STANDING)
     here.wait(lambda: here.changed == [[1]])
     assert here.lines(1) == {"s-1": 1.0, "s-2": 2.0} and here.control.addresses == {here.ids.node("s-1"): "127.0.0.1:1"}
-    here.tell(message("orders", source=0, number=0, orders=[["line", 2, "s-3", 1.5], ["take_out", "s-2", True], ["mark", 905]]))
+    here.tell(
+        message(
+            "orders", source=0, number=0, orders=[["line", 2, "s-3", 1.5], ["take_out", "s-2", True], ["mark", 905]]
+        )
+    )
     here.wait(lambda: here.posts("/v1/done"))
     assert here.posts("/v1/done") == [{"relay": 17, "source": 0, "mark": 905}]
     assert here.lines(1) == {"s-1": 1.0} and sorted(here.changed[-1]) == [1, 2]
 
 
-@pytest.mark.parametrize("line, counter", [
-    (message("orders", source=0, number=3, orders=[]), "tables_refused"),
-    (message("orders", source=0, number=0, orders=[["line", 1, "s-1", 9.0], ["line", 9, "s-1", 1.0]]), "tables_refused"),
-    (message("orders", source=7, number=0, orders=[]), "tables_refused"),
-    (message("orders", source=0, number=0, orders=[["line", 1, "s-1"]]), "tables_unreadable"),
-    (message("orders", source=0, number=0, orders=[["erase", 1]]), "tables_unreadable"),
-    (message("orders", source=0, number=0, orders="all"), "tables_unreadable"),
-    (message("table", table=4, source=0, lines={}), "tables_unreadable"),
-    (message("table", table=1, source=0, lines={"s-1": -1}), "tables_unreadable"), (message("spell"), "tables_unreadable"),
-    (b"{\n", "tables_unreadable"), (b"5\n", "tables_unreadable"), ({"type": "orders"}, "tables_unreadable")])
+@pytest.mark.parametrize(
+    "line, counter",
+    [
+        (message("orders", source=0, number=3, orders=[]), "tables_refused"),
+        (
+            message("orders", source=0, number=0, orders=[["line", 1, "s-1", 9.0], ["line", 9, "s-1", 1.0]]),
+            "tables_refused",
+        ),
+        (message("orders", source=7, number=0, orders=[]), "tables_refused"),
+        (message("orders", source=0, number=0, orders=[["line", 1, "s-1"]]), "tables_unreadable"),
+        (message("orders", source=0, number=0, orders=[["erase", 1]]), "tables_unreadable"),
+        (message("orders", source=0, number=0, orders="all"), "tables_unreadable"),
+        (message("table", table=4, source=0, lines={}), "tables_unreadable"),
+        (message("table", table=1, source=0, lines={"s-1": -1}), "tables_unreadable"),
+        (message("spell"), "tables_unreadable"),
+        (b"{\n", "tables_unreadable"),
+        (b"5\n", "tables_unreadable"),
+        ({"type": "orders"}, "tables_unreadable"),
+    ],
+)
 def test_what_cannot_be_used_ends_the_stream_and_what_was_applied_stays_until_all_is_told_anew(site, line, counter):
     here = site(*STANDING)
     here.wait(lambda: here.changed)
-    here.tell(message("orders", source=0, number=0, orders=[["line", 2, "s-3", 1.5]]) if "number=3" in str(line) else {})
+    here.tell(
+        message("orders", source=0, number=0, orders=[["line", 2, "s-3", 1.5]]) if "number=3" in str(line) else {}
+    )
     here.standing = (*STANDING, message("table", table=2, source=0, lines={"s-9": 1.0}))
     here.tell(line)
     here.wait(lambda: here.count(counter) == 1)
@@ -128,8 +159,13 @@
         here.control.on_try(1, node, 0, good, 30 * MS)
         here.control.on_op(1, 0, "acked" if good else "aborted")
     here.wait(lambda: here.posts("/v1/reports"))
-    assert here.posts("/v1/reports")[0] == {"relay": 17, "zone": "a", "span": 1000.0, "heat": [[1, "look", 3, 1]],
-                                           "tries": [["s-1", 0, 3, 1, 30.0]]}
+    assert here.posts("/v1/reports")[0] == {
+        "relay": 17,
+        "zone": "a",
+        "span": 1000.0,
+        "heat": [[1, "look", 3, 1]],
+        "tries": [["s-1", 0, 3, 1, 30.0]],
+    }
 
 
 def test_posts_that_pile_up_are_bounded_and_marks_outlast_reports(site):
--- a/tests/relay/test_proxy.py
+++ b/tests/relay/test_proxy.py
@@ -54,7 +54,9 @@
 class Node:
     def __init__(self, kit, does=None):
         self.kit, self.does, self.peers = kit, does, []
-        self.listener = Listener(kit.loop, ("127.0.0.1", 0), lambda sock: self.peers.append(Peer(self, sock)), print, MS)
+        self.listener = Listener(
+            kit.loop, ("127.0.0.1", 0), lambda sock: self.peers.append(Peer(self, sock)), print, MS
+        )
         self.at = "%s:%d" % self.listener.at
 
     def seen(self):
@@ -74,6 +76,7 @@
         while peer.data.count(b"\r\n\r\n") > getattr(peer, "replied", 0):
             peer.replied = getattr(peer, "replied", 0) + 1
             peer.write(left.pop(0) if len(left) > 1 else left[0])
+
     return does
 
 
@@ -97,7 +100,7 @@
         view = memoryview(data)
         while view:
             try:
-                view = view[self.sock.send(view):]
+                view = view[self.sock.send(view) :]
             except BlockingIOError:
                 self.kit.loop.at(self.kit.loop.now() + MS, lambda: None)
                 self.kit.loop.turn()
@@ -122,19 +125,40 @@
         random = Random(fields.get("seed", 1))
         timeouts = fields.get("timeouts", (2 * S, S, 2 * S))
         self.attempts = Attempts(
-            random, self.tables, timeouts, fields.get("pick", "random"), fields.get("hold", 300 * MS),
-            Avoidance(random, fields.get("strikes", 0), (S, S)), budget=fields.get("budget"),
+            random,
+            self.tables,
+            timeouts,
+            fields.get("pick", "random"),
+            fields.get("hold", 300 * MS),
+            Avoidance(random, fields.get("strikes", 0), (S, S)),
+            budget=fields.get("budget"),
             limits=Limits(LimitTerms(*fields["limits"])) if "limits" in fields else None,
-            queue=Queue(4, (S, S, S), (1.0, 5.0, 2.0), 0.5))
+            queue=Queue(4, (S, S, S), (1.0, 5.0, 2.0), 0.5),
+        )
         self.addresses = {place: node.at for place, node in enumerate(self.nodes)}
         self.tries, self.ops = [], []
-        kinds = [Kind("look", b"GET", b"/look", False, timeouts[0]), Kind("place", b"POST", b"/place", False, timeouts[1]),
-                 Kind("keyed", b"", b"/keyed", True, timeouts[2])]
+        kinds = [
+            Kind("look", b"GET", b"/look", False, timeouts[0]),
+            Kind("place", b"POST", b"/place", False, timeouts[1]),
+            Kind("keyed", b"", b"/keyed", True, timeouts[2]),
+        ]
         self.proxy = Proxy(
-            self.kit.loop, self.kit.pool, self.kit.counters, ("127.0.0.1", 0), kinds, fields.get("bounds", Bounds()),
-            self.tables, self.attempts, admission.Admission(fields.get("admission", admission.Terms())),
-            answers.Answers(answers.Terms()), fields.get("pools", pools.Terms()), self.addresses,
-            fields.get("block", lambda exchange: 0), lambda *told: self.tries.append(told), lambda *told: self.ops.append(told))
+            self.kit.loop,
+            self.kit.pool,
+            self.kit.counters,
+            ("127.0.0.1", 0),
+            kinds,
+            fields.get("bounds", Bounds()),
+            self.tables,
+            self.attempts,
+            admission.Admission(fields.get("admission", admission.Terms())),
+            answers.Answers(answers.Terms()),
+            fields.get("pools", pools.Terms()),
+            self.addresses,
+            fields.get("block", lambda exchange: 0),
+            lambda *told: self.tries.append(told),
+            lambda *told: self.ops.append(told),
+        )
 
     def client(self, data=b""):
         self.clients.append(Client(self.kit, self.proxy.at))
@@ -188,11 +212,19 @@
 
 
 def test_what_belongs_to_one_connection_is_not_passed_on_and_the_deadline_is(site):
-    here = site(answers_with(b"HTTP/1.1 200 OK\r\nX-A: 1\r\nKeep-Alive: 5\r\nConnection: x-b\r\nX-B: 2\r\nContent-Length: 0\r\n\r\n"))
-    client = here.client(b"GET /look HTTP/1.1\r\nHost: a\r\nConnection: X-Mine, close\r\nX-Mine: 1\r\nTE: x\r\nX-Deadline-Ms: 9\r\nX-Kept: 1\r\n\r\n")
+    here = site(
+        answers_with(
+            b"HTTP/1.1 200 OK\r\nX-A: 1\r\nKeep-Alive: 5\r\nConnection: x-b\r\nX-B: 2\r\nContent-Length: 0\r\n\r\n"
+        )
+    )
+    client = here.client(
+        b"GET /look HTTP/1.1\r\nHost: a\r\nConnection: X-Mine, close\r\nX-Mine: 1\r\nTE: x\r\nX-Deadline-Ms: 9\r\nX-Kept: 1\r\n\r\n"
+    )
     here.wait(lambda: client.ended)
     seen = here.nodes[0].seen().lower()
-    assert b"x-kept: 1" in seen and b"x-mine" not in seen and b"\r\nte:" not in seen and seen.count(b"x-deadline-ms") == 1
+    assert (
+        b"x-kept: 1" in seen and b"x-mine" not in seen and b"\r\nte:" not in seen and seen.count(b"x-deadline-ms") == 1
+    )
     assert b"x-deadline-ms: 1" in seen and b"X-A: 1" in client.data
     assert b"X-B" not in client.data and b"Keep-Alive" not in client.data and b"Connection: close" in client.data
 
@@ -331,12 +363,20 @@
     assert here.attempts.counts["second_tries"] == 0
 
 
-@pytest.mark.parametrize("request_", [
-    b"GET /look HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
-    b"POST /place HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    b"GET /look HTTP/1.1\nHost: a\n\n", b"GET /look HTTP/1.1\r\nHost: a\nX: b\r\n\r\n",
-    b"GET /look HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n", b"GET /look HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n",
-    b"GET /look HTTP/1.1\r\n\r\n", b"\x00\x01\x02\r\n\r\n", b"GET /look HTTP/9.9\r\nHost: a\r\n\r\n"])
+@pytest.mark.parametrize(
+    "request_",
+    [
+        b"GET /look HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+        b"POST /place HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET /look HTTP/1.1\nHost: a\n\n",
+        b"GET /look HTTP/1.1\r\nHost: a\nX: b\r\n\r\n",
+        b"GET /look HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n",
+        b"GET /look HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n",
+        b"GET /look HTTP/1.1\r\n\r\n",
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET /look HTTP/9.9\r\nHost: a\r\n\r\n",
+    ],
+)
 def test_a_request_that_can_be_read_in_two_ways_or_not_at_all_is_refused_and_reaches_no_node(site, request_):
     here = site(answers_with(OK))
     client = here.client(request_ + GET)
@@ -344,13 +384,18 @@
     assert client.data.startswith(b"HTTP/1.1 400") and client.data.count(b"HTTP/1.1") == 1 and not here.nodes[0].peers
 
 
-@pytest.mark.parametrize("request_, status", [
-    (b"GET /look HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n", 501),
-    (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501), (b"GET /other HTTP/1.1\r\nHost: a\r\n\r\n", 501),
-    (b"POST /place HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501),
-    (b"GET /look HTTP/1.1\r\nHost: a\r\nExpect: tea\r\n\r\n", 417),
-    (b"POST /place HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", 413),
-    (b"GET /look HTTP/1.1\r\nHost: a\r\n" + b"X: %s\r\n" % (b"y" * 8000) * 5, 431)])
+@pytest.mark.parametrize(
+    "request_, status",
+    [
+        (b"GET /look HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n", 501),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 501),
+        (b"GET /other HTTP/1.1\r\nHost: a\r\n\r\n", 501),
+        (b"POST /place HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501),
+        (b"GET /look HTTP/1.1\r\nHost: a\r\nExpect: tea\r\n\r\n", 417),
+        (b"POST /place HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", 413),
+        (b"GET /look HTTP/1.1\r\nHost: a\r\n" + b"X: %s\r\n" % (b"y" * 8000) * 5, 431),
+    ],
+)
 def test_what_is_not_served_says_so(site, request_, status):
     here = site(answers_with(OK))
     client = here.client(request_)
@@ -358,11 +403,18 @@
     assert client.data.startswith(b"HTTP/1.1 %d" % status) and not here.nodes[0].peers
 
 
-@pytest.mark.parametrize("reply", [
-    b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
-    b"HTTP/1.1 200 OK\nContent-Length: 1\n\nx", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx",
-    b"HTTP/1.1 200 OK\r\n" + b"X: %s\r\n" % (b"y" * 9000) * 5])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+        b"HTTP/1.1 200 OK\nContent-Length: 1\n\nx",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx",
+        b"HTTP/1.1 200 OK\r\n" + b"X: %s\r\n" % (b"y" * 9000) * 5,
+    ],
+)
 def test_an_answer_that_can_be_read_in_two_ways_or_not_at_all_ends_its_try_without_proof(site, reply):
     here = site(answers_with(reply), answers_with(reply))
     client = here.client(post())
@@ -378,10 +430,17 @@
     assert client.data == OK * 2 and here.nodes[0].peers[0].gone
 
 
-@pytest.mark.parametrize("reply, expected", [
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n", b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"),
-    (b"HTTP/1.1 204 No\r\n\r\n", b"HTTP/1.1 204 No\r\n\r\n"),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, OK)])
+@pytest.mark.parametrize(
+    "reply, expected",
+    [
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n",
+            b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+        ),
+        (b"HTTP/1.1 204 No\r\n\r\n", b"HTTP/1.1 204 No\r\n\r\n"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, OK),
+    ],
+)
 def test_answers_of_every_framing_come_through(site, reply, expected):
     here = site(answers_with(reply))
     client = here.client(GET)
@@ -421,7 +480,9 @@
 
     here = site(echo, timeouts=(20 * S, 20 * S, S))
     body = b"".join(b"%x\r\n%s\r\n" % (1 << 16, b"y" * (1 << 16)) for _ in range(size >> 16)) + b"0\r\n\r\n"
-    head = b"POST /place HTTP/1.1\r\nHost: a\r\n" + (b"Transfer-Encoding: chunked\r\n\r\n" if chunked else b"Content-Length: %d\r\n\r\n" % size)
+    head = b"POST /place HTTP/1.1\r\nHost: a\r\n" + (
+        b"Transfer-Encoding: chunked\r\n\r\n" if chunked else b"Content-Length: %d\r\n\r\n" % size
+    )
     client = here.client(head + (body if chunked else b"y" * size))
     here.wait(lambda: client.data.endswith(b"z" * 9) and len(client.data) > size)
     assert here.nodes[0].peers[0].data.count(b"y") == size and client.data.count(b"z") == size
@@ -429,7 +490,9 @@
 
 def test_a_slow_reader_holds_up_the_node_and_not_the_relays_memory(site):
     size = 12 << 20
-    here = site(answers_with(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"z" * size), timeouts=(20 * S, S, S))
+    here = site(
+        answers_with(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"z" * size), timeouts=(20 * S, S, S)
+    )
     sock = socket.create_connection(here.proxy.at)
     sock.sendall(GET)
     most = 0
@@ -498,7 +561,11 @@
     keyed = post(b"/keyed", b"body", b"Idempotency-Key: k1\r\n")
     first, second = here.client(keyed), here.client(keyed)
     here.wait(lambda: first.data and second.data)
-    assert first.data.startswith(b"HTTP/1.1 503") and second.data.startswith(b"HTTP/1.1 503") and b"Retry-After: 1" in second.data
+    assert (
+        first.data.startswith(b"HTTP/1.1 503")
+        and second.data.startswith(b"HTTP/1.1 503")
+        and b"Retry-After: 1" in second.data
+    )
 
 
 @pytest.mark.parametrize("lines, hold, why", [({}, 0, "no line"), ({}, 30 * MS, "no line")])
@@ -598,19 +665,39 @@
     assert 100 < here.requests() <= 100 * 1.1 + 1
 
 
-BYTES = some.lists(some.sampled_from([
-    GET, post(), b"POST /place HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", b"2\r\nab\r\n", b"0\r\n\r\n", b"\r\n", b"\n",
-    b"GET /look HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n", b"abc", b"\x00", b"Content-Length: 1\r\n", b"HTTP/1.1 200 OK\r\n",
-    b"HTTP/1.1 503 F\r\nX-Not-Started: 1\r\n", OK, NOT_STARTED]), max_size=7).map(b"".join)
+BYTES = some.lists(
+    some.sampled_from(
+        [
+            GET,
+            post(),
+            b"POST /place HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"2\r\nab\r\n",
+            b"0\r\n\r\n",
+            b"\r\n",
+            b"\n",
+            b"GET /look HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n",
+            b"abc",
+            b"\x00",
+            b"Content-Length: 1\r\n",
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 503 F\r\nX-Not-Started: 1\r\n",
+            OK,
+            NOT_STARTED,
+        ]
+    ),
+    max_size=7,
+).map(b"".join)
 
 
 @given(BYTES, BYTES, some.integers(1, 40))
 def test_no_bytes_of_either_side_raise_anything_or_leave_anything_behind(sent, reply, cut):
     """The loop raises whatever is raised in it; `close` of the site holds that all was given back."""
-    here = Site(lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), timeouts=(60 * MS,) * 3, hold=0)
+    here = Site(
+        lambda peer: peer.gone or peer.write(reply) or peer.connection.close("end"), timeouts=(60 * MS,) * 3, hold=0
+    )
     client = here.client()
     for place in range(0, len(sent), cut):
-        client.send(sent[place:place + cut])
+        client.send(sent[place : place + cut])
         here.pass_time(0)
         if client.ended:
             break
--- a/tests/relay/test_relay_program.py
+++ b/tests/relay/test_relay_program.py
@@ -52,8 +52,12 @@
             visitor.reply({})
             return
         visitor.begin()
-        visitor.tell({"type": "node", "object": {"name": "s-1", "address": self.node.at}}, {"type": "joined", "object": {"source": 0}},
-                     *({"type": "table", "object": {"table": table, "source": 0, "lines": {"s-1": 1.0}}} for table in range(4)), {})
+        visitor.tell(
+            {"type": "node", "object": {"name": "s-1", "address": self.node.at}},
+            {"type": "joined", "object": {"source": 0}},
+            *({"type": "table", "object": {"table": table, "source": 0, "lines": {"s-1": 1.0}}} for table in range(4)),
+            {},
+        )
 
     def start(self):
         program = Process(self.kit.loop, WORDS + (str(self.path),))
@@ -112,7 +116,10 @@
     client = site.client(program, GET)
     site.wait(lambda: client.data == OK)
     text = site.path.read_text()
-    for bad, says in ((text.replace("kept_bytes", "keptbytes"), "is kept_bytes meant?"), (text.replace("order-place", "other"), "op types can't be")):
+    for bad, says in (
+        (text.replace("kept_bytes", "keptbytes"), "is kept_bytes meant?"),
+        (text.replace("order-place", "other"), "op types can't be"),
+    ):
         site.path.write_text(bad)
         program.kill(signal.SIGHUP)
         site.wait(lambda says=says: program.lines(says))
@@ -173,12 +180,22 @@
     office.close()
 
 
-@pytest.mark.parametrize("old, new, says", [
-    ("listen = 127.0.0.1:0", "listen = here", "line 2, [relay], field listen: expected an IPv4 address"),
-    ("zone = a\n", "", "line 1, [relay]: field zone of [relay]: missing"), ("slices = 4", "slices = 0", "field slices"),
-    ("target = 200ms", "target = 400ms", "field target: expected within the op timeout"),
-    ("effect = retryable", "effect = twice", "field effect"), ("hub = 127.0.0.1:1\n", "", ""),
-    ("hub = 127.0.0.1:1\nnumber = 3\nzone = a\nslices = 4\nstate = x/state\n", "zone = a\nslices = 4\n", "neither a hub nor kept tables")])
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        ("listen = 127.0.0.1:0", "listen = here", "line 2, [relay], field listen: expected an IPv4 address"),
+        ("zone = a\n", "", "line 1, [relay]: field zone of [relay]: missing"),
+        ("slices = 4", "slices = 0", "field slices"),
+        ("target = 200ms", "target = 400ms", "field target: expected within the op timeout"),
+        ("effect = retryable", "effect = twice", "field effect"),
+        ("hub = 127.0.0.1:1\n", "", ""),
+        (
+            "hub = 127.0.0.1:1\nnumber = 3\nzone = a\nslices = 4\nstate = x/state\n",
+            "zone = a\nslices = 4\n",
+            "neither a hub nor kept tables",
+        ),
+    ],
+)
 def test_a_relays_file_that_cannot_be_used_names_its_line(old, new, says):
     text = FILE % ("127.0.0.1:1", "x", "x")
     assert old in text
@@ -195,4 +212,8 @@
     client = site.client(program, GET)
     site.wait(lambda: client.data == OK and (site.folder / "state").exists())
     kept = json.loads((site.folder / "state").read_text().splitlines()[0])
-    assert kept["form"] == 1 and kept["tables"]["lines"] == [{"s-1": 1.0}] * 4 and kept["addresses"] == {"s-1": site.node.at}
+    assert (
+        kept["form"] == 1
+        and kept["tables"]["lines"] == [{"s-1": 1.0}] * 4
+        and kept["addresses"] == {"s-1": site.node.at}
+    )
--- a/tests/sharding/test_claims.py
+++ b/tests/sharding/test_claims.py
@@ -134,7 +134,9 @@
                 if name not in was:
                     terms += 1
                     assert (record or 0) >= known, seed
-            records = sorted((reg.get("views", Register()).record or 0 for reg in yard.registers.values()), reverse=True)
+            records = sorted(
+                (reg.get("views", Register()).record or 0 for reg in yard.registers.values()), reverse=True
+            )
             known = max(known, records[1])
             if chance.random() < 0.01:
                 yard.away = {chance.choice(NAMES)} if not yard.away else set()
--- a/tests/sharding/test_model.py
+++ b/tests/sharding/test_model.py
@@ -66,14 +66,15 @@
 
 
 def put(values, place, value):
-    return (*values[:place], value, *values[place + 1:])
+    return (*values[:place], value, *values[place + 1 :])
 
 
 def record(world, group, ballot, seq, server):
     members = list(world.members)
     for place in group:
-        members[place] = members[place]._replace(promised=max(ballot, members[place].promised), ballot=ballot, seq=seq,
-                                                 server=server)
+        members[place] = members[place]._replace(
+            promised=max(ballot, members[place].promised), ballot=ballot, seq=seq, server=server
+        )
     return world._replace(members=tuple(members))
 
 
@@ -88,10 +89,17 @@
             if me not in group or not all(member.whole for member in chosen):
                 continue
             ballot = max(member.promised for member in world.members) + 1
-            if me in CLAIM and mine is None and ballot <= MOST_BALLOT and all(member.bound == 0 or member.to == me for member in chosen):
+            if (
+                me in CLAIM
+                and mine is None
+                and ballot <= MOST_BALLOT
+                and all(member.bound == 0 or member.to == me for member in chosen)
+            ):
                 newest = max(chosen, key=lambda member: (member.ballot, member.seq))
                 wait = 0 if defect == "no wait" or not newest.ballot else HOLD + SLOW
-                decider = Decider(ballot, 1, newest.server, ballot * 10, LEASE, wait, "held" if newest.server else "free")
+                decider = Decider(
+                    ballot, 1, newest.server, ballot * 10, LEASE, wait, "held" if newest.server else "free"
+                )
                 members = world.members
                 for place in group:
                     members = put(members, place, members[place]._replace(promised=ballot, bound=LEASE, to=me))
@@ -103,39 +111,63 @@
                 members = world.members
                 for place in group:
                     members = put(members, place, members[place]._replace(bound=LEASE, to=me))
-                yield f"renew {me} {group}", world._replace(members=members, deciders=put(
-                    world.deciders, me, mine._replace(lease=LEASE)))
+                yield (
+                    f"renew {me} {group}",
+                    world._replace(members=members, deciders=put(world.deciders, me, mine._replace(lease=LEASE))),
+                )
             if mine.state == "free" and mine.lease and world.moves < MOST_MOVES:
                 for server in range(1, len(world.servers) + 1):
                     moved = mine._replace(seq=mine.seq + 1, server=server, fence=mine.fence + 1, wait=0, state="held")
                     after = record(world, () if defect == "no record" else group, mine.ballot, moved.seq, server)
-                    yield f"move {me} {group} {server}", after._replace(
-                        deciders=put(world.deciders, me, moved), moves=world.moves + 1)
+                    yield (
+                        f"move {me} {group} {server}",
+                        after._replace(deciders=put(world.deciders, me, moved), moves=world.moves + 1),
+                    )
         if mine is not None:
             yield from acts(world, me, mine, defect)
         if world.faults:
             left = world._replace(deciders=put(world.deciders, me, None), faults=world.faults - 1)
-            yield f"restart {me}", left._replace(
-                members=put(world.members, me, world.members[me]._replace(bound=LEASE, to=-1)))
-            yield f"wipe {me}", left._replace(
-                members=put(world.members, me, Member(bound=LEASE, whole=defect == "wiped counts")))
+            yield (
+                f"restart {me}",
+                left._replace(members=put(world.members, me, world.members[me]._replace(bound=LEASE, to=-1))),
+            )
+            yield (
+                f"wipe {me}",
+                left._replace(members=put(world.members, me, Member(bound=LEASE, whole=defect == "wiped counts"))),
+            )
         if not world.members[me].whole:
             others = [member for place, member in enumerate(world.members) if place != me and member.whole]
             if len(others) >= count - count // 2:
                 newest = max(others, key=lambda member: (member.ballot, member.seq))
-                yield f"rejoin {me}", world._replace(members=put(world.members, me, newest._replace(
-                    promised=max(member.promised for member in others), bound=LEASE, to=-1)))
+                yield (
+                    f"rejoin {me}",
+                    world._replace(
+                        members=put(
+                            world.members,
+                            me,
+                            newest._replace(promised=max(member.promised for member in others), bound=LEASE, to=-1),
+                        )
+                    ),
+                )
     if world.late is not None:
         server, fence = world.late
         yield "arrives", arrived(world._replace(late=None), server, fence)
         yield "is lost", world._replace(late=None)
-    yield "tick", world._replace(
-        members=tuple(member._replace(bound=max(0, member.bound - 1), to=member.to if member.bound > 1 else -1)
-                      for member in world.members),
-        deciders=tuple(decider and decider._replace(lease=max(0, decider.lease - 1), wait=max(0, decider.wait - 1))
-                       for decider in world.deciders),
-        servers=tuple(server._replace(hold=max(0, server.hold - 1)) for server in world.servers),
-        late=None)  # its connection was reset
+    yield (
+        "tick",
+        world._replace(
+            members=tuple(
+                member._replace(bound=max(0, member.bound - 1), to=member.to if member.bound > 1 else -1)
+                for member in world.members
+            ),
+            deciders=tuple(
+                decider and decider._replace(lease=max(0, decider.lease - 1), wait=max(0, decider.wait - 1))
+                for decider in world.deciders
+            ),
+            servers=tuple(server._replace(hold=max(0, server.hold - 1)) for server in world.servers),
+            late=None,
+        ),
+    )  # its connection was reset
 
 
 def arrived(world, server, fence):
@@ -161,9 +193,13 @@
     if mine.state == "stopped":
         held, fence = world.servers[mine.server - 1], mine.fence + (defect != "old fence")
         risen = Server(max(held.fence, fence), 0)
-        yield f"release {me}", world._replace(
-            servers=put(world.servers, mine.server - 1, risen),
-            deciders=put(world.deciders, me, mine._replace(state="free", fence=fence, wait=0)))
+        yield (
+            f"release {me}",
+            world._replace(
+                servers=put(world.servers, mine.server - 1, risen),
+                deciders=put(world.deciders, me, mine._replace(state="free", fence=fence, wait=0)),
+            ),
+        )
 
 
 def alike(world):
@@ -184,11 +220,16 @@
             named.setdefault(server, len(named))
         places = sorted(range(1, len(named)), key=named.get)
         found = World(
-            (*(one._replace(server=named[one.server]) for one in members),
-             *sorted(one._replace(server=named[one.server]) for one in others)),
+            (
+                *(one._replace(server=named[one.server]) for one in members),
+                *sorted(one._replace(server=named[one.server]) for one in others),
+            ),
             (*(one and one._replace(server=named[one.server]) for one in deciders), *world.deciders[2:]),
             tuple(world.servers[place - 1] for place in places),
-            world.late and (named[world.late[0]], world.late[1]), world.moves, world.faults)
+            world.late and (named[world.late[0]], world.late[1]),
+            world.moves,
+            world.faults,
+        )
         key = (found.members, found.servers, [one or () for one in found.deciders], found.late or ())
         if best is None or key < best[0]:
             best = key, found
@@ -222,8 +263,9 @@
     assert trace is None and met >= 20_000, trace
 
 
-@pytest.mark.parametrize("defect, last", [("no wait", "grant"), ("no record", "grant"), ("wiped counts", "grant"),
-                                          ("old fence", "arrives")])
+@pytest.mark.parametrize(
+    "defect, last", [("no wait", "grant"), ("no record", "grant"), ("wiped counts", "grant"), ("old fence", "arrives")]
+)
 def test_each_safeguard_left_out_is_found_with_a_shortest_trace(defect, last):
     met, _, trace = explore(3, 2, defect)
     assert trace is not None and trace[-1].split()[0] == last and met < 50_000, (met, trace)
@@ -235,5 +277,8 @@
     for members, servers, MOST_MOVES in ((3, 2, 2), (5, 3, 1), (3, 3, 3), (5, 3, 2)):
         began = time.perf_counter()
         met, whole, trace = explore(members, servers)
-        print(f"{members} members, {servers} servers, {MOST_MOVES} moves: {met} worlds, {'all' if whole else 'not all'}, "
-              f"{'no two holders' if trace is None else trace}, {time.perf_counter() - began:.0f} s", flush=True)
+        print(
+            f"{members} members, {servers} servers, {MOST_MOVES} moves: {met} worlds, {'all' if whole else 'not all'}, "
+            f"{'no two holders' if trace is None else trace}, {time.perf_counter() - began:.0f} s",
+            flush=True,
+        )
--- a/tests/sharding/test_placing.py
+++ b/tests/sharding/test_placing.py
@@ -43,8 +43,9 @@
             service = Service(seed, SPEEDS, per_s, 0.16, 0.6)
             service.play(40)
             service.play(40)
-            parts.append(sum(service.by_server[f"s{at}"] for at, speed in enumerate(SPEEDS) if speed == 0.7)
-                         / service.came)
+            parts.append(
+                sum(service.by_server[f"s{at}"] for at, speed in enumerate(SPEEDS) if speed == 0.7) / service.came
+            )
         shares.append(mean(parts))
     proportional = 3 * 0.7 / sum(SPEEDS)
     assert shares[0] < 0.9 * proportional and shares[0] < shares[1] < 1.1 * proportional
@@ -58,8 +59,10 @@
         service.decide(2, service.lines.record(), service.placing.learnt() if kept else None)
         service.play(1)
         worth = service.placing._worth
-        worths.append(mean(worth.get(f"s{at}", 1.0) for at, speed in enumerate(SPEEDS) if speed == 1.5)
-                      / mean(worth.get(f"s{at}", 1.0) for at, speed in enumerate(SPEEDS) if speed == 0.7))
+        worths.append(
+            mean(worth.get(f"s{at}", 1.0) for at, speed in enumerate(SPEEDS) if speed == 1.5)
+            / mean(worth.get(f"s{at}", 1.0) for at, speed in enumerate(SPEEDS) if speed == 0.7)
+        )
     assert 1.5 * worths[0] < worths[1]
 
 
--- a/tests/sharding/test_ranges.py
+++ b/tests/sharding/test_ranges.py
@@ -10,7 +10,9 @@
 
 
 def server(name, **more):
-    return Server(**{"name": name, "address": f"{name}:80", "zone": "z", "slots": 2, "ready": True, "warm_at": 0, **more})
+    return Server(
+        **{"name": name, "address": f"{name}:80", "zone": "z", "slots": 2, "ready": True, "warm_at": 0, **more}
+    )
 
 
 def interlocking(names=("s", "t"), pieces=2, found=None, ballot=1):
@@ -51,7 +53,8 @@
         lines.give(line, lines.servers[name])
     settle(lines, NOW, answer)
     assert [(line.server, line.state, line.until) for line in lines.lines] == [
-        (name, HELD, runs_out(NOW)) for name in ("s", "t")]
+        (name, HELD, runs_out(NOW)) for name in ("s", "t")
+    ]
     # Who decides next has a higher fence yet, though its ballot says little.
     assert interlocking(found=lines.record(), ballot=2).fence > max(fences.values())
 
--- a/tests/state/test_answers.py
+++ b/tests/state/test_answers.py
@@ -61,8 +61,12 @@
     assert answers.done("k", b"") == []
 
 
-@given(some.lists(some.tuples(some.sampled_from("abcde"), some.sampled_from(("ask", "done", "ran", "not")), some.integers(0, S)),
-                  max_size=80))
+@given(
+    some.lists(
+        some.tuples(some.sampled_from("abcde"), some.sampled_from(("ask", "done", "ran", "not")), some.integers(0, S)),
+        max_size=80,
+    )
+)
 def test_bounds_hold_and_no_key_is_new_while_it_is_in_hand(steps):
     answers, hand, now = made(), set(), 0
     for key, what, wait in steps:
--- a/tests/state/test_digest.py
+++ b/tests/state/test_digest.py
@@ -6,7 +6,12 @@
 
 
 def test_sums_are_by_zone_and_leave_out_whoever_has_none():
-    nodes = [Seen(1, True, 30.2, 30.0), Seen(1, False, 9.0, 0.0), Seen(0, True, 20.0, 20.0), Seen(None, True, 99.0, 99.0)]
+    nodes = [
+        Seen(1, True, 30.2, 30.0),
+        Seen(1, False, 9.0, 0.0),
+        Seen(0, True, 20.0, 20.0),
+        Seen(None, True, 99.0, 99.0),
+    ]
     assert zone_sums(nodes, 40.0) == [Sums(0, 20, 40, 1), Sums(1, 39, 40, 1)]
 
 
@@ -16,8 +21,11 @@
     assert together(own, {}) == {0: Zone(20, 80, 2, 1), 1: Zone(5, 80, 2, 1)}
 
 
-sums = some.lists(some.builds(Sums, some.integers(0, 3), some.integers(0, 99), some.integers(0, 99), some.integers(0, 9)),
-                  max_size=4, unique_by=lambda one: one.zone)
+sums = some.lists(
+    some.builds(Sums, some.integers(0, 3), some.integers(0, 99), some.integers(0, 99), some.integers(0, 9)),
+    max_size=4,
+    unique_by=lambda one: one.zone,
+)
 
 
 @given(some.dictionaries(some.integers(0, 9), sums, max_size=5), sums)
--- a/tests/state/test_intake.py
+++ b/tests/state/test_intake.py
@@ -13,8 +13,11 @@
 
 
 def part(path, *names, confirms="", zone="x"):
-    return Part(path, tuple(Line(name, Listed(zone, f"10.0.0.1:{ord(name)}"), place)
-                            for place, name in enumerate(names, 1)), confirms)
+    return Part(
+        path,
+        tuple(Line(name, Listed(zone, f"10.0.0.1:{ord(name)}"), place) for place, name in enumerate(names, 1)),
+        confirms,
+    )
 
 
 def test_a_reading_counts_once_two_of_them_a_quiet_time_apart_are_the_same():
@@ -125,8 +128,16 @@
     assert again.decide(1)[0:3:2] == (WAITING, 2)  # a broken list at the start meets what stood
 
 
-@pytest.mark.parametrize("spoil", [lambda data: b"", lambda data: b"\n", lambda data: data.replace(b'"x"', b'"y"', 1),
-                                   lambda data: data[:-3] + b"00\n", lambda data: data + data])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: b"",
+        lambda data: b"\n",
+        lambda data: data.replace(b'"x"', b'"y"', 1),
+        lambda data: data[:-3] + b"00\n",
+        lambda data: data + data,
+    ],
+)
 def test_what_was_stored_and_is_torn_or_changed_is_refused(spoil):
     with pytest.raises(Malformed, match="torn or changed"):
         restored(spoil(stored().stored()))
@@ -136,7 +147,7 @@
 def test_what_was_stored_and_is_cut_anywhere_is_refused(cut):
     data = stored().stored()
     with pytest.raises(Malformed):
-        restored(data[:cut % (len(data) - 1)])
+        restored(data[: cut % (len(data) - 1)])
 
 
 def test_a_form_that_is_not_known_is_refused_by_name():
@@ -145,11 +156,14 @@
         restored(body + b"\n" + digest_of(body).encode() + b"\n")
 
 
-contents = some.one_of(some.text("abcdefghij", max_size=10).map(lambda names: "".join(dict.fromkeys(names))),
-                       some.just(None))
+contents = some.one_of(
+    some.text("abcdefghij", max_size=10).map(lambda names: "".join(dict.fromkeys(names))), some.just(None)
+)
 
 
-@given(some.lists(some.tuples(some.sampled_from(("f", "g")), contents, some.booleans(), some.integers(0, 40)), max_size=25))
+@given(
+    some.lists(some.tuples(some.sampled_from(("f", "g")), contents, some.booleans(), some.integers(0, 40)), max_size=25)
+)
 def test_any_sequence_of_sets_and_tears_keeps_the_invariants(steps):
     """A set in force is never empty, never loses over a quarter at once without a word, and is what files once said."""
     intake, now, said = Intake(TERMS), 0, {}
--- a/tests/state/test_journal.py
+++ b/tests/state/test_journal.py
@@ -19,7 +19,9 @@
     data, ends = written(), []
     for cut in range(len(data) + 1):
         found = recovered(data[:cut])
-        assert [value for _, value in found.records] == VALUES[:len(found.records)] and data[:found.good] == data[:cut][:found.good]
+        assert [value for _, value in found.records] == VALUES[: len(found.records)] and data[: found.good] == data[
+            :cut
+        ][: found.good]
         assert bool(found.cut) == (found.good < cut or not cut)
         ends.append(len(found.records))
     assert ends == sorted(ends) and ends[-1] == 3
@@ -61,7 +63,9 @@
     assert found.records == [(3, {"state": 1})] and journal.add(["next"]) == 4
 
 
-@pytest.mark.parametrize("data, says", [(b"other\n", "byte 0"), (written() + written()[len(MAGIC):], "record 1 follows 3")])
+@pytest.mark.parametrize(
+    "data, says", [(b"other\n", "byte 0"), (written() + written()[len(MAGIC) :], "record 1 follows 3")]
+)
 def test_what_is_no_journal_is_refused_with_its_place(data, says):
     with pytest.raises(Malformed, match=says):
         recovered(data)
--- a/tests/state/test_membership.py
+++ b/tests/state/test_membership.py
@@ -142,14 +142,25 @@
     body = net.members[0].tick(net.now + S)
     sender, members, sums = decode(body)
     assert len(body) <= MOST_BYTES and sender == 0 and members[0][0] == 0 and sums[0] == Sums(0, 65535, 0, 5)
-    named = {number for _ in range(50) for number, _, _ in decode(net.members[0].tick(net.now + (2 + _) * S) or body)[1]}
+    named = {
+        number for _ in range(50) for number, _, _ in decode(net.members[0].tick(net.now + (2 + _) * S) or body)[1]
+    }
     assert len(named) >= 1
 
 
-@pytest.mark.parametrize("body, says", [
-    (b"", "0 bytes"), (b"\x02" + b"\x00" * 20, "form 2"), (encode(0, [(0, 1, 1)], [])[:-1], "length"),
-    (encode(1, [(1, 1, 1)], []), "from 1, who can't be"), (encode(9, [(9, 1, 1)], []), "from 9"),
-    (encode(0, [(2, 1, 1)], []), "from 0"), (encode(0, [(0, 1, 1), (9, 1, 1)], []), "names a member"), (encode(0, [], []), "length")])
+@pytest.mark.parametrize(
+    "body, says",
+    [
+        (b"", "0 bytes"),
+        (b"\x02" + b"\x00" * 20, "form 2"),
+        (encode(0, [(0, 1, 1)], [])[:-1], "length"),
+        (encode(1, [(1, 1, 1)], []), "from 1, who can't be"),
+        (encode(9, [(9, 1, 1)], []), "from 9"),
+        (encode(0, [(2, 1, 1)], []), "from 0"),
+        (encode(0, [(0, 1, 1), (9, 1, 1)], []), "names a member"),
+        (encode(0, [], []), "length"),
+    ],
+)
 def test_what_is_no_message_is_refused_and_nothing_is_taken(body, says):
     member = Membership(0, 1, 1, 3, Terms())
     with pytest.raises(Malformed, match=says):
@@ -165,8 +176,12 @@
         pass
 
 
-messages = some.builds(lambda life, beat, others: encode(0, [(0, life, beat), *others], []), some.integers(1, 3),
-                       some.integers(1, 9), some.lists(some.tuples(some.integers(1, 3), some.integers(1, 3), some.integers(1, 9)), max_size=3))
+messages = some.builds(
+    lambda life, beat, others: encode(0, [(0, life, beat), *others], []),
+    some.integers(1, 3),
+    some.integers(1, 9),
+    some.lists(some.tuples(some.integers(1, 3), some.integers(1, 3), some.integers(1, 9)), max_size=3),
+)
 
 
 @given(some.lists(some.tuples(messages, some.integers(0, 3 * S)), max_size=30))
--- a/tests/state/test_nodeset.py
+++ b/tests/state/test_nodeset.py
@@ -20,12 +20,19 @@
     assert assemble([part("a", ("n1", at("x", 1)), ("n2", at("x", 2, weight=1.5)))]) != one
 
 
-@pytest.mark.parametrize("first, second, says", [
-    (("order-4.toronto.example.org", at("toronto", 4)), ("order-4.toronto.example.org", at("windsor", 4)),
-     "order-4.toronto.example.org stands in zone windsor and in zone toronto (a.ini, line 1)"),
-    (("n", at("x", 1)), ("n", at("x", 2)), "n stands at 10.1.0.1:2 and at 10.1.0.1:1 (a.ini, line 1)"),
-    (("n", at("x", 1)), ("n", at("x", 1)), "n stands twice (a.ini, line 1)"),
-    (("n", at("x", 1)), ("m", at("y", 1)), "m has the address of n, 10.1.0.1:1 (a.ini, line 1)")])
+@pytest.mark.parametrize(
+    "first, second, says",
+    [
+        (
+            ("order-4.toronto.example.org", at("toronto", 4)),
+            ("order-4.toronto.example.org", at("windsor", 4)),
+            "order-4.toronto.example.org stands in zone windsor and in zone toronto (a.ini, line 1)",
+        ),
+        (("n", at("x", 1)), ("n", at("x", 2)), "n stands at 10.1.0.1:2 and at 10.1.0.1:1 (a.ini, line 1)"),
+        (("n", at("x", 1)), ("n", at("x", 1)), "n stands twice (a.ini, line 1)"),
+        (("n", at("x", 1)), ("m", at("y", 1)), "m has the address of n, 10.1.0.1:1 (a.ini, line 1)"),
+    ],
+)
 @pytest.mark.parametrize("apart", [False, True])
 def test_what_speaks_against_a_set_is_named_with_both_places(first, second, says, apart):
     parts = [part("a.ini", first), part("b.ini", second)] if apart else [part("a.ini", first, second)]
@@ -61,8 +68,13 @@
         made.more = 1
 
 
-listed = some.builds(Listed, some.sampled_from("xyz"), some.integers(1, 40).map(lambda port: f"10.0.0.1:{port}"),
-                     some.sampled_from((0.0, 0.5, 1.0)), some.booleans())
+listed = some.builds(
+    Listed,
+    some.sampled_from("xyz"),
+    some.integers(1, 40).map(lambda port: f"10.0.0.1:{port}"),
+    some.sampled_from((0.0, 0.5, 1.0)),
+    some.booleans(),
+)
 
 
 @given(some.lists(some.tuples(some.sampled_from("abcdefgh"), listed), max_size=8), some.integers(0, 8))
@@ -71,8 +83,11 @@
         made = assemble([part("a", *lines[:cut]), part("b", *lines[cut:])])
     except Refused as err:
         names, addresses = [name for name, _ in lines], [listed.address for _, listed in lines]
-        assert (len(set(names)) < len(names) or len(set(addresses)) < len(addresses)
-                or any("sum to nothing" in conflict.why for conflict in err.conflicts))
+        assert (
+            len(set(names)) < len(names)
+            or len(set(addresses)) < len(addresses)
+            or any("sum to nothing" in conflict.why for conflict in err.conflicts)
+        )
         return
     assert dict(made.nodes) == dict(lines) and len({listed.address for _, listed in lines}) == len(lines)
     assert assemble([part("c", *reversed(lines))]) == made
--- a/tests/state/test_roster.py
+++ b/tests/state/test_roster.py
@@ -40,7 +40,9 @@
 
 
 def test_a_drain_in_the_list_is_no_departure_and_its_end_is_a_cold_return():
-    roster, told = made((0, nodes(a=(), b=())), (S, nodes(a=(), b=(1.0, True))), (9 * S, None), (10 * S, nodes(a=(), b=())))
+    roster, told = made(
+        (0, nodes(a=(), b=())), (S, nodes(a=(), b=(1.0, True))), (9 * S, None), (10 * S, nodes(a=(), b=()))
+    )
     assert told[1:] == [[("b", "draining", 1.0, None)], [], [("b", "up", 1.0, 10 * S)]]
 
 
@@ -56,8 +58,16 @@
 
 
 def test_a_weight_moves_by_its_step_a_second_and_stops_where_it_shall():
-    roster, told = made((0, nodes(a=(1.0,))), (S, nodes(a=(1.5,))), (2 * S, None), (2 * S + 1, None), (4 * S, None),
-                        (9 * S, None), (19 * S, None), weight_step=0.2)
+    roster, told = made(
+        (0, nodes(a=(1.0,))),
+        (S, nodes(a=(1.5,))),
+        (2 * S, None),
+        (2 * S + 1, None),
+        (4 * S, None),
+        (9 * S, None),
+        (19 * S, None),
+        weight_step=0.2,
+    )
     weights = [[weight for _, _, weight, _ in step] for step in told]
     assert weights == [[1.0], [1.0], [1.2], [], [pytest.approx(1.5)], [], []] and roster.due(19 * S) is None
 
@@ -73,11 +83,20 @@
     for at in range(0, 3 * S, S // 10):
         roster.accept(at, nodes(a=(9.0 + at / S,)))
         roster.advance(at)
-    assert roster.whole()[0][4] == pytest.approx(1.5 ** 2)
-
-
-@given(some.lists(some.tuples(some.integers(0, 3 * S), some.dictionaries(some.sampled_from("abcd"), some.tuples(
-    some.sampled_from((0.0, 1.0, 4.0)), some.booleans()), max_size=4)), max_size=12))
+    assert roster.whole()[0][4] == pytest.approx(1.5**2)
+
+
+@given(
+    some.lists(
+        some.tuples(
+            some.integers(0, 3 * S),
+            some.dictionaries(
+                some.sampled_from("abcd"), some.tuples(some.sampled_from((0.0, 1.0, 4.0)), some.booleans()), max_size=4
+            ),
+        ),
+        max_size=12,
+    )
+)
 def test_any_sequence_of_sets_keeps_the_invariants(steps):
     """Told as a fold of what advance says: who is listed ready is up, no one goes without draining for the grace, no
     one comes back without a later start, and a weight never moves by more than its step between two seconds."""
@@ -97,8 +116,11 @@
                 if before and before[0] != "up":
                     assert boot == now
                 elif before:
-                    assert before[1] / 1.5 ** (wait / S + 1) - 1e-9 <= weight <= before[1] * 1.5 ** (wait / S + 1) + 1e-9
+                    assert (
+                        before[1] / 1.5 ** (wait / S + 1) - 1e-9 <= weight <= before[1] * 1.5 ** (wait / S + 1) + 1e-9
+                    )
             told[name] = condition, weight, boot
         assert {name for name, (condition, *_) in told.items() if condition == "up"} == set(new.ready())
         assert sorted(entry[:1] for entry in roster.whole()) == sorted(
-            (name,) for name, (condition, *_) in told.items() if condition != "removed")
+            (name,) for name, (condition, *_) in told.items() if condition != "removed"
+        )
--- a/tests/state/test_sources.py
+++ b/tests/state/test_sources.py
@@ -7,13 +7,22 @@
     return (node, condition, zone, None, weight, boot)
 
 
-@pytest.mark.parametrize("files, discovery, holds", [
-    (entry(1), entry(1, "draining"), "draining"), (entry(1), entry(1, "removed"), "removed"),
-    (entry(1, "draining"), entry(1), "draining"), (entry(1), entry(1), "up"), (entry(1), None, "up")])
+@pytest.mark.parametrize(
+    "files, discovery, holds",
+    [
+        (entry(1), entry(1, "draining"), "draining"),
+        (entry(1), entry(1, "removed"), "removed"),
+        (entry(1, "draining"), entry(1), "draining"),
+        (entry(1), entry(1), "up"),
+        (entry(1), None, "up"),
+    ],
+)
 @pytest.mark.parametrize("files_first", [True, False])
 def test_where_files_are_the_authority_discovery_may_only_take_away(files, discovery, holds, files_first):
     blend, told = Blend(FILES), {}
-    for side, listed in ((FILES, files), (DISCOVERY, discovery)) if files_first else ((DISCOVERY, discovery), (FILES, files)):
+    for side, listed in (
+        ((FILES, files), (DISCOVERY, discovery)) if files_first else ((DISCOVERY, discovery), (FILES, files))
+    ):
         told.update({entry[0]: entry for entry in blend.take(side, "full", [listed] if listed else [])[1]})
     assert told.get(1, entry(1, "removed"))[1] == holds  # who is gone need not stand in a whole list
 
@@ -21,8 +30,13 @@
 def test_zone_and_weight_are_the_authoritys_and_the_later_start_counts():
     blend = Blend(FILES)
     blend.take(FILES, "full", [entry(1, zone=0, weight=2.0, boot=5)])
-    assert blend.take(DISCOVERY, "delta", [entry(1, zone=1, weight=9.0, boot=7)]) == ("delta", [entry(1, zone=0, weight=2.0, boot=7)])
-    assert blend.take(DISCOVERY, "delta", [entry(1, zone=1, weight=9.0, boot=3)])[1] == [entry(1, zone=0, weight=2.0, boot=5)]
+    assert blend.take(DISCOVERY, "delta", [entry(1, zone=1, weight=9.0, boot=7)]) == (
+        "delta",
+        [entry(1, zone=0, weight=2.0, boot=7)],
+    )
+    assert blend.take(DISCOVERY, "delta", [entry(1, zone=1, weight=9.0, boot=3)])[1] == [
+        entry(1, zone=0, weight=2.0, boot=5)
+    ]
 
 
 def test_what_the_authority_does_not_list_is_not_told_and_is_gone_once_it_is_dropped():
--- a/tests/state/test_tables.py
+++ b/tests/state/test_tables.py
@@ -16,8 +16,10 @@
 
 
 def all_of(tables):
-    return [(tables.open(table), tables.again(table), [tables.share(table, kind) for kind in range(3)])
-            for table in range(4)]
+    return [
+        (tables.open(table), tables.again(table), [tables.share(table, kind) for kind in range(3)])
+        for table in range(4)
+    ]
 
 
 def test_a_message_takes_effect_whole_and_answers_its_marks():
@@ -47,10 +49,19 @@
     assert tables.open(1) == ((1, 1.0), (5, 2.0)) and tables.withdrawn(0) == [9]  # which outlive the stream
 
 
-@pytest.mark.parametrize("order, says", [
-    (("line", 4, 1, 1.0), "no table has the number 4"), (("line", 0, 1, -1.0), "no weight"),
-    (("line", 0, 1, float("nan")), "no weight"), (("clear", -1), "no table"), (("level", 0, 0, -0.1, 1), "no level"),
-    (("level", 9, 0, 1.0, 1), "no table"), (("level", 0, 0, 1.0, 2), "needs no proof"), (("erase", 0), "no order")])
+@pytest.mark.parametrize(
+    "order, says",
+    [
+        (("line", 4, 1, 1.0), "no table has the number 4"),
+        (("line", 0, 1, -1.0), "no weight"),
+        (("line", 0, 1, float("nan")), "no weight"),
+        (("clear", -1), "no table"),
+        (("level", 0, 0, -0.1, 1), "no level"),
+        (("level", 9, 0, 1.0, 1), "no table"),
+        (("level", 0, 0, 1.0, 2), "needs no proof"),
+        (("erase", 0), "no order"),
+    ],
+)
 def test_a_message_with_an_order_that_cannot_be_used_changes_nothing_at_all(order, says):
     tables = made()
     before = all_of(tables)
@@ -92,7 +103,8 @@
 orders = some.one_of(
     some.tuples(some.just("line"), some.integers(0, 3), some.integers(0, 5), some.sampled_from((0, 1.0, 2.5))),
     some.tuples(some.just("take_out"), some.integers(0, 5), some.booleans()),
-    some.tuples(some.just("clear"), some.integers(0, 3)))
+    some.tuples(some.just("clear"), some.integers(0, 3)),
+)
 
 
 @given(some.lists(some.tuples(some.integers(0, 1), some.lists(orders, max_size=6)), max_size=12))
@@ -105,11 +117,14 @@
         numbers[source] += 1
         for word, *fields in message:
             if word == "line":
-                lines[fields[0]].pop(fields[1], None) if not fields[2] else lines[fields[0]].update({fields[1]: fields[2]})
+                lines[fields[0]].pop(fields[1], None) if not fields[2] else lines[fields[0]].update(
+                    {fields[1]: fields[2]}
+                )
             elif word == "clear":
                 lines[fields[0]].clear()
             else:
                 out[source][fields[0]] = fields[1]
         for table in range(4):
-            assert dict(tables.open(table)) == {node: weight for node, weight in lines[table].items()
-                                                if not out[owner[table]].get(node)}
+            assert dict(tables.open(table)) == {
+                node: weight for node, weight in lines[table].items() if not out[owner[table]].get(node)
+            }
--- a/tests/state/test_transactions.py
+++ b/tests/state/test_transactions.py
@@ -140,8 +140,15 @@
     assert leader.shown(S // 2)["waits for"] == [0, 1, 2] and leader.shown(S // 2)["left"] == S // 2
     site.run(leader, asked)
     site.run(leader, leader.propose(0, 0, "A"), lose=(2,))
-    assert leader.shown(2 * S) == {"epoch": 1, "phase": "staging", "version": 0, "staging": 1, "taken over": False,
-                                   "waits for": [2], "left": 0}
+    assert leader.shown(2 * S) == {
+        "epoch": 1,
+        "phase": "staging",
+        "version": 0,
+        "staging": 1,
+        "taken over": False,
+        "waits for": [2],
+        "left": 0,
+    }
     site.run(leader, leader.tick(0))
     assert leader.shown(0)["waits for"] == [] and leader.shown(0)["version"] == 1
 
@@ -179,12 +186,29 @@
 # any time, often, in any order, or never, and its answer is heard or lost. The second leader may take over at any time,
 # so that both lead at once; one that does nothing further has died.
 
-PROPOSED = ("leader 0 begins", "relay 0 gets ('who', 1) and is heard", "relay 1 gets ('who', 1) and is heard",
-            "leader 0 waits no longer", "leader 0 proposes A")
-BOTH = (*PROPOSED, "leader 1 begins", "relay 0 gets ('stage', 1, 1, 'A') and is heard", "relay 1 gets ('who', 2) and is heard",
-        "relay 0 gets ('who', 2) and is heard", "leader 1 waits no longer")
-RIVAL = (*PROPOSED, "leader 1 begins", "relay 0 gets ('who', 2) and is heard", "relay 1 gets ('who', 2) and is heard",
-         "leader 1 waits no longer", "leader 1 proposes B")
+PROPOSED = (
+    "leader 0 begins",
+    "relay 0 gets ('who', 1) and is heard",
+    "relay 1 gets ('who', 1) and is heard",
+    "leader 0 waits no longer",
+    "leader 0 proposes A",
+)
+BOTH = (
+    *PROPOSED,
+    "leader 1 begins",
+    "relay 0 gets ('stage', 1, 1, 'A') and is heard",
+    "relay 1 gets ('who', 2) and is heard",
+    "relay 0 gets ('who', 2) and is heard",
+    "leader 1 waits no longer",
+)
+RIVAL = (
+    *PROPOSED,
+    "leader 1 begins",
+    "relay 0 gets ('who', 2) and is heard",
+    "relay 1 gets ('who', 2) and is heard",
+    "leader 1 waits no longer",
+    "leader 1 proposes B",
+)
 
 
 def explore(follow, most, prefix=PROPOSED):
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -88,6 +88,7 @@
                 raise PowerLost
             calls += 1
             return call(*given)
+
         return wrapped
 
     def replace(source, target):
@@ -124,7 +125,7 @@
     for path in unsynced:
         if os.path.exists(path):
             data = open(path, "rb").read()
-            open(path, "wb").write(data[:chance.randrange(len(data) + 1)])
+            open(path, "wb").write(data[: chance.randrange(len(data) + 1)])
     return lost
 
 
@@ -180,16 +181,19 @@
     store.close()
     after = open(path, "rb").read()
     before = before.ljust(len(after), b"\0")
-    pages = [at for at in range(0, len(after), 4096) if before[at:at + 4096] != after[at:at + 4096]]
+    pages = [at for at in range(0, len(after), 4096) if before[at : at + 4096] != after[at : at + 4096]]
     meta, data = [at for at in pages if at < 8192], [at for at in pages if at >= 8192]
     assert len(meta) == 1 and data
     cases = [[]] + [[at] for at in data] + [data]  # pages that came down, before the commit's own page
     seen = []
-    for written, cut in [(case, None) for case in cases] + [(data, cut) for cut in range(16, 200, 8)] + [
-            (data, -cut) for cut in range(16, 200, 8)]:
+    for written, cut in (
+        [(case, None) for case in cases]
+        + [(data, cut) for cut in range(16, 200, 8)]
+        + [(data, -cut) for cut in range(16, 200, 8)]
+    ):
         torn = bytearray(before)
         for at in written:
-            torn[at:at + 4096] = after[at:at + 4096]
+            torn[at : at + 4096] = after[at : at + 4096]
         if cut is not None:  # so many bytes of the commit's page came down, or all but so many
             at = slice(meta[0], meta[0] + cut) if cut > 0 else slice(meta[0] - cut, meta[0] + 4096)
             torn[at] = after[at]
@@ -247,5 +251,5 @@
         assert store.word().key.version == 5
     for at in range(0, len(whole), 11):
         with open(name, "wb") as file:
-            file.write(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1:])
+            file.write(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
         assert store.word().key.version == (5 if at < len(whole) - 1 else 9)
--- a/tests/test_decode.py
+++ b/tests/test_decode.py
@@ -36,8 +36,9 @@
 @pytest.mark.parametrize("ops", [float("nan"), float("inf"), -1.0])
 def test_a_node_not_known_and_a_figure_that_cannot_be_are_passed_over(ops):
     ids = known(["a", "b"])
-    body = bytes([SHARES]) + b"".join(SHARE.pack(checksum(name), figure) for name, figure in
-                                      [("a", ops), ("b", 2.0), ("c", 3.0)])
+    body = bytes([SHARES]) + b"".join(
+        SHARE.pack(checksum(name), figure) for name, figure in [("a", ops), ("b", 2.0), ("c", 3.0)]
+    )
     assert shared(body, ids) == [(1, 2.0)]
 
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -17,13 +17,21 @@
     return made
 
 
-@pytest.mark.parametrize("line, says", [
-    (b'{"ROUND":1}', "expected an array"), (b'["ROUND"', "not JSON"), (b'["ROUND","soon"]', "ROUND, field clock"),
-    (b'["NEWS",3]', "no event is called that"), (b'["TENURE",9,1,true]', "instance 9 has not been created"),
-    (b'["TENURE",3,-1,true]', "TENURE, field SetId"), (b'["TENURE",3,1,"yes"]', "TENURE, field Yes"),
-    (b'["ROUNDUP",3,null,0,1.0,1000.0,"east",5,null]', "ROUNDUP, field N"),
-    (b'["WEIGHT_SEEN",3,1000.0,"buy",1,0,2]', "WEIGHT_SEEN, field Cls"),
-    (b'["ROSTER_CHANGE",3,1,"delta",[[null,0,"asleep","east",5,"k",1]]]', "entry 0")])
+@pytest.mark.parametrize(
+    "line, says",
+    [
+        (b'{"ROUND":1}', "expected an array"),
+        (b'["ROUND"', "not JSON"),
+        (b'["ROUND","soon"]', "ROUND, field clock"),
+        (b'["NEWS",3]', "no event is called that"),
+        (b'["TENURE",9,1,true]', "instance 9 has not been created"),
+        (b'["TENURE",3,-1,true]', "TENURE, field SetId"),
+        (b'["TENURE",3,1,"yes"]', "TENURE, field Yes"),
+        (b'["ROUNDUP",3,null,0,1.0,1000.0,"east",5,null]', "ROUNDUP, field N"),
+        (b'["WEIGHT_SEEN",3,1000.0,"buy",1,0,2]', "WEIGHT_SEEN, field Cls"),
+        (b'["ROSTER_CHANGE",3,1,"delta",[[null,0,"asleep","east",5,"k",1]]]', "entry 0"),
+    ],
+)
 def test_a_malformed_line_gets_one_message_that_names_line_and_field(line, says, capsys):
     made = host()
     assert made.read(line, 12) is None
@@ -37,17 +45,27 @@
     assert found["op_types"][0]["target_latency"] == 750_000_000 and found["cold_from"] == 1.0
 
 
-@pytest.mark.parametrize("told, load", [(None, {}), ({}, {}), ({"cpu_share": 0.5, "moon": 1}, {"util": 0.5}),
-                                        ({"served_ps": None}, {})])
+@pytest.mark.parametrize(
+    "told, load", [(None, {}), ({}, {}), ({"cpu_share": 0.5, "moon": 1}, {"util": 0.5}), ({"served_ps": None}, {})]
+)
 def test_unknown_and_empty_load_values_are_skipped(told, load):
     assert wire.load(told) == load
 
 
-@pytest.mark.parametrize("line", [
-    b'["ROUNDUP",3,0,0,0,1000.0,"east",5,null]', b'["ROUNDUP",3,4,4,null,0,null,5,{}]',
-    b'["WEIGHT_SEEN",3,0,"look",9,0,0]', b'["CURRENT_OWNER",3,5,9,0]', b'["TENURE",3,9,false]',
-    b'["LOST_STREAM",3,44]', b'["INSTALLED",3,44,9,null]', b'["ROSTER_CHANGE",3,1,"full",null]',
-    b'["DATAGRAM",3,1,""]'])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'["ROUNDUP",3,0,0,0,1000.0,"east",5,null]',
+        b'["ROUNDUP",3,4,4,null,0,null,5,{}]',
+        b'["WEIGHT_SEEN",3,0,"look",9,0,0]',
+        b'["CURRENT_OWNER",3,5,9,0]',
+        b'["TENURE",3,9,false]',
+        b'["LOST_STREAM",3,44]',
+        b'["INSTALLED",3,44,9,null]',
+        b'["ROSTER_CHANGE",3,1,"full",null]',
+        b'["DATAGRAM",3,1,""]',
+    ],
+)
 def test_zero_counts_nulls_and_what_is_not_known_harm_nothing(line):
     made = host()
     made.read(line, 3)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,10 +15,20 @@
 from kestrelplank.policy import Conductor as Policy
 
 NODES, PROXIES, SLICES = [f"s-{n}" for n in range(6)], 4, 12
-CONF = {"Areas": ["a"], "Categories": [{"Name": "look"}], "Tick": 4.0,
-        "Specifics": {"Shards": SLICES, "DataPlaneSize": PROXIES, "MostWaiting": 4000.0, "EgressPerS": 4000.0,
-                      "Envelope": 8.0, "BaseMode": 1},
-        "Rules": {"StopSendingWithin": 1500.0, "WarmUp": 1000.0, "ColdFrom": 0.2, "FallMultiple": 3.0}}
+CONF = {
+    "Areas": ["a"],
+    "Categories": [{"Name": "look"}],
+    "Tick": 4.0,
+    "Specifics": {
+        "Shards": SLICES,
+        "DataPlaneSize": PROXIES,
+        "MostWaiting": 4000.0,
+        "EgressPerS": 4000.0,
+        "Envelope": 8.0,
+        "BaseMode": 1,
+    },
+    "Rules": {"StopSendingWithin": 1500.0, "WarmUp": 1000.0, "ColdFrom": 0.2, "FallMultiple": 3.0},
+}
 
 
 class Relay(Party):
@@ -44,8 +54,11 @@
             visitor.tell(*(piece for piece in (data[:half], data[half:]) if piece))
             self.streams.append(visitor)
             return
-        fault = "none" if self.calm or self.random.random() < 0.5 else self.random.choice(
-            ["lost", "lost and broken", "silent", "broken", "unreadable"])
+        fault = (
+            "none"
+            if self.calm or self.random.random() < 0.5
+            else self.random.choice(["lost", "lost and broken", "silent", "broken", "unreadable"])
+        )
         ops = json.loads(body)["ops"]
         if not fault.startswith("lost"):
             for op in ops:
@@ -74,8 +87,10 @@
             stream.tell(*lines)
 
     def giving(self, number):
-        return [news("owner", shard=number, set=True), *(
-            news("entry", shard=number, endpoint=name, w=weight) for name, weight in self.lines[number].items())]
+        return [
+            news("owner", shard=number, set=True),
+            *(news("entry", shard=number, endpoint=name, w=weight) for name, weight in self.lines[number].items()),
+        ]
 
     def trouble(self):
         proxy, number = self.random.randrange(PROXIES), self.random.randrange(SLICES)
@@ -153,14 +168,22 @@
         relay.join(proxy)
 
     def agree():
-        sent = {number: {ids.node_ids[node]: weight for node, weight in kept.sent.items()}
-                for number, kept in policy.slices.items()}
-        want = {number: {ids.node_ids[node]: weight for node, weight in kept.want.items()}
-                for number, kept in policy.slices.items()}
+        sent = {
+            number: {ids.node_ids[node]: weight for node, weight in kept.sent.items()}
+            for number, kept in policy.slices.items()
+        }
+        want = {
+            number: {ids.node_ids[node]: weight for node, weight in kept.want.items()}
+            for number, kept in policy.slices.items()
+        }
         out = {name for name in NODES if ids.nodes.get(name) in policy.nodes and policy.nodes[ids.nodes[name]].out}
         drained = {name for name in NODES if states[name] == "terminating"}
-        return (sent == want == {number: relay.lines[number] for number in relay.held} and drained <= out
-                and all(relay.out[proxy] == out for proxy in range(PROXIES)) and not orders._queue)
+        return (
+            sent == want == {number: relay.lines[number] for number in relay.held}
+            and drained <= out
+            and all(relay.out[proxy] == out for proxy in range(PROXIES))
+            and not orders._queue
+        )
 
     try:
         until(kit.loop, agree)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -28,11 +28,24 @@
     def status(self):
         version = f"{self.timetable.key.version:08x}" if self.timetable else None
         self.lag -= 1
-        return {"member": "a:1", "edges": {"edge-1": {"version": version, "heard_s": 0.1},
-                                           "edge-2": {"version": None if self.lag >= 0 else version, "heard_s": 0.2}},
-                "held": {"a:1": version}, "services": {"views": {
-                    "holder": "a:1", "ballot": 3, "record": 7, "lines": [
-                        {"first": 0, "last": 65535, "server": "s", "fence": 3000001, "state": "held", "runs_out_s": 3.1}]}}}
+        return {
+            "member": "a:1",
+            "edges": {
+                "edge-1": {"version": version, "heard_s": 0.1},
+                "edge-2": {"version": None if self.lag >= 0 else version, "heard_s": 0.2},
+            },
+            "held": {"a:1": version},
+            "services": {
+                "views": {
+                    "holder": "a:1",
+                    "ballot": 3,
+                    "record": 7,
+                    "lines": [
+                        {"first": 0, "last": 65535, "server": "s", "fence": 3000001, "state": "held", "runs_out_s": 3.1}
+                    ],
+                }
+            },
+        }
 
 
 def run(member, *words):
@@ -60,6 +73,7 @@
         path = tmp_path / name
         path.write_text(json.dumps(configuration(**changes)))
         return str(path)
+
     return written
 
 
@@ -94,23 +108,52 @@
 def test_status_shows_edges_and_lines(capsys):
     assert run(Member(), "status", "ADDRESS") == 0
     out = capsys.readouterr().out
-    assert "edge edge-2: version None, last word 0.2 s ago" in out and "views: decided by a:1, ballot 3, record 7" in out
+    assert (
+        "edge edge-2: version None, last word 0.2 s ago" in out and "views: decided by a:1, ballot 3, record 7" in out
+    )
     assert "0-65535 held     s fence 3000001 runs out in 3.1 s" in out
 
 
 def test_a_difference_is_told_route_by_route_and_field_by_field(file, capsys):
-    old, new = file("old.json"), file(version="00000008", virtual_hosts=[
-        {"host_name": "shop.example", "host_routes": [
-            route("/a/", "idempotent", timeout_s=2, target_service=None, traffic_split=[
-                {"target_service": "views", "weight": 90}, {"target_service": "orders", "weight": 10}]),
-            route("/new/", "idempotent")]},
-        {"host_name": "pay.example", "host_routes": [route("/a/", "upload", "orders")]}])
+    old, new = (
+        file("old.json"),
+        file(
+            version="00000008",
+            virtual_hosts=[
+                {
+                    "host_name": "shop.example",
+                    "host_routes": [
+                        route(
+                            "/a/",
+                            "idempotent",
+                            timeout_s=2,
+                            target_service=None,
+                            traffic_split=[
+                                {"target_service": "views", "weight": 90},
+                                {"target_service": "orders", "weight": 10},
+                            ],
+                        ),
+                        route("/new/", "idempotent"),
+                    ],
+                },
+                {"host_name": "pay.example", "host_routes": [route("/a/", "upload", "orders")]},
+            ],
+        ),
+    )
     assert main(["diff", old, old]) == 0 and capsys.readouterr().out == ""
     assert main(["diff", old, new]) == 1
     assert capsys.readouterr().out.splitlines() == [
-        "pay.example/a/: route_type non_idempotent -> upload", "shop.example/a/: timeout_s 1.5 -> 2.0",
-        "shop.example/a/: traffic_split views -> views 90, orders 10", "shop.example/a/b/: dropped",
-        "shop.example/new/: added"]
+        "pay.example/a/: route_type non_idempotent -> upload",
+        "shop.example/a/: timeout_s 1.5 -> 2.0",
+        "shop.example/a/: traffic_split views -> views 90, orders 10",
+        "shop.example/a/b/: dropped",
+        "shop.example/new/: added",
+    ]
     assert main(["diff", new, old, "--json"]) == 1
     assert json.loads(capsys.readouterr().out)[0] == {
-        "host": "pay.example", "prefix": "/a/", "field": "route_type", "old": "upload", "new": "non_idempotent"}
+        "host": "pay.example",
+        "prefix": "/a/",
+        "field": "route_type",
+        "old": "upload",
+        "new": "non_idempotent",
+    }
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,8 +19,23 @@
 from kestrelplank.net.peers import Peers
 from kestrelplank.net.probes import Probes
 
-REPORT = (b"upstream_stats", b"locality", b"a", b"endpoint", b"s-1", b"total", b"9", b"errors", b"3", b"rtt",
-          b"41.5", b"interval", b"1000.0", b"metrics", b"inflight:7,util:0.5,moon:1")
+REPORT = (
+    b"upstream_stats",
+    b"locality",
+    b"a",
+    b"endpoint",
+    b"s-1",
+    b"total",
+    b"9",
+    b"errors",
+    b"3",
+    b"rtt",
+    b"41.5",
+    b"interval",
+    b"1000.0",
+    b"metrics",
+    b"inflight:7,util:0.5,moon:1",
+)
 HEAT = (b"range_stats", b"shard", b"8", b"route", b"look", b"total", b"4", b"errors", b"1", b"interval", b"500")
 JOIN = resp.encode(b"telemetry", b"locality", b"a")
 HB, HB_OK = resp.encode(b"hb"), b"*1\r\n$5\r\nhb_ok\r\n"
@@ -35,16 +50,31 @@
 
 # RESP2
 
+
 @pytest.mark.parametrize("piece", [1, 2, 7, 10_000])
 def test_messages_come_whole_out_of_pieces(piece):
     parser, data = resp.Parser(), resp.encode(b"hb") + resp.encode(*REPORT) + resp.encode(b"x", b"a\r\nb", b"")
-    found = [m for at in range(0, len(data), piece) for m in parser.feed(data[at:at + piece])]
+    found = [m for at in range(0, len(data), piece) for m in parser.feed(data[at : at + piece])]
     assert found == [[b"hb"], list(REPORT), [b"x", b"a\r\nb", b""]]
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n", b"*1\r\n:5\r\n", b"*99999999999\r\n", b"*1025\r\n",
-    b"*1\r\n$1048577\r\n", b"*2\r\n$700000\r\n" + b"x" * 700_000 + b"\r\n$700000\r\n", b"*1\r\n$2\r\nabc\r\n", b"\x00" * 40, b"*1x\r\n", b"*" + b"1" * 30])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*-1\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n:5\r\n",
+        b"*99999999999\r\n",
+        b"*1025\r\n",
+        b"*1\r\n$1048577\r\n",
+        b"*2\r\n$700000\r\n" + b"x" * 700_000 + b"\r\n$700000\r\n",
+        b"*1\r\n$2\r\nabc\r\n",
+        b"\x00" * 40,
+        b"*1x\r\n",
+        b"*" + b"1" * 30,
+    ],
+)
 def test_garbage_and_too_much_are_refused_before_anything_is_kept(data):
     with pytest.raises(Malformed):
         list(resp.Parser().feed(data))
@@ -52,20 +82,64 @@
 
 # Reports
 
+
 def test_a_report_becomes_an_event_in_our_units():
-    assert report(list(REPORT), names(), 9, 0) == ("tries", 0, 0, 9.0, 3.0, 41_500_000, 1_000_000_000,
-                                                   {"inflight": 7.0, "util": 0.5})
+    assert report(list(REPORT), names(), 9, 0) == (
+        "tries",
+        0,
+        0,
+        9.0,
+        3.0,
+        41_500_000,
+        1_000_000_000,
+        {"inflight": 7.0, "util": 0.5},
+    )
     assert report(list(HEAT), names(), 9, 0) == ("heat", 8, 0, 4.0, 1.0, 500_000_000)
     assert report([*HEAT[:8], b"5", *HEAT[9:]], names(), 9, 0)[3:5] == (4.0, 5.0)  # of those that came earlier
     assert report([*REPORT[:7], b"errors", b"9", *REPORT[11:13]], names(), 9, 0)[5] is None
 
 
-@pytest.mark.parametrize("message, place, value", [
-    (REPORT, 2, b"mars"), (REPORT, 2, b"b"), (REPORT, 4, b"s-9"), (REPORT, 6, b"nan"), (REPORT, 6, b"-1"), (REPORT, 6, b"38654705664"), (REPORT, 6, b"1_0"),
-    (REPORT, 6, b" 9"), (REPORT, 6, b"2"), (REPORT, 8, b"inf"), (REPORT, 8, b"10"), (REPORT, 9, b"rt"), (REPORT, 10, b"soon"), (REPORT, 10, b"-41"), (REPORT, 10, b"1e30"),
-    (REPORT, 12, b"1e999"), (REPORT, 12, b"0"), (REPORT, 12, b"-5"), (REPORT, 11, b"total"), (REPORT, 5, b"sum"), (REPORT, 2, b"\xff"), (REPORT, 0, b"downstream"), (REPORT, 14, b"util:1e30"),
-    (REPORT, 14, b"util:-1"), (REPORT, 14, b"util"), (REPORT, 14, b"util:0.5:1"), (HEAT, 2, b"9"), (HEAT, 2, b"-1"), (HEAT, 2, b"1_0"), (HEAT, 2, b""), (HEAT, 2, b"9" * 5000), (HEAT, 4, b"sing"),
-    (HEAT, 6, b"-1"), (HEAT, 8, b"1e30"), (HEAT, 10, b"0"), (HEAT, 9, b"route")])
+@pytest.mark.parametrize(
+    "message, place, value",
+    [
+        (REPORT, 2, b"mars"),
+        (REPORT, 2, b"b"),
+        (REPORT, 4, b"s-9"),
+        (REPORT, 6, b"nan"),
+        (REPORT, 6, b"-1"),
+        (REPORT, 6, b"38654705664"),
+        (REPORT, 6, b"1_0"),
+        (REPORT, 6, b" 9"),
+        (REPORT, 6, b"2"),
+        (REPORT, 8, b"inf"),
+        (REPORT, 8, b"10"),
+        (REPORT, 9, b"rt"),
+        (REPORT, 10, b"soon"),
+        (REPORT, 10, b"-41"),
+        (REPORT, 10, b"1e30"),
+        (REPORT, 12, b"1e999"),
+        (REPORT, 12, b"0"),
+        (REPORT, 12, b"-5"),
+        (REPORT, 11, b"total"),
+        (REPORT, 5, b"sum"),
+        (REPORT, 2, b"\xff"),
+        (REPORT, 0, b"downstream"),
+        (REPORT, 14, b"util:1e30"),
+        (REPORT, 14, b"util:-1"),
+        (REPORT, 14, b"util"),
+        (REPORT, 14, b"util:0.5:1"),
+        (HEAT, 2, b"9"),
+        (HEAT, 2, b"-1"),
+        (HEAT, 2, b"1_0"),
+        (HEAT, 2, b""),
+        (HEAT, 2, b"9" * 5000),
+        (HEAT, 4, b"sing"),
+        (HEAT, 6, b"-1"),
+        (HEAT, 8, b"1e30"),
+        (HEAT, 10, b"0"),
+        (HEAT, 9, b"route"),
+    ],
+)
 def test_a_report_that_cannot_be_used_is_skipped(message, place, value):
     message = list(message)
     message[place] = value
@@ -105,16 +179,33 @@
 
 
 def test_a_report_that_is_spoilt_costs_neither_its_neighbours_nor_the_connection(kit, front, collector):
-    collector.send(resp.encode(b"nonsense") + resp.encode(*REPORT) + resp.encode(*REPORT[:9]) + resp.encode(*REPORT) + HB)
+    collector.send(
+        resp.encode(b"nonsense") + resp.encode(*REPORT) + resp.encode(*REPORT[:9]) + resp.encode(*REPORT) + HB
+    )
     got = []
     until(kit.loop, lambda: got.append(heard(collector)) or got[-1])
-    assert got[-1] == HB_OK and [event[0] for event in kit.events] == ["tries"] * 2 and kit.counters.counts["reports_skipped"] == 2
-
-
-@pytest.mark.parametrize("said, events", [
-    (b"GET / HTTP/1.1\r\n\r\n", 0), (b"*2\r\n$2000000000\r\n", 0), (b"*1\r\n$4097\r\n", 0), (b"\xfa\xdf\xf4\xf6" * 9, 0),
-    (resp.encode(b"telemetry", b"locality", b"nowhere"), 0), (resp.encode(b"telemetry"), 0), (resp.encode(b"attach", b"node", b"1"), 0),
-    (resp.encode(b"put", b"cluster", b"1"), 0), (HB + resp.encode(*REPORT) + JOIN, 0), (JOIN + resp.encode(*REPORT) + b"junk\r\n", 1)])
+    assert (
+        got[-1] == HB_OK
+        and [event[0] for event in kit.events] == ["tries"] * 2
+        and kit.counters.counts["reports_skipped"] == 2
+    )
+
+
+@pytest.mark.parametrize(
+    "said, events",
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", 0),
+        (b"*2\r\n$2000000000\r\n", 0),
+        (b"*1\r\n$4097\r\n", 0),
+        (b"\xfa\xdf\xf4\xf6" * 9, 0),
+        (resp.encode(b"telemetry", b"locality", b"nowhere"), 0),
+        (resp.encode(b"telemetry"), 0),
+        (resp.encode(b"attach", b"node", b"1"), 0),
+        (resp.encode(b"put", b"cluster", b"1"), 0),
+        (HB + resp.encode(*REPORT) + JOIN, 0),
+        (JOIN + resp.encode(*REPORT) + b"junk\r\n", 1),
+    ],
+)
 def test_who_cannot_join_or_breaks_the_form_is_let_go_at_once(kit, front, said, events):
     sock, got = caller(front), bytearray()
     sock.send(said)
@@ -196,7 +287,9 @@
 def test_short_of_descriptors_strangers_make_room(kit, front):
     strangers = [caller(front) for _ in range(2)]
     until(kit.loop, lambda: len(front._strangers) == 2)
-    assert front._short("EMFILE") and len(front._strangers) == 1 and front._short("EMFILE") and not front._short("EMFILE")
+    assert (
+        front._short("EMFILE") and len(front._strangers) == 1 and front._short("EMFILE") and not front._short("EMFILE")
+    )
     for sock in strangers:
         sock.close()
 
@@ -228,6 +321,7 @@
 
 # Connections
 
+
 class End:
     def __init__(self):
         self.got, self.gone = bytearray(), []
@@ -266,6 +360,7 @@
 
 def test_a_dial_given_up_in_the_pass_in_which_it_comes_up_is_not_looked_at_again(kit):
     """Guards against a socket that was given back being asked for its error: EBADF, or another's by now."""
+
     class Rival:
         def on_open(self):
             opened.append(self)
@@ -288,6 +383,7 @@
 
 # HTTP
 
+
 class Asker:
     def __init__(self):
         self.outcomes = []
@@ -302,21 +398,29 @@
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
 
 
-@pytest.mark.parametrize("answer, outcome, kept", [
-    (GOOD, (200, b"yes"), True),
-    (b"HTTP/1.1 503 no\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", (503, b"no"), True),
-    (GOOD.replace(b"\r\n\r", b"\r\nConnection: close\r\n\r"), (200, b"yes"), False),
-    (b"RELAY 9\r\n\r\n", "unreadable", False), (b"\x00\xff\x00", "unreadable", False),
-    (b"HTTP/1.1 200 OK\r\n" + b"X" * 40_000, "too large", False),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b"x" * 900, "too large", False),
-    (GOOD[:-1], "silent", False), (b"", "silent", False), (None, "ended", False)])
+@pytest.mark.parametrize(
+    "answer, outcome, kept",
+    [
+        (GOOD, (200, b"yes"), True),
+        (b"HTTP/1.1 503 no\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", (503, b"no"), True),
+        (GOOD.replace(b"\r\n\r", b"\r\nConnection: close\r\n\r"), (200, b"yes"), False),
+        (b"RELAY 9\r\n\r\n", "unreadable", False),
+        (b"\x00\xff\x00", "unreadable", False),
+        (b"HTTP/1.1 200 OK\r\n" + b"X" * 40_000, "too large", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b"x" * 900, "too large", False),
+        (GOOD[:-1], "silent", False),
+        (b"", "silent", False),
+        (None, "ended", False),
+    ],
+)
 @pytest.mark.parametrize("piece", [1, 100_000])
 def test_a_call_ends_in_one_outcome_however_the_answer_comes(kit, answer, outcome, kept, piece):
     def does(visitor, path, body):
         if answer is None:
             visitor.connection.close("broken off")
         for at in range(0, len(answer or b""), piece):
-            visitor.connection.write(answer[at:at + piece])
+            visitor.connection.write(answer[at : at + piece])
+
     party, asker = Party(kit, does), Asker()
     client = Client(kit.loop, kit.pool, party.at, asker, 250 * MS, 500)
     for number in (1, 2):
@@ -363,6 +467,7 @@
 
 # Orders
 
+
 def end(made, outcome):
     made._client.busy = False
     made.on_answer(200, outcome) if isinstance(outcome, bytes) else made.on_broken("silent")
@@ -375,7 +480,21 @@
     made.close_round()
 
 
-@pytest.mark.parametrize("outcome", [None, b"{", b"[]", b'{"ok_count":3,"\xff":1}', b"[" * 3000, b"\xff\x00", b'{"ok_count":true}', b'{"ok_count":9}', b'{"ok_count":-1}', b'{"error":"limit"}'])
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        None,
+        b"{",
+        b"[]",
+        b'{"ok_count":3,"\xff":1}',
+        b"[" * 3000,
+        b"\xff\x00",
+        b'{"ok_count":true}',
+        b'{"ok_count":9}',
+        b'{"ok_count":-1}',
+        b'{"error":"limit"}',
+    ],
+)
 def test_a_call_of_unknown_outcome_is_sent_again_whole_before_anything_newer(kit, outcome):
     made = orders(kit)
     ordered(made, 1, 2)
@@ -399,12 +518,17 @@
     end(made, None)
     relay.visitors[-1].tell(news("done", node=1, nonce=answered, latency=1.0))
     until(kit.loop, lambda: kit.events[-1][0] == "applied")
-    assert len(made._client.bodies) == (1 if answered == 6 else 2) and made._client.bodies[-1] == [("put", 7 + (answered == 7)), ("fence", 7 + (answered == 7))]
+    assert len(made._client.bodies) == (1 if answered == 6 else 2) and made._client.bodies[-1] == [
+        ("put", 7 + (answered == 7)),
+        ("fence", 7 + (answered == 7)),
+    ]
     told.close()
     relay.close()
 
 
-@pytest.mark.parametrize("taken, left", [(0, [("put", 2), ("fence", 2)]), (1, [("fence", 2)]), (2, [("put", 3), ("fence", 3)])])
+@pytest.mark.parametrize(
+    "taken, left", [(0, [("put", 2), ("fence", 2)]), (1, [("fence", 2)]), (2, [("put", 3), ("fence", 3)])]
+)
 def test_only_the_order_that_failed_is_dropped(kit, taken, left):
     made = orders(kit)
     ordered(made, 1, 2)
@@ -440,8 +564,12 @@
     made.level(4, 2, 0.5, 1)
     made.close_round()
     assert [json.loads(order[0]) for order in made._queue[0]] == [
-        {"verb": "wipe", "cluster": 4}, {"verb": "eject", "endpoint": "s-2"}, {"verb": "uneject", "endpoint": "s-2"}, {"verb": "gate", "cluster": "*", "gate": 1.0, "again": 1},
-        {"verb": "gate", "cluster": 4, "gate": 0.5, "again": 1, "for": ["buy"]}]
+        {"verb": "wipe", "cluster": 4},
+        {"verb": "eject", "endpoint": "s-2"},
+        {"verb": "uneject", "endpoint": "s-2"},
+        {"verb": "gate", "cluster": "*", "gate": 1.0, "again": 1},
+        {"verb": "gate", "cluster": 4, "gate": 0.5, "again": 1, "for": ["buy"]},
+    ]
     ordered(made, *range(2500))
     sizes = [sum(len(order[0]) + 1 for order in call) + 10 for call in made._queue]
     assert len(sizes) > 3 and max(sizes) <= 60_000
@@ -495,6 +623,7 @@
 
 # News
 
+
 def relayed(kit, *known):
     relay = Party(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
     made = orders(kit)
@@ -505,8 +634,14 @@
     return relay, told, made
 
 
-STANDING = (attach(1), attach(2), news("owner", shard=3, set=True), news("entry", shard=3, endpoint="s-1", w=1.0),
-            news("owner", shard=4, set=True), news("entry", shard=4, endpoint="s-1", w=1.0))
+STANDING = (
+    attach(1),
+    attach(2),
+    news("owner", shard=3, set=True),
+    news("entry", shard=3, endpoint="s-1", w=1.0),
+    news("owner", shard=4, set=True),
+    news("entry", shard=4, endpoint="s-1", w=1.0),
+)
 
 
 def again(kit, relay, *lines):
@@ -519,20 +654,36 @@
 def test_news_become_events_and_nobody_writes_there(kit):
     relay, told, _ = relayed(kit, *STANDING)
     asked = relay.visitors[-1].bytes_in
-    for line in (b'{"type":"moon","object":{}}\n', news("attach", node=99, locality="a", w=1, cold=True),
-                 news("entry", shard=8, endpoint="s-1", w=1.0), news("done", node=1, nonce=7, latency=2.5),
-                 news("done", node=1, nonce=7, latency=9.5), news("owner", shard=3, set=False), news("detach", node=2)):
+    for line in (
+        b'{"type":"moon","object":{}}\n',
+        news("attach", node=99, locality="a", w=1, cold=True),
+        news("entry", shard=8, endpoint="s-1", w=1.0),
+        news("done", node=1, nonce=7, latency=2.5),
+        news("done", node=1, nonce=7, latency=9.5),
+        news("owner", shard=3, set=False),
+        news("detach", node=2),
+    ):
         relay.visitors[-1].tell(line)
     until(kit.loop, lambda: kit.events[-1:] == [("left", 2)])
     assert kit.events == [
-        ("joined", 1, 0, 2.0, True), ("joined", 2, 0, 2.0, True), ("tenure", 3, True), ("line", 3, 0, 1.0),
-        ("tenure", 4, True), ("line", 4, 0, 1.0), ("applied", 1, 7, 2_500_000), ("tenure", 3, False), ("left", 2)]
+        ("joined", 1, 0, 2.0, True),
+        ("joined", 2, 0, 2.0, True),
+        ("tenure", 3, True),
+        ("line", 3, 0, 1.0),
+        ("tenure", 4, True),
+        ("line", 4, 0, 1.0),
+        ("applied", 1, 7, 2_500_000),
+        ("tenure", 3, False),
+        ("left", 2),
+    ]
     assert kit.counters.counts["news_skipped"] == 3 and relay.visitors[-1].bytes_in == asked
     told.close()
     relay.close()
 
 
-@pytest.mark.parametrize("after", [None, news("entry", shard=3, endpoint="s-1", w=1.0), news("owner", shard=4, set=True)])
+@pytest.mark.parametrize(
+    "after", [None, news("entry", shard=3, endpoint="s-1", w=1.0), news("owner", shard=4, set=True)]
+)
 def test_a_slice_is_given_with_its_lines_however_late_they_come(kit, monkeypatch, after):
     """Also where nothing follows: then it is bare."""
     monkeypatch.setattr("kestrelplank.net.news.QUIET", 1000 * MS)
@@ -619,14 +770,17 @@
 
 # Discovery
 
+
 def discovering(kit, watch, known=None):
     """`watch` holds what each watch in turn is told; asked for the whole list, the agent has version 5."""
+
     def answer(visitor, path, body):
         if "follow" in path:
             visitor.begin()
             visitor.tell(*watch.pop(0) if watch else ())
         else:
             visitor.reply(node_list(5, instance("s-1"), reset=True))
+
     agent = Party(kit, answer)
     made = Discovery(kit.loop, kit.pool, kit.counters, agent.at, names(), kit.events.append)
     made.start(known)
@@ -638,15 +792,20 @@
     """Also after one that can't be read: what it changed would be lost else."""
     monkeypatch.setattr("kestrelplank.net.discovery.ANSWERS_WITHIN", 20_000 * MS)
     started = instance("s-2", "terminating", 1000.5)
-    agent, made = discovering(kit, [[node_list(5, started), b"\n", broken], [node_list(6, instance("s-2"))]],
-                              node_list(4, instance("s-1"), {"instanceId": 7}, instance("s-1", "asleep"), reset=True))
+    agent, made = discovering(
+        kit,
+        [[node_list(5, started), b"\n", broken], [node_list(6, instance("s-2"))]],
+        node_list(4, instance("s-1"), {"instanceId": 7}, instance("s-1", "asleep"), reset=True),
+    )
     until(kit.loop, lambda: kit.counters.counts["lists_in"] == 3)
     watched = [path for _, path, _ in agent.requests if "follow" in path]
     assert watched == [f"/v1/endpoints?follow=1&since={version}" for version in (4, 5)]
     boot = kit.loop.from_unix(1_000_500_000)
     assert kit.counters.counts["entries_skipped"] == 2 and kit.events == [
-        ("roster", "cached", [(0, "up", 0, 1, 1.0, None)]), ("roster", "delta", [(1, "draining", 0, 1, 1.0, boot)]),
-        ("roster", "delta", [(1, "up", 0, 1, 1.0, None)])]
+        ("roster", "cached", [(0, "up", 0, 1, 1.0, None)]),
+        ("roster", "delta", [(1, "draining", 0, 1, 1.0, boot)]),
+        ("roster", "delta", [(1, "up", 0, 1, 1.0, None)]),
+    ]
     made.fetch()
     until(kit.loop, lambda: kit.events[-1] == ("roster", "full", [(0, "up", 0, 1, 1.0, None)]))
     made.close()
@@ -656,7 +815,16 @@
 def test_a_node_that_is_forgotten_leaves_nothing_and_its_index_is_not_used_again(kit):
     agent, made = discovering(kit, [])
     probes = Probes(kit.loop, kit.pool, kit.counters, made.addresses, True, 250 * MS, True, kit.events.append)
-    conductor = Conductor(kit.loop, kit.counters, Rounds(), MS, Orders(kit.loop, kit.pool, kit.counters, agent.at, made._ids, [], 0), made, probes, None)
+    conductor = Conductor(
+        kit.loop,
+        kit.counters,
+        Rounds(),
+        MS,
+        Orders(kit.loop, kit.pool, kit.counters, agent.at, made._ids, [], 0),
+        made,
+        probes,
+        None,
+    )
     before = None
     for number in range(3000):
         made._take(node_list(number, instance(f"n-{number}")), None)
@@ -670,7 +838,13 @@
     gc.collect()
     grown = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
-    assert index == 3001 and list(made._ids.nodes) == ["s-1", "s-2"] and not made.addresses and not probes._checks and grown < 100_000
+    assert (
+        index == 3001
+        and list(made._ids.nodes) == ["s-1", "s-2"]
+        and not made.addresses
+        and not probes._checks
+        and grown < 100_000
+    )
     made.close()
     agent.close()
 
@@ -704,12 +878,21 @@
 
 # Probes and peers
 
-@pytest.mark.parametrize("status, body, verdict, load", [
-    (200, b"inflight=7,util=0.5,moon=2", "ok", {"inflight": 7.0, "util": 0.5}), (503, b"", "full", {}),
-    (200, b"util=much", "ok", {}), (404, b"", "failed", {}), (None, b"", "broken", {})])
+
+@pytest.mark.parametrize(
+    "status, body, verdict, load",
+    [
+        (200, b"inflight=7,util=0.5,moon=2", "ok", {"inflight": 7.0, "util": 0.5}),
+        (503, b"", "full", {}),
+        (200, b"util=much", "ok", {}),
+        (404, b"", "failed", {}),
+        (None, b"", "broken", {}),
+    ],
+)
 def test_a_probe_tells_what_the_node_answered(kit, status, body, verdict, load):
-    node = Party(kit, lambda visitor, path, _: visitor.reply(body, status) if status else
-                 visitor.connection.close("broken off"))
+    node = Party(
+        kit, lambda visitor, path, _: visitor.reply(body, status) if status else visitor.connection.close("broken off")
+    )
     probes = Probes(kit.loop, kit.pool, kit.counters, {0: node.at}, True, 250 * MS, True, kit.events.append)
     probes.probe(0)
     until(kit.loop, lambda: kit.events)
@@ -741,7 +924,10 @@
     peers.share({1: 7.5})
     others[0].sendto(others[2].recv(300), peers._sock.getsockname())
     until(kit.loop, lambda: len(kit.events) == 2)
-    assert kit.events == [("peer", 1, b"peer"), ("shared", 0, [(1, 7.5)])] and kit.counters.counts["datagrams_skipped"] == 2
+    assert (
+        kit.events == [("peer", 1, b"peer"), ("shared", 0, [(1, 7.5)])]
+        and kit.counters.counts["datagrams_skipped"] == 2
+    )
     peers.close()
     for sock in others:
         sock.close()
@@ -749,6 +935,7 @@
 
 # The conductor
 
+
 class Rounds:
     def __init__(self):
         self.held = []
@@ -761,9 +948,16 @@
 def test_a_round_gathers_what_came_and_waits_while_orders_pile_up(kit):
     made = orders(kit)
     policy = Rounds()
-    conductor = Conductor(kit.loop, kit.counters, policy, 5 * MS, made, Discovery(
-        kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), kit.events.append), Probes(
-        kit.loop, kit.pool, kit.counters, {}, False, MS, False, kit.events.append), None)
+    conductor = Conductor(
+        kit.loop,
+        kit.counters,
+        policy,
+        5 * MS,
+        made,
+        Discovery(kit.loop, kit.pool, kit.counters, "127.0.0.1:1", names(), kit.events.append),
+        Probes(kit.loop, kit.pool, kit.counters, {}, False, MS, False, kit.events.append),
+        None,
+    )
     for number in range(9):
         conductor.on_event(("left", number))
     until(kit.loop, lambda: policy.held)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,10 +8,29 @@
 from kestrelplank.policy.node import GONE, Node, Slice
 
 S = 1_000_000_000
-SETTINGS = dict(envelope=8, most_waiting=6000, most_messages=0, messages_span=10 * S, subscribe=False,
-                report_every=S, cold_from=0.2, warm_up=10 * S, exclusive=False, usual_again=1,
-                only_draining_binds=False, write_life=S, lease=S, fall_multiple=3.0, grace=2 * S, levels="", op_types=[], pick="random", lines_per_s=6000,
-                may_tell=False, conductors=2)
+SETTINGS = dict(
+    envelope=8,
+    most_waiting=6000,
+    most_messages=0,
+    messages_span=10 * S,
+    subscribe=False,
+    report_every=S,
+    cold_from=0.2,
+    warm_up=10 * S,
+    exclusive=False,
+    usual_again=1,
+    only_draining_binds=False,
+    write_life=S,
+    lease=S,
+    fall_multiple=3.0,
+    grace=2 * S,
+    levels="",
+    op_types=[],
+    pick="random",
+    lines_per_s=6000,
+    may_tell=False,
+    conductors=2,
+)
 
 
 class Orders(list):
@@ -47,8 +66,7 @@
     assert conductor.nodes[0].untold is stale
 
 
-@pytest.mark.parametrize("room, lines", [(9000, {("line", 3, 1, 1.0), ("take_out", 0, True)}),
-                                         (25, set())])
+@pytest.mark.parametrize("room, lines", [(9000, {("line", 3, 1, 1.0), ("take_out", 0, True)}), (25, set())])
 def test_a_withdrawal_waits_for_the_slice_it_would_leave_bare(room, lines):
     conductor, out = fleet(["up", "up"], {3: {0: 1.0}}), Orders()
     conductor.channel.most_waiting = room
@@ -101,8 +119,16 @@
     assert conductor.nodes[0].state == state and conductor.slices[3].owner() == owner
 
 
-@pytest.mark.parametrize("listed, binds, after, gone", [
-    (True, False, S // 2, False), (True, False, S, True), (False, False, S, False), (True, True, S, False), (False, True, 6 * S, True)])
+@pytest.mark.parametrize(
+    "listed, binds, after, gone",
+    [
+        (True, False, S // 2, False),
+        (True, False, S, True),
+        (False, False, S, False),
+        (True, True, S, False),
+        (False, True, 6 * S, True),
+    ],
+)
 def test_a_node_that_only_the_store_knows_is_gone_once_the_list_would_name_it(listed, binds, after, gone):
     """Its slices move and proxies are kept from it within the grace; with no list, or one that drops sound nodes, later."""
     conductor, out = fleet(["up"], {}), Orders()
@@ -114,9 +140,16 @@
     assert (conductor.slices[3].owner() == 0) is (("take_out", 7, True) in out) is gone
 
 
-@pytest.mark.parametrize("split, heat, other, parts", [(0.45, 9.0, 1.0, [0, 1]), (0.45, 1.2, 6.0, [1]),
-                                                       (0.3, 1.2, 6.0, [0, 1]), (0.45, 0.1, 1.0, [0, 1]),
-                                                       (0.45, 0.1, 9.0, [1])])
+@pytest.mark.parametrize(
+    "split, heat, other, parts",
+    [
+        (0.45, 9.0, 1.0, [0, 1]),
+        (0.45, 1.2, 6.0, [1]),
+        (0.3, 1.2, 6.0, [0, 1]),
+        (0.45, 0.1, 1.0, [0, 1]),
+        (0.45, 0.1, 9.0, [1]),
+    ],
+)
 def test_a_slice_too_hot_to_be_moved_is_split_and_folded_back(split, heat, other, parts):
     conductor = fleet(["up", "up", "up"], {3: {0: 1.0}, 4: {2: 1.0}, 5: {0: 1.0}})
     conductor.split = split
@@ -139,9 +172,17 @@
     assert [kept.owner() for kept in conductor.slices.values()] == owners
 
 
-@pytest.mark.parametrize("state, named, held, ends", [
-    ("removed", False, True, "forgotten"), ("dropped", False, True, "forgotten"), ("removed", False, False, "forgotten"), ("draining", False, True, "draining"),
-    ("up", False, True, "up"), ("removed", True, True, "removed")])
+@pytest.mark.parametrize(
+    "state, named, held, ends",
+    [
+        ("removed", False, True, "forgotten"),
+        ("dropped", False, True, "forgotten"),
+        ("removed", False, False, "forgotten"),
+        ("draining", False, True, "draining"),
+        ("up", False, True, "up"),
+        ("removed", True, True, "removed"),
+    ],
+)
 def test_a_node_long_gone_is_let_in_again_and_forgotten(state, named, held, ends):
     conductor, out = fleet([state, "up"], {3: {0: 1.0} if named else {1: 1.0}} if held else {}), Orders()
     conductor.nodes[0].out = state in GONE
@@ -208,8 +249,9 @@
     assert bool(conductor.channel.unproved) is told
 
 
-@pytest.mark.parametrize("state, late, told", [("draining", False, False), ("draining", True, True),
-                                               ("up", False, True)])
+@pytest.mark.parametrize(
+    "state, late, told", [("draining", False, False), ("draining", True, True), ("up", False, True)]
+)
 def test_late_drains_and_restarted_nodes_do_not_wait_for_bare_slices(state, late, told):
     conductor, out = fleet([state, "up"], {3: {0: 1.0}}), Orders()
     conductor.nodes[0].stripped = state == "draining"
@@ -250,8 +292,9 @@
     conductor = fleet(["up"] * 3, {})
     conductor.moves_from = 9 * S
     for index in range(3):
-        conductor.on_tries(0, index, 0, 20.0, 0.0, S, S, load if index == 2 or not dear else {
-            "util": 0.2, "acked_per_s": 8.0})
+        conductor.on_tries(
+            0, index, 0, 20.0, 0.0, S, S, load if index == 2 or not dear else {"util": 0.2, "acked_per_s": 8.0}
+        )
     conductor.close_period(S)
     worth = conductor.survey(S)[0]
     assert (worth[2] == worth[0] / 2) is dear
@@ -286,8 +329,10 @@
     assert len(conductor.slices[3].want) == parts
 
 
-@pytest.mark.parametrize("known, listed, state, stripped", [
-    (9 * S, ("up", 8 * S), "up", True), (9 * S, ("up", None), "up", True), (8 * S, ("up", 9 * S), "up", False)])
+@pytest.mark.parametrize(
+    "known, listed, state, stripped",
+    [(9 * S, ("up", 8 * S), "up", True), (9 * S, ("up", None), "up", True), (8 * S, ("up", 9 * S), "up", False)],
+)
 @pytest.mark.parametrize("before", ["up", "draining"])
 def test_an_older_list_takes_back_no_drain_and_strips_no_node(before, known, listed, state, stripped):
     conductor = fleet([before], {3: {0: 1.0}})
@@ -307,9 +352,17 @@
     assert sum(node.shut(1) for node in conductor.nodes.values()) == barred
 
 
-@pytest.mark.parametrize("starts, now, held_for", [
-    ((5,), 6, 0), ((5, 20), 21, 12), ((5, 20, 40), 41, 24), ((5, 20, 40, 50), 51, 48), ((5, 20, 40, 50, 58), 59, 48),
-    ((5, 80), 81, 0)])
+@pytest.mark.parametrize(
+    "starts, now, held_for",
+    [
+        ((5,), 6, 0),
+        ((5, 20), 21, 12),
+        ((5, 20, 40), 41, 24),
+        ((5, 20, 40, 50), 51, 48),
+        ((5, 20, 40, 50, 58), 59, 48),
+        ((5, 80), 81, 0),
+    ],
+)
 def test_a_node_that_starts_more_than_once_in_a_minute_is_given_nothing_for_longer_each_time(starts, now, held_for):
     conductor = fleet(["up", "up"], {})
     for start in starts:
@@ -358,8 +411,9 @@
 
 def test_fresh_nodes_are_filled_though_the_fullest_node_has_no_line_that_fits():
     # Node 0 has one slice that is too hot for any; the others' slices fit.
-    conductor = meeting(["up"] * 6, {0: {0: 1.0}, 1: {1: 1.0}, 2: {1: 1.0}, 3: {2: 1.0}, 4: {2: 1.0}},
-                        {0: 40, 1: 9, 2: 9, 3: 9, 4: 9})
+    conductor = meeting(
+        ["up"] * 6, {0: {0: 1.0}, 1: {1: 1.0}, 2: {1: 1.0}, 3: {2: 1.0}, 4: {2: 1.0}}, {0: 40, 1: 9, 2: 9, 3: 9, 4: 9}
+    )
     conductor.nodes[3].fresh = conductor.nodes[4].fresh = True
     conductor.most_lines = 1
     conductor.turn(0)
@@ -376,8 +430,10 @@
     assert [order[0] for order in out].count("share") == shared
 
 
-@pytest.mark.parametrize("newest, boots, leaves", [
-    (3, (0, -20 * S), False), (9, (0, -20 * S), True), (9, (-20 * S, -20 * S), False), (9, (0, 0), False)])
+@pytest.mark.parametrize(
+    "newest, boots, leaves",
+    [(3, (0, -20 * S), False), (9, (0, -20 * S), True), (9, (-20 * S, -20 * S), False), (9, (0, 0), False)],
+)
 def test_a_slice_that_heats_up_leaves_a_cold_node_on_the_first_report_of_it(newest, boots, leaves):
     conductor = meeting(["up", "up"], {3: {0: 1.0}, 4: {1: 1.0}}, {3: 1, 4: 20})
     for node, tries, boot in zip(conductor.nodes.values(), (1, 20), boots):
@@ -387,9 +443,18 @@
     assert (conductor.slices[3].owner() == 1) is leaves
 
 
-@pytest.mark.parametrize("answered, left, told_at, untold", [
-    (True, True, 1 * S, False), (True, True, 4 * S, True), (False, True, 1 * S, False), (False, True, 2 * S, True),
-    (False, True, None, False), (False, False, 1 * S, False), (False, False, 2 * S, True)])
+@pytest.mark.parametrize(
+    "answered, left, told_at, untold",
+    [
+        (True, True, 1 * S, False),
+        (True, True, 4 * S, True),
+        (False, True, 1 * S, False),
+        (False, True, 2 * S, True),
+        (False, True, None, False),
+        (False, False, 1 * S, False),
+        (False, False, 2 * S, True),
+    ],
+)
 def test_a_proxy_that_was_here_is_told_of_no_more_than_it_may_have_missed(answered, left, told_at, untold):
     conductor = fleet(["up"], {})
     conductor.on_joined(0, 4, 0, 1.0, True)
