--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,9 +20,20 @@
 from kestrelplank.net.news import News
 
 SETTINGS = {
-    "Areas": ["a"], "Categories": [{"Name": "look", "Target": 750.0, "Effect": "pure", "Importance": 1.0}],
-    "Specifics": {"Shards": 4, "DataPlaneSize": 3, "MostWaiting": 9000.0, "EgressPerS": 6000.0, "Envelope": 8.0,
-                  "ReportEvery": 1000.0, "BaseMode": 1}, "Rules": {"StopSendingWithin": 1500.0}, "Tick": 4.0}
+    "Areas": ["a"],
+    "Categories": [{"Name": "look", "Target": 750.0, "Effect": "pure", "Importance": 1.0}],
+    "Specifics": {
+        "Shards": 4,
+        "DataPlaneSize": 3,
+        "MostWaiting": 9000.0,
+        "EgressPerS": 6000.0,
+        "Envelope": 8.0,
+        "ReportEvery": 1000.0,
+        "BaseMode": 1,
+    },
+    "Rules": {"StopSendingWithin": 1500.0},
+    "Tick": 4.0,
+}
 STANDING = [attach(1, False), news("owner", shard=2, set=True), news("entry", shard=2, endpoint="s-1", w=1.0), {}]
 
 
@@ -88,21 +99,41 @@
         return "127.0.0.1:%d" % server.getsockname()[1]
 
 
-@pytest.mark.parametrize("change, says", [
-    (None, "NODE_CONFIG is not set"), ("gone", "can't be read"), ("{", "not JSON"), ("[]", "expected an object"),
-    ({"listen": None}, "field listen"), ({"discovery": "here"}, "field discovery"), ({"hub": {}}, "field hub"),
-    ({"peers": ["there"]}, "field peers"), ({"peers": 5}, "field peers"), ({"peer_listen": 5}, "field peer_listen"),
-    ({"settings": {"Areas": 5}}, "settings.Areas"), ({"settings": {"Categories": {}}}, "settings.Categories"), ({"settings": 4}, "settings: expected an object"), ({"seed": "xyz"}, "field seed"),
-    ({"settings": {"Tick": "soon"}}, "settings.Tick")])
+@pytest.mark.parametrize(
+    "change, says",
+    [
+        (None, "NODE_CONFIG is not set"),
+        ("gone", "can't be read"),
+        ("{", "not JSON"),
+        ("[]", "expected an object"),
+        ({"listen": None}, "field listen"),
+        ({"discovery": "here"}, "field discovery"),
+        ({"hub": {}}, "field hub"),
+        ({"peers": ["there"]}, "field peers"),
+        ({"peers": 5}, "field peers"),
+        ({"peer_listen": 5}, "field peer_listen"),
+        ({"settings": {"Areas": 5}}, "settings.Areas"),
+        ({"settings": {"Categories": {}}}, "settings.Categories"),
+        ({"settings": 4}, "settings: expected an object"),
+        ({"seed": "xyz"}, "field seed"),
+        ({"settings": {"Tick": "soon"}}, "settings.Tick"),
+    ],
+)
 def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path, change, says):
-    good = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "hub": {"address": "127.0.0.1:1"}, "seed": "1f",
-            "settings": SETTINGS}
+    good = {
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "hub": {"address": "127.0.0.1:1"},
+        "seed": "1f",
+        "settings": SETTINGS,
+    }
     path = tmp_path / "config.json"
     if change != "gone" and change is not None:
         path.write_text(change if isinstance(change, str) else json.dumps(good | change))
     env = os.environ | {"NODE_CONFIG": "" if change is None else str(path)}
-    done = subprocess.run([sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True,
-                          timeout=20, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True, timeout=20, check=False
+    )
     assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1
 
 
@@ -122,7 +153,9 @@
             visitor.tell(*STANDING)
         elif len(lost) < 3:  # silent, broken off, unreadable
             lost.append(body)
-            [lambda: None, lambda: visitor.connection.close("broken off"), lambda: visitor.reply(b"\xff{")][len(lost) - 1]()
+            [lambda: None, lambda: visitor.connection.close("broken off"), lambda: visitor.reply(b"\xff{")][
+                len(lost) - 1
+            ]()
         else:
             calls.append(json.loads(body)["ops"])
             visitor.reply({"ok_count": len(calls[-1])})
@@ -155,7 +188,12 @@
     def agent_does(visitor, path, body):
         if "follow" in path:
             visitor.begin()
-            visitor.tell(node_list(1 + agents.index(visitor.party), instance("s-1", "in_service" if visitor.party is agents[0] else "terminating")))
+            visitor.tell(
+                node_list(
+                    1 + agents.index(visitor.party),
+                    instance("s-1", "in_service" if visitor.party is agents[0] else "terminating"),
+                )
+            )
 
     relays, agents = ([Party(kit, does) for _ in range(2)] for does in (relay_does, agent_does))
     places = [{"discovery": agent.at, "hub": {"address": relay.at}} for agent, relay in zip(agents, relays)]
@@ -169,12 +207,17 @@
         program.process.send_signal(signal.SIGHUP)
 
     def settled(place):
-        return lambda: all([v.gone for v in party.visitors].count(None) == number for parties, number in ((relays, 2), (agents, 2))
-                           for party, number in ((parties[place], number), (parties[1 - place], 0)))
+        return lambda: all(
+            [v.gone for v in party.visitors].count(None) == number
+            for parties, number in ((relays, 2), (agents, 2))
+            for party, number in ((parties[place], number), (parties[1 - place], 0))
+        )
 
     until(kit.loop, settled(0))
     held = len(os.listdir(f"/proc/{program.process.pid}/fd"))
-    for number, bad in enumerate(("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})), 1):
+    for number, bad in enumerate(
+        ("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})), 1
+    ):
         reload(bad)
         until(kit.loop, lambda number=number: len(program.lines("event=reloads_refused")) == number)
     assert settled(0)()
@@ -221,11 +264,22 @@
 
 
 def test_an_operators_file_that_cannot_be_used_is_one_plain_line(tmp_path):
-    (tmp_path / "c.json").write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
-                                                 "hub": {"address": "127.0.0.1:1"}, "settings": SETTINGS}))
+    (tmp_path / "c.json").write_text(
+        json.dumps(
+            {
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "1f",
+                "hub": {"address": "127.0.0.1:1"},
+                "settings": SETTINGS,
+            }
+        )
+    )
     (tmp_path / "k.ini").write_text("[nodes]\npoll = often\n")
     env = os.environ | {"NODE_CONFIG": str(tmp_path / "c.json"), "KESTRELPLANK_INI": str(tmp_path / "k.ini")}
-    done = subprocess.run([sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True, timeout=20, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "kestrelplank"], env=env, capture_output=True, text=True, timeout=20, check=False
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1
     assert "k.ini, line 2, [nodes], field poll: expected a time" in done.stderr
 
@@ -278,7 +332,10 @@
 
 @pytest.mark.parametrize("seed", range(12))
 def test_no_bytes_of_any_party_raise_anything(kit, seed):
-    random, front = Random(seed), Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
+    random, front = (
+        Random(seed),
+        Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append),
+    )
     dead = closed_port()
     told = News(kit.loop, kit.pool, kit.counters, dead, names(), 9, 9, orders(kit), kit.events.append)
     told.start()
@@ -286,12 +343,35 @@
     listed.start(None)
     made = orders(kit)
     values = [None, True, -1, 0, 1, 2.5, 1e400, 10**30, "s-1", "a", "", [], {}, [{}], "x" * 99, float("nan")]
-    fields = ["node", "locality", "w", "cold", "nonce", "latency", "shard", "set", "endpoint", "instanceId", "zone", "cell", "lifecycle", "weight", "startedAtMs"]
+    fields = [
+        "node",
+        "locality",
+        "w",
+        "cold",
+        "nonce",
+        "latency",
+        "shard",
+        "set",
+        "endpoint",
+        "instanceId",
+        "zone",
+        "cell",
+        "lifecycle",
+        "weight",
+        "startedAtMs",
+    ]
     for _ in range(400):
         thing = {field: random.choice(values) for field in random.sample(fields, 9)}
-        thing = json.dumps(random.choice([
-            {"type": random.choice(["attach", "detach", "done", "owner", "entry", None, 5]), "object": thing},
-            {"generation": random.choice(values), "reset": random.choice(values), "instances": [thing]}, thing, [thing]])).encode()
+        thing = json.dumps(
+            random.choice(
+                [
+                    {"type": random.choice(["attach", "detach", "done", "owner", "entry", None, 5]), "object": thing},
+                    {"generation": random.choice(values), "reset": random.choice(values), "instances": [thing]},
+                    thing,
+                    [thing],
+                ]
+            )
+        ).encode()
         if random.random() < 0.3:
             at = random.randrange(len(thing))
             thing = thing[:at] + random.choice([random.randbytes(2), b"\xff" + thing[at:], b"[" * 2000])
@@ -301,9 +381,20 @@
         made.line(0, 0, 1.0)
         made.close_round()
         made.on_answer(200, thing)
-        front.take([random.choice([b"upstream_stats", b"range_stats", b"hb", b"\xff"]),
-                    *(random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"]) for _ in range(8))], 0)
-    assert kit.counters.counts["news_skipped"] + kit.counters.counts["news_unreadable"] > 100 and kit.counters.counts["reports_skipped"] > 100
+        front.take(
+            [
+                random.choice([b"upstream_stats", b"range_stats", b"hb", b"\xff"]),
+                *(
+                    random.choice([b"shard", b"total", b"errors", b"1", b"nan", b"-0", b"\xc2\xb2", b"a"])
+                    for _ in range(8)
+                ),
+            ],
+            0,
+        )
+    assert (
+        kit.counters.counts["news_skipped"] + kit.counters.counts["news_unreadable"] > 100
+        and kit.counters.counts["reports_skipped"] > 100
+    )
     for part in (front, told, listed):
         part.close()
 
@@ -316,8 +407,11 @@
     kit.loop.at(kit.loop.now(), lambda: kit.events.append("deadline"))
     theirs.send(b"answer")
     select, waits = kit.loop._selector.select, []
-    monkeypatch.setattr(kit.loop._selector, "select",
-                        lambda wait: waits.append(wait) or ([] if len(waits) <= says_nothing else select(wait)))
+    monkeypatch.setattr(
+        kit.loop._selector,
+        "select",
+        lambda wait: waits.append(wait) or ([] if len(waits) <= says_nothing else select(wait)),
+    )
     kit.loop.turn()
     assert kit.events == [b"answer", "deadline"]
     ours.close()
--- a/tests/transport/test_outlook.py
+++ b/tests/transport/test_outlook.py
@@ -56,6 +56,7 @@
 def test_lines_laid_over_others_cover_what_they_say_and_nothing_else():
     random = Random(7)
     for _ in range(300):
+
         def some(most, name):
             ends = sorted(random.sample(range(40), random.randrange(1, most)))
             return [Holder(first, last - 1, f"{name}{first}", "") for first, last in zip([0, *ends], [*ends, 40])]
@@ -73,7 +74,13 @@
     outlook = EdgeView("edge-1", MEMBERS)
     lines = [[0, 99, "s", "s:80"], [100, 65535, "t", "t:80"]]
     outlook.frame(0, "a:1", {"t": "lines", "service": "views", "at": [[2, "a:1"], 1], "lines": lines})
-    leaving = {"t": "leaving", "service": "views", "since": [[2, "a:1"], 1], "at": [[2, "a:1"], 1], "lines": [[50, 99, "", ""]]}
+    leaving = {
+        "t": "leaving",
+        "service": "views",
+        "since": [[2, "a:1"], 1],
+        "at": [[2, "a:1"], 1],
+        "lines": [[50, 99, "", ""]],
+    }
     assert outlook.frame(0, "a:1", leaving) == "lines"
     assert outlook.holders["views"].of(49).server == "s" and outlook.holders["views"].of(50) is None
     changed = {**leaving, "t": "changed", "at": [[2, "a:1"], 2], "lines": [[50, 99, "t", "t:80"]]}
--- a/tests/transport/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -99,14 +99,17 @@
 
 
 @WAYS
-@pytest.mark.parametrize("data", [
-    b"\x00\x00\x00\x01\xc1",  # no msgpack
-    of(encoder.encode([1])),  # no table
-    of(b"no such thing", COMPRESSED),
-    of(zlib.compress(encoder.encode({"t": "x"}))[:-2], COMPRESSED),  # torn
-    of(zlib.compress(bytes(MOST_FRAME + 1)), COMPRESSED),  # swells beyond what is held
-    (MOST_FRAME + 1).to_bytes(4),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x00\x00\x01\xc1",  # no msgpack
+        of(encoder.encode([1])),  # no table
+        of(b"no such thing", COMPRESSED),
+        of(zlib.compress(encoder.encode({"t": "x"}))[:-2], COMPRESSED),  # torn
+        of(zlib.compress(bytes(MOST_FRAME + 1)), COMPRESSED),  # swells beyond what is held
+        (MOST_FRAME + 1).to_bytes(4),
+    ],
+)
 def test_what_cannot_be_read_ends_it_once_and_nothing_behind_it_counts(way, data):
     met, ends = carried(way, lambda wire: (wire.send({"t": "good"}), wire.transport.write(data)))
     assert met == [{"t": "good"}] and ends == 1
@@ -125,8 +128,9 @@
                 held.append(transport)
 
         server = await loop.create_server(Deaf, "127.0.0.1", 0)
-        _, wire = await loop.create_connection(lambda: FrameConnection(lambda *_: None, ended.set_result), "127.0.0.1",
-                                               server.sockets[0].getsockname()[1])
+        _, wire = await loop.create_connection(
+            lambda: FrameConnection(lambda *_: None, ended.set_result), "127.0.0.1", server.sockets[0].getsockname()[1]
+        )
         noise = Random(1).randbytes(1 << 20)
         async with asyncio.timeout(10):
             while wire.open:
