--- a/kestrelplank/consensus/messages.py
+++ b/kestrelplank/consensus/messages.py
@@ -124,7 +124,9 @@
 
 class Append(msgspec.Struct, frozen=True, array_like=True, tag="append"):
     """Entries after `prev_index`, none for a heartbeat. `round`: number of the leader's heartbeat round, echoed in the
-    reply: the lease counts from when that round was begun."""
+    reply: the lease counts from when that round was begun. `probe`: the newest probe that the leader has had from this
+    follower, which tells the follower how old the leader's word may be; `lease`: ns that the leader's lease still ran
+    when this was sent."""
 
     term: int
     epoch: int
@@ -133,17 +135,20 @@
     entries: tuple[Entry, ...]
     commit: int
     round: int
+    probe: int = 0
+    lease: int = 0
 
 
 class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag="appended"):
     """`match`: highest index known to be durable and alike; where not `success`: an index the sender may have it alike
-    up to. `round` 0: sent when entries became durable, not to a heartbeat."""
+    up to. `round` 0: sent when entries became durable, not to a heartbeat. `probe`: a number that the leader echoes."""
 
     term: int
     epoch: int
     success: bool
     match: int
     round: int
+    probe: int = 0
 
 
 class SnapshotPiece(msgspec.Struct, frozen=True, array_like=True, tag="piece"):
