--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,708 @@
+"""A simulated cluster of control members: the real consensus core, with everything round it simulated on one virtual
+clock and one seeded `Random`.
+
+    Disk       what `Persist` made durable, with latency; it may hang, or refuse and be asked again
+    Machine    an address with a disk, a steady clock of its own rate, and at most one running life of a member
+    Network    in order within a session; late, lost, doubled, cut one way or both, reset; what is late may outlive its
+               session
+    Operator   orders and reads sent to any member, passed on to the leader, answers that may be lost
+
+After every step `Checks` holds all invariants against all that has ever happened. `Cluster.run` plays time,
+`Cluster.until` plays until something holds; a test may act at any event in between.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from consensus.checks import Checks, Replica
+from kestrelplank.consensus.effects import Applied, Deposed, Effect, Elected, Persist, Restored, Send
+from kestrelplank.consensus.messages import (
+    FIRST,
+    Append,
+    CallId,
+    ChangeMembership,
+    Entry,
+    HardState,
+    Membership,
+    Message,
+    OrderResult,
+    PutConfiguration,
+    PutRecord,
+    ReadConfiguration,
+    ReadResult,
+    Snapshot,
+    SnapshotPiece,
+    SubmitOrder,
+    address_of,
+    identity_of,
+)
+from kestrelplank.consensus.node import CURRENT, ConsensusNode
+
+US = 1_000
+MS = 1_000_000
+S = 1_000_000_000
+
+TICK = 20 * MS  # between two calls of `tick`
+DISCOVERY = 200 * MS  # between two looks of a member for others
+COMPACT_AFTER = 64  # applied entries after which the log is cut short
+MOST_AGE = int(CURRENT * 1.01)  # of what a current member has, in true time
+MOST_DRIFT = 0.01  # by which a steady clock is fast or slow: two differ by 2% at most
+TRACE = 60  # last steps that a failure shows
+
+# What an operator's attempt came to.
+IN_FORCE = "in force"  # this very text is, or was put, in force under its number
+OVERTAKEN = "overtaken"  # its number is not above the one in force: it changed nothing
+UNKNOWN = "unknown"  # nothing is known; it may be sent again
+
+
+@dataclass
+class Conditions:
+    """What the surroundings are like now; times in ns, chances from 0 to 1."""
+
+    delay: tuple[int, int] = (200 * US, 2 * MS)
+    loss: float = 0.0
+    double: float = 0.0
+    stray: float = 0.0  # of a message on its way at a reset: it still arrives, late
+    bytes_per_s: int = 0  # of each direction of a link; 0: as much as comes
+    answer_loss: float = 0.0  # of an operator's answer
+    write: tuple[int, int] = (1 * MS, 6 * MS)
+    refusal: float = 0.0  # of a write: it is asked again
+
+
+def size_of(message: Message) -> int:
+    """About how many bytes of content it has."""
+    if isinstance(message, SnapshotPiece):
+        return len(message.data)
+    if isinstance(message, Append):
+        return sum(len(getattr(entry.command, "text", b"")) for entry in message.entries)
+    return 0
+
+
+class Disk:
+    """What one machine has made durable. A write is whole or not there at all."""
+
+    def __init__(self) -> None:
+        self.incarnation = ""
+        self.membership: Membership | None = None  # of the first start
+        self.hard_state = HardState()
+        self.snapshot: Snapshot | None = None
+        self.entries: list[Entry] = []
+        self.hanging = False
+
+    def write(self, persist: Persist) -> None:
+        if persist.hard_state is not None:
+            self.hard_state = persist.hard_state
+        if persist.snapshot is not None:
+            self.snapshot, self.entries = persist.snapshot, []
+        if persist.entries:
+            first = persist.entries[0].index
+            self.entries = [entry for entry in self.entries if entry.index < first]
+            self.entries += persist.entries
+
+    @property
+    def last_index(self) -> int:
+        if self.entries:
+            return self.entries[-1].index
+        return self.snapshot.index if self.snapshot else 0
+
+    def has(self, command: object) -> bool:
+        """Whether an entry with this command is among the durable ones."""
+        return any(entry.command == command for entry in self.entries)
+
+
+@dataclass
+class Attempt:
+    """One call of an operator. `result`: what the leader came to, as soon as it did; `answer`: what the operator has
+    been told, None as long as nothing came."""
+
+    version: int
+    text: bytes | None  # None: a read
+    result: str | None = None
+    answer: str | None = None
+    found: tuple[int, bytes | None] | None = None  # of a read
+
+
+@dataclass
+class Machine:
+    """One address. `node` is None while no process runs there."""
+
+    address: str
+    random: Random
+    rate: float
+    offset: int
+    disk: Disk = field(default_factory=Disk)
+    node: ConsensusNode | None = None
+    life: int = 0
+    frozen: bool = False
+    wiped: bool = False  # since the last start
+    held: list[Callable[[], None]] = field(default_factory=list)  # what waits for a frozen process
+    writes: deque[Persist] = field(default_factory=deque)
+    writing: bool = False
+    replica: Replica = field(default_factory=Replica)
+    calls: dict[int, tuple[int, CallId, Attempt]] = field(default_factory=dict)  # index -> (term, call, attempt)
+    least: tuple[int, int] = (0, 0)  # term and commit, which don't go back in a life
+    elections: int = 0
+    compact_after: int = COMPACT_AFTER
+    compacted: int = 0
+
+    @property
+    def identity(self) -> str:
+        return identity_of(self.address, self.disk.incarnation)
+
+    @property
+    def runs(self) -> bool:
+        return self.node is not None
+
+    def clock(self, time: int) -> int:
+        """The machine's steady clock at the true time."""
+        return self.offset + int(time * self.rate)
+
+
+class Cluster:
+    """`count` machines at addresses `a`, `b`, ... that are started together with empty disks; `spare` more wait."""
+
+    def __init__(self, count: int = 3, seed: int = 0, *, spare: int = 0, drift: float = MOST_DRIFT, start: bool = True):
+        self.random = Random(seed)
+        self.time = 0
+        self.conditions = Conditions()
+        self.checks = Checks(self.told)
+        self.attempts: list[Attempt] = []
+        self.steps = 0
+        self.pieces_sent = 0
+        self.bytes_sent = 0  # of entries and pieces, about
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = 0
+        self._trace: deque[tuple] = deque(maxlen=TRACE)
+        self._arrival: dict[tuple[str, str], int] = {}  # when the last message of a direction arrives
+        self._session: dict[frozenset[str], int] = {}  # counts resets
+        self._cut: dict[tuple[str, str], bool] = {}  # direction -> whether messages are kept until it is joined
+        self._kept: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self._calls = 0
+        self.machines: dict[str, Machine] = {}
+        names = [chr(ord("a") + place) for place in range(count + spare)]
+        for name in names:
+            rate = 1 + self.random.uniform(-drift, drift)
+            offset = self.random.randrange(1000 * S)
+            self.machines[name] = Machine(name, Random(self.random.random()), rate, offset)
+        self.first = Membership(1, tuple(identity_of(name, FIRST) for name in names[:count]))
+        if start:
+            for name in names[:count]:
+                self.at(self.random.randrange(300 * MS), lambda name=name: self.start(name, first=True))
+
+    # Time.
+
+    def at(self, delay: int, act: Callable[[], None]) -> None:
+        """Do `act` after `delay` ns."""
+        self._order += 1
+        heappush(self._queue, (self.time + delay, self._order, act))
+
+    def step(self) -> None:
+        """Play the next event, then hold all invariants."""
+        self.time, _, act = heappop(self._queue)
+        act()
+        self.steps += 1
+        self.check()
+
+    def run(self, span: int) -> None:
+        """Play `span` ns."""
+        end = self.time + span
+        while self._queue and self._queue[0][0] <= end:
+            self.step()
+        self.time = end
+        self.check()
+
+    def until(self, holds: Callable[[], object], within: int = 20 * S) -> None:
+        """Play until `holds()`; a failure unless that comes within `within` ns."""
+        end = self.time + within
+        while not holds():
+            self.checks.need(bool(self._queue) and self._queue[0][0] <= end, "did not come within", within / S, "s")
+            self.step()
+
+    def check(self) -> None:
+        leaders = []
+        for machine in self.machines.values():
+            node = machine.node
+            if node is None:
+                continue
+            now = (node.term, node.commit)
+            term, commit = machine.least
+            self.checks.need(
+                node.term >= term and node.commit >= commit, machine.identity, "goes back to", now, machine.least
+            )
+            machine.least = now
+            if node.leads(machine.clock(self.time)):
+                leaders.append(machine)
+        self.checks.need(len(leaders) <= 1, "lead at once:", [machine.identity for machine in leaders])
+        for machine in leaders:
+            self.checks.leads(machine.identity, machine.replica)
+        for machine in self.running():
+            if machine.node.current(machine.clock(self.time)):
+                self.checks.current(machine.identity, machine.replica, self.time - MOST_AGE)
+
+    def note(self, *what: object) -> None:
+        self._trace.append((self.time, *what))
+
+    def told(self) -> str:
+        """The last steps, as text."""
+        return "\n".join(
+            f"{step[0] / MS:12.3f} ms  " + " ".join(str(part) for part in step[1:]) for step in self._trace
+        )
+
+    # Machines.
+
+    def start(self, name: str, first: bool = False) -> None:
+        """Start the process at `name` from what its disk has; an empty disk gets an incarnation."""
+        machine = self.machines[name]
+        disk = machine.disk
+        assert machine.node is None
+        if not disk.incarnation:
+            disk.incarnation = FIRST if first else f"{self.random.getrandbits(32):08x}"
+            disk.membership = self.first if first else None
+        machine.life += 1
+        machine.wiped = False
+        machine.offset = self.random.randrange(1000 * S)
+        machine.replica = Replica()
+        machine.least = (disk.hard_state.term, 0)
+        self.note("start", machine.identity)
+        machine.node = ConsensusNode(
+            now=machine.clock(self.time),
+            random=Random(machine.random.random()),
+            identity=machine.identity,
+            membership=disk.membership,
+            hard_state=disk.hard_state,
+            entries=tuple(disk.entries),
+            snapshot=disk.snapshot,
+            first_start=first,
+        )
+        if disk.snapshot is not None:
+            self.restore(machine, disk.snapshot)
+        machine.compacted = machine.replica.index
+        life = machine.life
+        self.at(self.random.randrange(TICK), lambda: self._tick(machine, life))
+        self.at(self.random.randrange(DISCOVERY), lambda: self._discover(machine, life))
+
+    def kill(self, name: str) -> None:
+        """The process ends, its memory is lost; of the writes under way the first may be durable."""
+        machine = self.machines[name]
+        if machine.node is None:
+            return
+        self.note("kill", machine.identity)
+        if machine.writes and not machine.disk.hanging and self.random.random() < 0.5:
+            self._durable(machine, machine.writes[0])
+        machine.node = None
+        machine.frozen = machine.writing = False
+        machine.held.clear()
+        machine.writes.clear()
+        machine.calls.clear()
+
+    def wipe(self, name: str) -> None:
+        """The process ends and its disk is lost."""
+        self.kill(name)
+        self.note("wipe", self.machines[name].identity)
+        self.machines[name].disk = Disk()
+        self.machines[name].wiped = True
+
+    def restart(self, name: str, after: int = 0) -> None:
+        """Kill `name`, and start it again after `after` ns."""
+        self.kill(name)
+        self.at(after, lambda: self.machines[name].runs or self.start(name))
+
+    def freeze(self, name: str) -> None:
+        """The process takes no step; its clock runs, and what is sent to it waits."""
+        self.note("freeze", name)
+        self.machines[name].frozen = self.machines[name].runs
+
+    def thaw(self, name: str, tick_first: bool | None = None) -> None:
+        """The process goes on: what waits for it comes in order, before or after (None: by chance) its next tick."""
+        machine = self.machines[name]
+        if not machine.frozen:
+            return
+        self.note("thaw", name)
+        machine.frozen = False
+        if tick_first is None:
+            tick_first = self.random.random() < 0.5
+        if tick_first:
+            self._do(machine, lambda node, now: node.tick(now))
+        held, machine.held = machine.held, []
+        for act in held:
+            act()
+            self.check()
+
+    def transfer(self, machine: Machine) -> None:
+        """The member gives up leading in order."""
+        self.note("transfer", machine.identity)
+        self._do(machine, lambda node, now: node.transfer(now))
+
+    def hang(self, name: str, hanging: bool = True) -> None:
+        """The disk at `name` completes nothing, until it is let go."""
+        machine = self.machines[name]
+        self.note("disk hangs" if hanging else "disk goes on", name)
+        machine.disk.hanging = hanging
+        self._write(machine)
+
+    def _awake(self, machine: Machine, life: int, act: Callable[[], None]) -> None:
+        """Do `act` if that life still runs, as soon as it is not frozen."""
+        if machine.life != life or machine.node is None:
+            return
+        if machine.frozen:
+            machine.held.append(lambda: self._awake(machine, life, act))
+            return
+        act()
+
+    def _tick(self, machine: Machine, life: int) -> None:
+        def tick() -> None:
+            self._do(machine, lambda node, now: node.tick(now))
+
+        if machine.life != life or machine.node is None:
+            return
+        if not machine.frozen:
+            tick()
+        self.at(TICK, lambda: self._tick(machine, life))
+
+    def _discover(self, machine: Machine, life: int) -> None:
+        if machine.life != life or machine.node is None:
+            return
+        if not machine.frozen:
+            self.discover(machine)
+        self.at(DISCOVERY, lambda: self._discover(machine, life))
+
+    def discover(self, machine: Machine) -> None:
+        """A leader takes in whoever runs at the address of a voter whose disk is lost, as soon as it has caught up."""
+        node, now = machine.node, machine.clock(self.time)
+        if not node.leads(now):
+            return
+        voters = node.membership.voters
+        for other in self.running():
+            if other.identity in node.membership.everybody() or not self.reach(machine, other):
+                continue
+            node.add_learner(other.identity)
+            lost = [voter for voter in voters if address_of(voter) == other.address]
+            if lost and other.identity in node.peers and node.peers[other.identity].caught_up(node.commit):
+                following = tuple(other.identity if voter == lost[0] else voter for voter in voters)
+                change = ChangeMembership(Membership(node.epoch + 1, following, voters))
+                self.note("proposes", machine.identity, change)
+                _, effects = node.propose(now, change)
+                self.carry_out(machine, effects)
+                return
+
+    def reach(self, one: Machine, other: Machine) -> bool:
+        """Whether messages pass between two, both ways."""
+        pairs = ((one.address, other.address), (other.address, one.address))
+        return one is not other and not any(pair in self._cut for pair in pairs)
+
+    def _do(self, machine: Machine, call: Callable[[ConsensusNode, int], list[Effect] | None]) -> None:
+        """Call the core, then carry out what it wants."""
+        effects = call(machine.node, machine.clock(self.time))
+        self.carry_out(machine, effects or [])
+        self._compact(machine)
+
+    def _compact(self, machine: Machine) -> None:
+        if machine.replica.index - machine.compacted >= machine.compact_after:
+            machine.compacted = machine.replica.index
+            self.note("compacts", machine.identity, "at", machine.replica.index)
+            self.carry_out(machine, machine.node.compact(machine.replica.state()) or [])
+
+    def carry_out(self, machine: Machine, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send_from_core(machine, effect)
+            elif isinstance(effect, Persist):
+                machine.writes.append(effect)
+                self._write(machine)
+            elif isinstance(effect, Applied):
+                self._apply(machine, effect.entry)
+            elif isinstance(effect, Restored):
+                self.restore(machine, effect.snapshot)
+            elif isinstance(effect, Elected):
+                self.note("elected", machine.identity, "term", effect.term)
+                machine.elections += 1
+                self.checks.elected(machine.identity, effect.term, machine.replica)
+            elif isinstance(effect, Deposed):
+                self.note("deposed", machine.identity)
+                self._give_up(machine)
+            else:
+                raise TypeError(f"no effect: {effect!r}")
+
+    def _apply(self, machine: Machine, entry: Entry) -> None:
+        self.checks.applied(self.time, machine.identity, machine.replica, entry)
+        machine.replica.apply(entry)
+        self.checks.in_force(machine.identity, machine.replica)
+        if entry.index in machine.calls:
+            term, call, attempt = machine.calls.pop(entry.index)
+            self._settle(machine, call, attempt, entry.term == term and entry.command)
+
+    def restore(self, machine: Machine, snapshot: Snapshot) -> None:
+        """The replicated state at `machine` is the snapshot's from now on."""
+        self.note("restores", machine.identity, "at", snapshot.index)
+        self.checks.restored(machine.identity, machine.replica, snapshot)
+        machine.replica.restore(snapshot)
+        machine.compacted = max(machine.compacted, snapshot.index)
+        self.checks.in_force(machine.identity, machine.replica)
+        self._give_up(machine)
+
+    # Disks.
+
+    def _write(self, machine: Machine) -> None:
+        """Begin the next write, if none is under way."""
+        if machine.writing or not machine.writes or machine.disk.hanging or machine.node is None:
+            return
+        machine.writing = True
+        life, disk = machine.life, machine.disk
+        self.at(self.random.randint(*self.conditions.write), lambda: self._written(machine, life, disk))
+
+    def _written(self, machine: Machine, life: int, disk: Disk) -> None:
+        if machine.life != life or machine.disk is not disk or machine.node is None:
+            return
+        machine.writing = False
+        if disk.hanging:
+            return
+        if self.random.random() < self.conditions.refusal:
+            self.note("disk refuses", machine.identity)
+            self._write(machine)
+            return
+        persist = machine.writes.popleft()
+        self._durable(machine, persist)
+        self._awake(machine, life, lambda: self._do(machine, lambda node, now: node.persisted(now, persist.number)))
+        self._write(machine)
+
+    def _durable(self, machine: Machine, persist: Persist) -> None:
+        self.note("durable", machine.identity, persist)
+        self.checks.persisted(machine.identity, persist)
+        machine.disk.write(persist)
+
+    # Network.
+
+    def cut(self, one: str, other: str, *, both: bool = True, keep: bool = False) -> None:
+        """Nothing passes from `one` to `other` (nor back, if `both`); `keep`: it arrives once they are joined again."""
+        self.note("cut", one, "--" if both else "->", other, "kept" if keep else "")
+        self._cut[one, other] = keep
+        if both:
+            self._cut[other, one] = keep
+
+    def isolate(self, name: str, *, inward: bool = True, outward: bool = True, keep: bool = False) -> None:
+        """Cut `name` off from all others, in either or both directions."""
+        for other in self.machines:
+            if other != name and inward:
+                self.cut(other, name, both=False, keep=keep)
+            if other != name and outward:
+                self.cut(name, other, both=False, keep=keep)
+
+    def join(self, one: str | None = None, other: str | None = None) -> None:
+        """End the cuts between two, or all of them."""
+        self.note("join", one or "all", other or "")
+        pairs = list(self._cut) if one is None else [(one, other), (other, one)]
+        for pair in pairs:
+            self._cut.pop(pair, None)
+            for arrive in self._kept.pop(pair, []):
+                self._travel(pair, arrive)
+
+    def reset(self, one: str, other: str) -> None:
+        """The session between two breaks and stands again at once: what was on its way is lost, or strays."""
+        self.note("reset", one, other)
+        pair = frozenset((one, other))
+        self._session[pair] = self._session.get(pair, 0) + 1
+        for direction in ((one, other), (other, one)):
+            self._arrival.pop(direction, None)
+            self._kept.pop(direction, None)
+
+    def _send_from_core(self, machine: Machine, effect: Send) -> None:
+        disk = machine.disk
+        self.pieces_sent += isinstance(effect.message, SnapshotPiece)
+        self.checks.sent(machine.identity, effect.to, effect.message, disk.hard_state, disk.last_index)
+        self.send(machine, effect.to, effect.message)
+
+    def send(self, machine: Machine, to: str, message: Message) -> None:
+        """From a running member to the member with that identity."""
+        if self.conditions.loss and self.random.random() < self.conditions.loss:
+            self.note("lost", machine.identity, "->", to, message)
+            return
+        target = self.machines.get(address_of(to))
+        if target is None or target is machine or not target.runs or target.identity != to:
+            return
+        sender, life = machine.identity, target.life
+        pair = frozenset((machine.address, target.address))
+        session = self._session.get(pair, 0)
+
+        def arrive() -> None:
+            if self._session.get(pair, 0) != session and self.random.random() >= self.conditions.stray:
+                return
+            self._awake(target, life, lambda: self._receive(target, sender, message))
+
+        direction = (machine.address, target.address)
+        copies = 2 if self.conditions.double and self.random.random() < self.conditions.double else 1
+        for _ in range(copies):
+            self._travel(direction, arrive, size_of(message))
+
+    def _travel(self, direction: tuple[str, str], arrive: Callable[[], None], size: int = 0) -> None:
+        self.bytes_sent += size
+        if direction in self._cut:
+            if self._cut[direction]:
+                self._kept.setdefault(direction, []).append(arrive)
+            return
+        when = max(self._arrival.get(direction, 0), self.time + self.random.randint(*self.conditions.delay))
+        if self.conditions.bytes_per_s:
+            when += size * S // self.conditions.bytes_per_s
+        self._arrival[direction] = when
+        self.at(when - self.time, arrive)
+
+    def _receive(self, machine: Machine, sender: str, message: Message) -> None:
+        self.note(sender, "->", machine.identity, message)
+        if isinstance(message, SubmitOrder):
+            self._submitted(machine, message.call, message.order)
+        elif isinstance(message, ReadConfiguration):
+            self._read(machine, message.call)
+        elif isinstance(message, OrderResult | ReadResult):
+            self._answer(machine.address, self.attempts[message.call.number])
+        else:
+            self._do(machine, lambda node, now: node.receive(now, sender, message))
+
+    # Operators.
+
+    def order(self, name: str, version: int, text: bytes) -> Attempt:
+        """An operator sends an order to `name`, once."""
+        attempt = Attempt(version, text)
+        self._call(name, attempt, PutConfiguration(version, text.decode(), text))
+        return attempt
+
+    def read(self, name: str) -> Attempt:
+        """An operator asks `name` for the configuration in force, once."""
+        attempt = Attempt(0, None)
+        self._call(name, attempt, None)
+        return attempt
+
+    def _call(self, name: str, attempt: Attempt, order: PutConfiguration | None) -> None:
+        self.attempts.append(attempt)
+        machine = self.machines[name]
+        call = CallId(machine.identity, machine.life, len(self.attempts) - 1)
+        self.note("operator asks", name, order or "for what is in force")
+        if machine.node is None:
+            attempt.answer = UNKNOWN
+            return
+        life = machine.life
+
+        def ask() -> None:
+            if order is None:
+                self._read(machine, call)
+            else:
+                self._submitted(machine, call, order)
+
+        self._awake(machine, life, ask)
+
+    def _submitted(self, machine: Machine, call: CallId, order: PutConfiguration) -> None:
+        """A member has an order, from an operator or passed on: the leader proposes it, others pass it on once."""
+        node, now, attempt = machine.node, machine.clock(self.time), self.attempts[call.number]
+        if not node.leads(now):
+            passed_on = call.member != machine.identity
+            if passed_on or not node.leader or node.leader == machine.identity:
+                self._end(machine, call, attempt, UNKNOWN)
+            else:
+                self.send(machine, node.leader, SubmitOrder(call, order))
+            return
+        if order.version <= machine.replica.version:
+            self._settle(machine, call, attempt, order)
+            return
+        index, effects = node.propose(now, order)
+        if index is None:
+            self._end(machine, call, attempt, UNKNOWN)
+        else:
+            machine.calls[index] = (node.term, call, attempt)
+        self.carry_out(machine, effects)
+        self._compact(machine)
+
+    def propose(self, machine: Machine, record: bytes) -> None:
+        """The leader puts a record in its log, as it does for the key ranges of a service."""
+        self._do(machine, lambda node, now: node.propose(now, PutRecord("service", record))[1])
+
+    def _settle(self, machine: Machine, call: CallId, attempt: Attempt, order: PutConfiguration | bool) -> None:
+        """The leader knows what became of an order; `order` is False where another entry took its place."""
+        if order is False:
+            self._end(machine, call, attempt, UNKNOWN)
+            return
+        replica = machine.replica
+        if replica.version == order.version and replica.text == order.text:
+            self.checks.order_acknowledged(machine.identity, order, replica)
+            self._end(machine, call, attempt, IN_FORCE)
+        else:
+            self.checks.need(replica.version >= order.version, machine.identity, "did not take", order)
+            self._end(machine, call, attempt, OVERTAKEN)
+
+    def _read(self, machine: Machine, call: CallId) -> None:
+        node, now, attempt = machine.node, machine.clock(self.time), self.attempts[call.number]
+        if node.leads(now):
+            attempt.found = (machine.replica.version, machine.replica.text)
+            self._end(machine, call, attempt, IN_FORCE)
+        elif call.member == machine.identity and node.leader and node.leader != machine.identity:
+            self.send(machine, node.leader, ReadConfiguration(call))
+        else:
+            self._end(machine, call, attempt, UNKNOWN)
+
+    def _give_up(self, machine: Machine) -> None:
+        """What became of the orders under way here will not be known."""
+        calls, machine.calls = machine.calls, {}
+        for _, call, attempt in calls.values():
+            self._end(machine, call, attempt, UNKNOWN)
+
+    def _end(self, machine: Machine, call: CallId, attempt: Attempt, result: str) -> None:
+        self.note(machine.identity, "answers", attempt.version, attempt.text, result)
+        attempt.result = result
+        if call.member == machine.identity:
+            self._answer(machine.address, attempt)
+        else:
+            self.send(machine, call.member, OrderResult(call, result != UNKNOWN))
+
+    def _answer(self, name: str, attempt: Attempt) -> None:
+        """The answer leaves `name` for the operator."""
+        if self.random.random() >= self.conditions.answer_loss:
+            attempt.answer = attempt.result
+
+    # What tests ask.
+
+    def running(self) -> list[Machine]:
+        return [machine for machine in self.machines.values() if machine.runs]
+
+    def leader(self) -> Machine | None:
+        """Who may act as the leader at this moment."""
+        for machine in self.running():
+            if machine.node.leads(machine.clock(self.time)):
+                return machine
+        return None
+
+    def elect(self, within: int = 20 * S) -> Machine:
+        """Play until somebody leads; who it is."""
+        self.until(self.leader, within)
+        return self.leader()
+
+    def put(self, version: int, text: bytes, at: str | None = None, within: int = 20 * S) -> str:
+        """Send an order again and again, every 200 ms, until an answer comes; what it was."""
+        end = self.time + within
+        while True:
+            names = [at] if at else [machine.address for machine in self.running()]
+            attempt = self.order(self.random.choice(names), version, text)
+            again = self.time + S
+            while attempt.answer is None and self.time < again and self._queue:
+                self.step()
+            if attempt.answer in (IN_FORCE, OVERTAKEN):
+                return attempt.answer
+            self.checks.need(self.time < end, "no answer to", version, text)
+            self.run(200 * MS)
+
+    def caught_up(self) -> bool:
+        """Whether somebody leads and all running members have applied the same."""
+        if self.leader() is None:
+            return False
+        return all(machine.replica.index == self.checks.last_index for machine in self.running())
+
+    def calm(self, within: int = 30 * S) -> None:
+        """End all troubles, start what is down, and play until everybody has caught up."""
+        self.conditions = Conditions()
+        self.join()
+        for name, machine in self.machines.items():
+            if machine.disk.hanging:
+                self.hang(name, False)
+            self.thaw(name)
+            if not machine.runs and (machine.life or machine.disk.incarnation):
+                self.start(name)
+        self.until(self.caught_up, within)
--- /dev/null
+++ b/tests/consensus/test_histories.py
@@ -0,0 +1,222 @@
+"""Random histories of a whole cluster under all troubles that are borne, each from one seed. Whatever happens, the
+invariants of `checks` hold after every step; after the troubles everybody catches up, and orders are taken again."""
+
+from random import Random
+
+import pytest
+
+from consensus.cluster import IN_FORCE, MS, OVERTAKEN, Cluster, Conditions, S
+
+MOST_UNDER_WAY = 8  # orders
+TEXTS = 3  # that operators send under one number
+
+
+class History:
+    """One cluster, operators that send orders all the time, and troubles that come and go."""
+
+    def __init__(self, seed: int, count: int = 3) -> None:
+        self.random = Random(seed)
+        self.cluster = Cluster(count, seed)
+        self.count = count
+        self.version = 0
+        self.under_way = 0
+        self.troubles = 0
+        self.ended = False
+        for machine in self.cluster.machines.values():
+            machine.compact_after = self.random.choice((1, 4, 16, 64))
+
+    def names(self) -> list[str]:
+        return list(self.cluster.machines)
+
+    def name(self) -> str:
+        return self.random.choice(self.names())
+
+    # Operators.
+
+    def operate(self) -> None:
+        """An order begins, most often under a new number, else under one that was used before."""
+        if self.ended:
+            return
+        if self.under_way < MOST_UNDER_WAY:
+            if self.random.random() < 0.7 or not self.version:
+                self.version += self.random.randint(1, 3)
+            version = max(1, self.version - self.random.choice((0, 0, 0, 1, 1, 5, 50)))
+            self.under_way += 1
+            self.send(version, f"{version}-{self.random.randrange(TEXTS)}".encode(), 30)
+        self.cluster.at(self.random.randrange(400 * MS), self.operate)
+
+    def send(self, version: int, text: bytes, left: int) -> None:
+        """One attempt of an order; another follows until it is answered, for `left` times."""
+        attempt = self.cluster.order(self.name(), version, text)
+
+        def look() -> None:
+            if attempt.answer in (IN_FORCE, OVERTAKEN) or left == 0:
+                self.under_way -= 1
+            else:
+                self.send(version, text, left - 1)
+
+        self.cluster.at(self.random.randint(100 * MS, S), look)
+        if self.random.random() < 0.2:
+            self.cluster.read(self.name())
+
+    # Troubles.
+
+    def trouble(self) -> None:
+        """One more trouble begins; each ends by itself."""
+        if self.ended:
+            return
+        self.troubles += 1
+        kinds = (
+            self.kill_one,
+            self.kill_one,
+            self.kill_several,
+            self.kill_leader,
+            self.kill_all,
+            self.wipe,
+            self.freeze,
+            self.freeze_leader,
+            self.cut_pair,
+            self.cut_one_way,
+            self.cut_off,
+            self.cut_leader_off,
+            self.hang,
+            self.reset,
+            self.weather,
+            self.hand_over,
+        )
+        self.random.choice(kinds)()
+        self.cluster.at(self.random.randrange(2 * S), self.trouble)
+
+    def span(self, most: int = 6 * S) -> int:
+        """How long a trouble lasts: mostly short."""
+        return int(self.random.choice((0.01, 0.1, 0.4, 1)) * self.random.randrange(most))
+
+    def leader_name(self) -> str:
+        leader = self.cluster.leader()
+        return leader.address if leader else self.name()
+
+    def kill(self, name: str, after: int) -> None:
+        self.cluster.kill(name)
+        self.cluster.at(after, lambda: self.cluster.machines[name].runs or self.cluster.start(name))
+
+    def kill_one(self) -> None:
+        self.kill(self.name(), self.span())
+
+    def kill_leader(self) -> None:
+        self.kill(self.leader_name(), self.span())
+
+    def kill_several(self) -> None:
+        for name in self.random.sample(self.names(), self.random.randint(2, self.count)):
+            self.kill(name, self.span(3 * S))
+
+    def kill_all(self) -> None:
+        after = self.span(3 * S)
+        for name in self.names():
+            self.kill(name, after + self.random.randrange(300 * MS))
+
+    def wipe(self) -> None:
+        """A disk is lost, if no other is: what a majority holds must not rest on fewer disks than that."""
+        cluster = self.cluster
+        committed = cluster.checks.membership(cluster.first)
+        known = {machine.identity for machine in cluster.machines.values()}
+        if committed.joint or any(voter not in known for voter in committed.voters):
+            return
+        if any(machine.node and machine.node.epoch != committed.epoch for machine in cluster.machines.values()):
+            return
+        name = self.name()
+        cluster.wipe(name)
+        self.kill(name, self.span(3 * S))
+
+    def freeze(self, name: str | None = None) -> None:
+        name = name or self.name()
+        self.cluster.freeze(name)
+        self.cluster.at(self.span(), lambda: self.cluster.thaw(name))
+
+    def freeze_leader(self) -> None:
+        self.freeze(self.leader_name())
+
+    def cut_pair(self) -> None:
+        one, other = self.random.sample(self.names(), 2)
+        self.cluster.cut(one, other, keep=self.random.random() < 0.3)
+        self.cluster.at(self.span(), lambda: self.cluster.join(one, other))
+
+    def cut_one_way(self) -> None:
+        one, other = self.random.sample(self.names(), 2)
+        self.cluster.cut(one, other, both=False, keep=self.random.random() < 0.3)
+        self.cluster.at(self.span(), lambda: self.cluster.join(one, other))
+
+    def cut_off(self, name: str | None = None) -> None:
+        inward, outward = self.random.choice(((True, True), (True, True), (True, False), (False, True)))
+        self.cluster.isolate(name or self.name(), inward=inward, outward=outward, keep=self.random.random() < 0.3)
+        self.cluster.at(self.span(20 * S), self.cluster.join)
+
+    def cut_leader_off(self) -> None:
+        self.cut_off(self.leader_name())
+
+    def hang(self) -> None:
+        name = self.name()
+        self.cluster.hang(name)
+        self.cluster.at(self.span(), lambda: self.cluster.hang(name, False))
+
+    def reset(self) -> None:
+        self.cluster.reset(*self.random.sample(self.names(), 2))
+
+    def hand_over(self) -> None:
+        """The leader gives up in order."""
+        leader = self.cluster.leader()
+        if leader is not None and not leader.frozen:
+            self.cluster.transfer(leader)
+
+    def weather(self) -> None:
+        """Links and disks become better or worse."""
+        choice = self.random.choice
+        self.cluster.conditions = Conditions(
+            delay=choice(((200_000, 2 * MS), (1 * MS, 60 * MS), (1 * MS, 400 * MS))),
+            loss=choice((0, 0, 0.02, 0.2)),
+            double=choice((0, 0.05, 0.5)),
+            stray=choice((0, 0.5)),
+            answer_loss=choice((0, 0.3)),
+            write=choice(((1 * MS, 6 * MS), (1 * MS, 6 * MS), (30 * MS, 200 * MS))),
+            refusal=choice((0, 0, 0.3)),
+        )
+
+    # The whole.
+
+    def play(self, span: int) -> None:
+        """Troubles for `span` ns, then calm: everybody catches up, and an order is taken."""
+        cluster = self.cluster
+        cluster.at(0, self.operate)
+        cluster.at(S + self.random.randrange(4 * S), self.trouble)
+        cluster.run(span)
+        self.ended = True
+        cluster.calm()
+        self.version += 100
+        assert cluster.put(self.version, b"in the end") == IN_FORCE
+        cluster.until(cluster.caught_up)
+        assert {machine.replica.text for machine in cluster.machines.values()} == {b"in the end"}
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_random_history_of_three(seed):
+    History(seed).play(40 * S)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_history_of_five(seed):
+    History(1000 + seed, 5).play(30 * S)
+
+
+if __name__ == "__main__":
+    import sys
+    import time
+
+    first, last, count, span = (int(figure) for figure in sys.argv[1:])
+    began, orders = time.perf_counter(), 0
+    for seed in range(first, last):
+        history = History(seed, count)
+        try:
+            history.play(span * S)
+        except (AssertionError, ValueError, LookupError) as error:
+            print("seed", seed, type(error).__name__, str(error)[:300], flush=True)
+        orders += len(history.cluster.checks.acknowledged)
+    print(f"{last - first} histories of {count} for {span} s: {orders} orders, {time.perf_counter() - began:.0f} s")
