--- a/kestrelplank/consensus/node.py
+++ b/kestrelplank/consensus/node.py
@@ -47,7 +47,7 @@
 STAGGER = 150 * MS  # between the first candidacies of members, by their place in the membership
 CANDIDACY = 400 * MS  # after which votes that did not suffice are asked for again
 ENTRIES_AT_ONCE = 64
-BYTES_AT_ONCE = 256 << 10
+BYTES_AT_ONCE = 64 << 10
 KEPT_PROBES = 64
 FOLLOWER, CANDIDATE, LEADER = "follower", "candidate", "leader"
 EMPTY, BEHIND, RECEIVING_SNAPSHOT, FOLLOWING, CURRENT_STATE = (
@@ -452,31 +452,34 @@
             self._heartbeat(now, name, peer)
 
     def _heartbeat(self, now: int, name: str, peer: Progress) -> None:
-        """Asks the follower to answer, and sends again what may have been lost."""
-        if peer.snapshot is not None or self.log.term_at(peer.next - 1) is None:
-            self._effects.append(Send(name, self._append_message(now, peer, 0, 0, ())))
-            self._send_snapshot(name, peer)
+        """Asks the follower to answer. Where entries were lost on the way it says so, as they end before ours."""
+        if not self._needs_snapshot(peer):
+            self._send_append(now, name, peer, ())
             return
-        if peer.next > peer.match + 1 and peer.alike:
-            peer.next = peer.match + 1
-        self._send_entries(now, name, peer, even_none=True)
-
-    def _send_entries(self, now: int, name: str, peer: Progress, even_none: bool = False) -> None:
-        if self.log.term_at(peer.next - 1) is None:
-            self._send_snapshot(name, peer)
+        self._effects.append(Send(name, self._append_message(now, peer, 0, 0, ())))
+        if peer.silent(now):
+            peer.forget_snapshot()
+        elif peer.snapshot is None or peer.piece_due(now):
+            self._send_snapshot(now, name, peer)
+
+    def _needs_snapshot(self, peer: Progress) -> bool:
+        return peer.snapshot is not None or self.log.term_at(peer.next - 1) is None
+
+    def _send_entries(self, now: int, name: str, peer: Progress) -> None:
+        """Sends what the follower lacks, as far as it may be under way at once."""
+        if self._needs_snapshot(peer):
+            if peer.snapshot is None:
+                self._send_snapshot(now, name, peer)
             return
-        sent = False
-        while peer.may_send(self.log.last_index) or (even_none and not sent):
-            entries: tuple[Entry, ...] = ()
-            if peer.may_send(self.log.last_index):
-                entries = self.log.slice(peer.next, ENTRIES_AT_ONCE, BYTES_AT_ONCE)
-            previous = peer.next - 1
-            term = self.log.term_at(previous) or 0
-            self._effects.append(Send(name, self._append_message(now, peer, previous, term, entries)))
-            sent = True
-            if not peer.alike or not entries:
-                return
-            peer.next += len(entries)
+        while peer.may_send(self.log.last_index):
+            entries = self.log.slice(peer.next, ENTRIES_AT_ONCE, BYTES_AT_ONCE)
+            self._send_append(now, name, peer, entries)
+            peer.sent(now, entries)
+
+    def _send_append(self, now: int, name: str, peer: Progress, entries: tuple[Entry, ...]) -> None:
+        previous = peer.next - 1
+        term = self.log.term_at(previous) or 0
+        self._effects.append(Send(name, self._append_message(now, peer, previous, term, entries)))
 
     def _append_message(self, now: int, peer: Progress, previous: int, term: int, entries: tuple[Entry, ...]) -> Append:
         lease = max(0, self.lease_until - now) if self._elected else 0
@@ -484,21 +487,23 @@
             self.term, self.epoch, previous, term, entries, self.commit, self._round, probe=peer.probe, lease=lease
         )
 
-    def _send_snapshot(self, name: str, peer: Progress) -> None:
+    def _send_snapshot(self, now: int, name: str, peer: Progress) -> None:
+        """Sends the piece of a snapshot that comes next, of the newest one where none is under way."""
         if peer.snapshot is None:
             if self.log.snapshot is None:
                 return
             peer.snapshot = OutgoingSnapshot(self.log.snapshot)
+        peer.piece_sent(now)
         self._effects.append(Send(name, peer.snapshot.piece(self.term, self.epoch, self._round)))
 
     def _on_append_reply(self, now: int, sender: str, reply: AppendReply) -> None:
         peer = self._heard_from(now, sender, reply.term, reply.round)
         if peer is None:
             return
-        peer.appended(reply)
-        if not reply.success:
-            self._send_entries(now, sender, peer, even_none=True)
-        elif peer.alike and peer.may_send(self.log.last_index):
+        peer.appended(now, reply)
+        if not reply.success and not self._needs_snapshot(peer):
+            self._send_append(now, sender, peer, ())
+        else:
             self._send_entries(now, sender, peer)
         self._renew_lease(now)
         self._advance_commit(now)
@@ -506,7 +511,7 @@
     def _on_piece_reply(self, now: int, sender: str, reply: SnapshotReply) -> None:
         peer = self._heard_from(now, sender, reply.term, reply.round)
         if peer is not None and peer.piece_taken(reply):
-            self._send_snapshot(sender, peer)
+            self._send_snapshot(now, sender, peer)
 
     def _heard_from(self, now: int, sender: str, term: int, round_number: int) -> Progress | None:
         """The progress of a member that replied to us as the leader of this term; None where it did not."""
@@ -529,6 +534,14 @@
         reached = reached_by_quorum(self.membership, answered_at)
         if reached:
             self.lease_until = max(self.lease_until, reached + LEASE - SLACK)
+        self._confirm_election(now)
+
+    def _confirm_election(self, now: int) -> None:
+        """With its first entry committed and the lease running, the leader knows all that was ever committed, and
+        nobody else can have been elected since."""
+        if self.role == LEADER and not self._elected and self.commit >= self._first_index and now < self.lease_until:
+            self._elected = True
+            self._effects.append(Elected(self.term))
 
     def _advance_commit(self, now: int) -> None:
         def match(voter: str) -> int:
@@ -543,9 +556,7 @@
             return
         self.commit = reached
         self._apply()
-        if not self._elected and self.commit >= self._first_index:
-            self._elected = True
-            self._effects.append(Elected(self.term))
+        self._confirm_election(now)
         self._heartbeat_at = min(self._heartbeat_at, now)  # the others learn what is committed with the next tick
         self._finish_change(now)
 
--- a/kestrelplank/consensus/snapshots.py
+++ b/kestrelplank/consensus/snapshots.py
@@ -10,7 +10,7 @@
 
 from kestrelplank.consensus.messages import Snapshot, SnapshotPiece
 
-PIECE_BYTES = 64 << 10
+PIECE_BYTES = 32 << 10
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Snapshot)
 
