The pass takes in what is new of the reports, not all twelve seconds twice a second

Cause: every period (0.5 s) placing sorted all keys of the 12 s window again and summed all that edge members met in it, 24 times what had changed. What is new is now merged in and what is too old taken out, one for one; decisions are the same.

Ruled out: counting by key in an array (65,536 sums a period cost more than the sort below some hundred servers).

--- a/kestrelplank/sharding/placing.py
+++ b/kestrelplank/sharding/placing.py
@@ -107,10 +107,12 @@
         self._names: dict[int, str] = {}
         self._zones: dict[str, int] = {}
         self._keys: deque[tuple[int, list[int]]] = deque()  # when told, and the keys asked for
+        self._fresh_keys: list[int] = []  # told since the last period
         self._sorted: list[int] = []  # all of these, and the newest
         self._newest: list[int] = []
         self._changed: set[Line] = set()  # lines whose newest requests clearly differ from what was usual
         self._met: deque[tuple[int, Mapping[str, Met]]] = deque()
+        self._sums: dict[str, list[int]] = {}  # of these by server: tries, failures and reports
         self._fresh: dict[str, list[float]] = {}  # what servers told since the last period
         self._paces: dict[str, Pace] = {name: Pace(parts) for name, parts in (known or {}).items()}
         self._worth: dict[str, float] = {}  # by server: what a slot of it is worth
@@ -128,8 +130,13 @@
         if keys and self._began is None:
             self._began = now - PERIOD
         self._keys.append((now, keys))
+        self._fresh_keys += keys
         self._met.append((now, servers))
-        for name, (_, _, *told) in servers.items():
+        for name, (tries, failed, *told) in servers.items():
+            sums = self._sums.setdefault(name, [0, 0, 0])
+            sums[0] += tries
+            sums[1] += failed
+            sums[2] += 1
             held = self._fresh.setdefault(name, [0.0, 0.0, 0.0, 0.0])
             for place, more in enumerate(told):
                 held[place] += more
@@ -209,12 +216,8 @@
 
     def _told(self, now: int) -> list[tuple[Any, ...]]:
         """What a period of reports comes to, in the pass's words."""
-        while self._keys and now - self._keys[0][0] > WINDOW:
-            self._keys.popleft()
-        while self._met and now - self._met[0][0] >= WINDOW:
-            self._met.popleft()
+        self._expire(now)
         span = PERIOD if self._began is None else max(PERIOD, min(WINDOW, now - self._began))
-        self._sorted = sorted(key for _, keys in self._keys for key in keys)
         heats, events = self._heats(now, span), []
         self._judge_servers(now, max(len(self._sorted) / span, len(self._newest) / min(span, NEWEST)) * S)
         total = sum(heats.values())
@@ -230,21 +233,30 @@
         loads: dict[str, float] = {}
         for line, heat in heats.items():
             loads[line.server] = loads.get(line.server, 0.0) + heat * PERIOD / S
-        for name, (tries, failed) in self._sums().items():
+        for name, (tries, failed, _) in self._sums.items():
             if name in self._lines.servers:
                 zone, load = self._zones.get(self._lines.servers[name].zone), loads.get(name, 0.0)
                 failing = load * failed / tries if tries else 0.0
                 events.append(("tries", self._node(name), zone, load, failing, 0, PERIOD, {}))
         return events
 
-    def _sums(self) -> dict[str, list[float]]:
-        sums: dict[str, list[float]] = {}
-        for _, servers in self._met:
-            for name, parts in servers.items():
-                held = sums.setdefault(name, [0, 0])
-                held[0] += parts[0]
-                held[1] += parts[1]
-        return sums
+    def _expire(self, now: int) -> None:
+        """Takes what is older than the window out of the sorted keys and the sums, and what is new into them: both are
+        told twice a second of twelve, so only what has changed is gone through."""
+        expired: list[int] = []
+        while self._keys and now - self._keys[0][0] > WINDOW:
+            expired += self._keys.popleft()[1]
+        # The fresh ones first, as some of them may be too old already; sorted runs are merged, not sorted again.
+        self._sorted = without(sorted(self._sorted + sorted(self._fresh_keys)), sorted(expired))
+        self._fresh_keys.clear()
+        while self._met and now - self._met[0][0] >= WINDOW:
+            for name, (tries, failed, *_) in self._met.popleft()[1].items():
+                sums = self._sums[name]
+                sums[0] -= tries
+                sums[1] -= failed
+                sums[2] -= 1
+                if not sums[2]:
+                    del self._sums[name]
 
     def _judge_servers(self, now: int, asked: float) -> None:
         """`asked`: requests a second. A server's weight is its part of them by which the mean time of all is least:
@@ -365,6 +377,18 @@
         return [("tenure", number, False)]
 
 
+def without(keys: list[int], expired: list[int]) -> list[int]:
+    """The sorted keys less one for each of the sorted `expired`, all of which are among them."""
+    left: list[int] = []
+    begin = 0
+    for key in expired:
+        at = bisect_left(keys, key, begin)
+        left += keys[begin:at]
+        begin = at + 1
+    left += keys[begin:]
+    return left
+
+
 def within(keys: list[int], line: Line) -> list[int]:
     """Those of the sorted keys that lie in the line."""
     return keys[bisect_left(keys, line.first) : bisect_right(keys, line.last)]
--- a/tests/sharding/test_placing.py
+++ b/tests/sharding/test_placing.py
@@ -2,14 +2,18 @@
 decides."""
 
 import math
+from collections import Counter
 from random import Random
 from statistics import mean
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from kestrelplank.lab.queues import S, Server, Service
-from kestrelplank.sharding.lines import KEYS
-from kestrelplank.sharding.placing import Pace
+from kestrelplank.sharding.lines import KEYS, KeyRanges
+from kestrelplank.sharding.lines import Server as Listed
+from kestrelplank.sharding.placing import PERIOD, WINDOW, Pace, Placing, without
 
 SPEEDS = [0.7, 1.0, 1.0, 1.5] * 3
 
@@ -83,3 +87,46 @@
     pace.add(0.5, 7.0, 4, -8.25, 3)
     assert Pace(pace.parts()).log(0.3) == pytest.approx(pace.log(0.3), rel=0.01) and Pace().known() == 0
     assert round(S * 0.5) == S // 2
+
+
+keys_told = st.lists(
+    st.tuples(
+        st.integers(0, 3 * PERIOD),
+        st.lists(st.integers(0, 40), max_size=12),
+        st.dictionaries(st.sampled_from("abc"), st.tuples(st.integers(0, 4), st.integers(0, 2)), max_size=3),
+    ),
+    max_size=60,
+)
+
+
+@given(keys_told)
+def test_the_window_holds_what_all_reports_in_it_come_to(told):
+    """Whatever is told when: the sorted keys and the sums are those of the reports that the window still has."""
+    now = 100 * S
+    ranges = KeyRanges(now, 1, None)
+    ranges.listed(now, [Listed(name, f"{name}:80", "z", 2, True, 0) for name in "abc"])
+    ranges.divide(6)
+    placing, reports = Placing(now, 1, ranges, S), []
+    for later, keys, met in told:
+        now += later
+        placing.turn(now)
+        servers = {name: (*parts, 1.0, 1, -1.0, 1) for name, parts in met.items()}
+        placing.report(now, keys, servers)
+        reports.append((now, keys, servers))
+    now += PERIOD
+    placing.turn(now)
+    assert placing._sorted == sorted(key for at, keys, _ in reports if now - at <= WINDOW for key in keys)
+    sums = {}
+    for at, _, servers in reports:
+        for name, parts in servers.items() if now - at < WINDOW else ():
+            tries, failed, count = sums.get(name, (0, 0, 0))
+            sums[name] = (tries + parts[0], failed + parts[1], count + 1)
+    assert {name: tuple(parts) for name, parts in placing._sums.items()} == sums
+
+
+@given(st.lists(st.integers(0, 20)), st.data())
+def test_keys_are_taken_out_one_for_one(keys, data):
+    keys.sort()
+    expired = sorted(data.draw(st.lists(st.sampled_from(keys), max_size=len(keys)))) if keys else []
+    expired = sorted((Counter(expired) & Counter(keys)).elements())
+    assert without(keys, expired) == sorted((Counter(keys) - Counter(expired)).elements())
