--- /dev/null
+++ b/benchmarks/endpoints.py
@@ -0,0 +1,134 @@
+"""What a request and a report cost an edge member by the number of servers that it knows, and what it keeps of them and
+of key ranges, by hand: `python benchmarks/endpoints.py`. Without sockets, which `benchmarks/edge.py` has."""
+
+import json
+from random import Random
+
+import msgspec
+from server_list import entries
+from slopes import held, number, spent, table
+
+from kestrelplank.forwarding.passage import ANSWERED, Forwarder
+from kestrelplank.sharding.lines import KEYS
+from kestrelplank.transport.outlook import EdgeView
+from kestrelplank.transport.wire import packed
+
+S, MS = 1_000_000_000, 1_000_000
+MEMBERS = ("10.0.0.1:80",)
+RANGES = 6  # a server, as the pass ends up with
+REQUESTS, REPORT = 500, S // 2
+PER_S = 71  # requests a second of one edge member: 39,000 before 550
+
+
+def configuration(services: list[str], sharded: bool) -> bytes:
+    """A route for each service."""
+    routes = [
+        {"path_prefix": f"/{name}/", "route_type": "idempotent", "timeout_s": 1.5, "target_service": name}
+        for name in services
+    ]
+    hosts = [{"host_name": "shop.example", "host_routes": routes}]
+    return json.dumps(
+        {
+            "config_version": "00000007",
+            "service_table": [{"name": name, "sharded": sharded} for name in services],
+            "virtual_hosts": hosts,
+            "limits": {},
+        }
+    ).encode()
+
+
+class Edge:
+    """An edge member that knows so many servers of so many services."""
+
+    def __init__(self, count: int, services: int, sharded: bool) -> None:
+        self.random, self.now = Random(1), 100 * S
+        listed = [(one[0], f"service-{at % services:03d}", *one[2:]) for at, one in enumerate(entries(count))]
+        self.services = sorted({one[1] for one in listed})
+        self.view = EdgeView("edge-1", MEMBERS)
+        self.forwarder = Forwarder(self.random, self.view, "zone-0", 0.2, 144)
+        self.view.frame(
+            self.now, MEMBERS[0], {"t": "word", "key": (7, ""), "text": configuration(self.services, sharded)}
+        )
+        self.view.frame(self.now, MEMBERS[0], {"t": "roster", "age": 0, "list": listed})
+        self.forwarder.stands.listed(self.now, self.now, self.view.roster.entries.values())
+        for name in self.services if sharded else ():
+            self.view.frame(self.now, MEMBERS[0], ranges(name, [one for one in listed if one[1] == name], 1))
+
+    def requests(self) -> None:
+        """Requests one after the other, each answered at once, and told of every so often."""
+        for _ in range(REQUESTS):
+            self.now += S // PER_S
+            service = self.random.choice(self.services)
+            key = str(self.random.randrange(KEYS))
+            found, step = self.forwarder.begin(self.now, "shop.example", f"/{service}/x", key, S)
+            assert step[0] == "send", step
+            self.forwarder.ended(self.now + 100 * MS, found, ANSWERED, 200, (1, 0, 2))
+
+    def report(self) -> bytes:
+        """What it tells in half a second, as it goes over the wire."""
+        for _ in range(PER_S * REPORT // S):
+            service = self.random.choice(self.services)
+            found, _ = self.forwarder.begin(self.now, "shop.example", f"/{service}/x", "4711", S)
+            self.forwarder.ended(self.now + 100 * MS, found, ANSWERED, 200, (1, 0, 2))
+        found = self.forwarder.report().items()
+        return b"".join(
+            packed({"t": "report", "service": name, **one}) for name, one in found if one["keys"] or one["servers"]
+        )
+
+
+def ranges(service: str, listed: list[tuple], seq: int) -> dict:
+    """All key ranges of a service, each server having some."""
+    count = RANGES * len(listed)
+    lines = [
+        (KEYS * at // count, KEYS * (at + 1) // count - 1, listed[at % len(listed)][0], listed[at % len(listed)][2])
+        for at in range(count)
+    ]
+    return {"t": "lines", "service": service, "at": ((1, "m"), seq), "lines": lines}
+
+
+def figures(count: int, services: int) -> dict[str, float]:
+    """Microseconds a request, milliseconds a list, kilobytes kept and told."""
+    plain, plain_kept = held(lambda: Edge(count, services, False))
+    keyed, keyed_kept = held(lambda: Edge(count, services, True))
+    whole = [
+        ranges(name, [one for one in keyed.view.roster.entries.values() if one.service == name], 2)
+        for name in keyed.services
+    ]
+    whole = [msgspec.msgpack.decode(msgspec.msgpack.encode(frame)) for frame in whole]
+    seq = 2
+
+    def told_whole() -> None:
+        nonlocal seq
+        seq += 1
+        for frame in whole:
+            keyed.view.frame(keyed.now, MEMBERS[0], {**frame, "at": [[1, "m"], seq]})
+
+    def told_one() -> None:
+        nonlocal seq
+        seq += 1
+        frame, at = whole[0], keyed.view.holders[keyed.services[0]].at
+        changed = {**frame, "t": "changed", "since": at, "at": [[1, "m"], seq], "lines": frame["lines"][3:4]}
+        keyed.view.frame(keyed.now, MEMBERS[0], changed)
+
+    return {
+        "request, us": 1000 * spent(plain.requests) / REQUESTS,
+        "request by key, us": 1000 * spent(keyed.requests) / REQUESTS,
+        "all ranges taken, ms": spent(told_whole),
+        "one range changed, ms": spent(told_one),
+        "half a second and its report, ms": spent(keyed.report),
+        "reports, KB/s": 2 * len(keyed.report()) / 1000,
+        "a beat, KB": len(packed(keyed.view.stand())) / 1000,
+        "ranges, KB": sum(len(packed(frame)) for frame in whole) / 1000,
+        "kept, KB": plain_kept,
+        "kept with ranges, KB": keyed_kept,
+    }
+
+
+def main() -> None:
+    for services, sizes in ((1, (23, 230, 2300)), (180, (180, 1000, 6200))):
+        rows = [(f"{count:,}", count, figures(count, services)) for count in sizes]
+        print(table(f"servers in {number(services)} service{'s' * (services > 1)}", rows) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/key_ranges.py
@@ -0,0 +1,138 @@
+"""What the pass over key ranges costs who decides, by number of servers: `python benchmarks/key_ranges.py [SECONDS]`.
+
+One service of 23, 230 and 2,300 servers at the same load for each server, and 180 services of 34. Servers answer each
+call at once and records last at once, so what is measured is the decider's own: reports taken, the pass, renewals and
+records. A server meets six requests a second, half of what it can do; each edge member reports twice a second."""
+
+import sys
+import time
+from random import Random
+
+import msgspec
+from slopes import held, number, table
+
+from kestrelplank.sharding.lines import HELD, KEYS, KeyRanges
+from kestrelplank.sharding.lines import Server as Listed
+from kestrelplank.sharding.placing import Placing
+from kestrelplank.transport.wire import packed
+
+SIZES = (23, 230, 2300)
+S = 1_000_000_000
+TICK = S // 20
+REPORTS = 10  # ticks
+PER_SERVER = 6.0  # requests a second
+PIECES = 4  # key ranges a server at first
+SETTLES = 10  # s that are played before anything counts
+PARTS = ("reports", "pass", "renewals", "records")
+
+
+class Service:
+    """One sharded service, all its servers and so many edge members, as its decider sees it."""
+
+    def __init__(self, seed: int, servers: int, edges: int) -> None:
+        self.random, self.edges, self.now = Random(seed), edges, 100 * S
+        self.names = [f"i-{number:08x}" for number in range(servers)]
+        self.ranges = KeyRanges(self.now, 1, None)
+        self.ranges.listed(
+            self.now,
+            [
+                Listed(name, f"10.1.{at >> 8}.{at & 255}:8080", f"z{at % 8}", 2, True, 0)
+                for at, name in enumerate(self.names)
+            ],
+        )
+        self.ranges.divide(PIECES * servers)
+        self.placing = Placing(self.now, seed, self.ranges, S, None)
+        self.hottest = self.random.randrange(KEYS)
+        self.spent = dict.fromkeys(PARTS, 0.0)
+        self.calls = self.records = self.record_bytes = 0
+
+    def key(self) -> int:
+        """Busy keys lie close together: every second request is for a quarter of them."""
+        part = 4 if self.random.random() < 0.5 else 1
+        return (self.hottest + int(self.random.random() * KEYS / part)) % KEYS
+
+    def report(self) -> None:
+        """What each edge member tells: the keys that it was asked for, and what it met at their servers."""
+        each = PER_SERVER * len(self.names) * REPORTS * TICK / S / self.edges
+        for _ in range(self.edges):
+            keys = [self.key() for _ in range(int(each + self.random.random()))]
+            met = {self.random.choice(self.names): (1, 0, 1.0, 1, -1.8, 1) for _ in keys}
+            began = time.process_time()
+            self.placing.report(self.now, keys, met)
+            self.spent["reports"] += time.process_time() - began
+
+    def step(self, number: int) -> None:
+        """A tick of the decider, with all that it asks for done at once."""
+        self.now += TICK
+        if number % REPORTS == 0:
+            self.report()
+        began = time.process_time()
+        self.placing.turn(self.now)
+        passed = time.process_time()
+        effects = self.ranges.tick(self.now)
+        for effect in effects:
+            if effect[0] in ("grant", "release"):
+                self.calls += 1
+                self.ranges.called(self.now, effect[0], effect[3], True, 200, None)
+        renewed = time.process_time()
+        for effect in effects:
+            if effect[0] == "lay":
+                record = [effect[1], self.placing.learnt()]
+                frame = packed({"t": "record", "service": "views", "record": record})
+                self.records += 1
+                self.record_bytes += len(frame)
+                self.ranges.laid(self.now)
+        self.spent["pass"] += passed - began
+        self.spent["renewals"] += renewed - passed
+        self.spent["records"] += time.process_time() - renewed
+
+    def forget(self) -> None:
+        """What was measured so far does not count."""
+        self.spent = dict.fromkeys(PARTS, 0.0)
+        self.calls = self.records = self.record_bytes = 0
+
+
+def play(services: list[Service], seconds: int) -> dict[str, float]:
+    """A second of the deciders of these services, in milliseconds of processor by part, calls, records and bytes."""
+    ticks = S // TICK
+    for tick in range((SETTLES + seconds) * ticks):
+        for service in services:
+            if tick == SETTLES * ticks:
+                service.forget()
+            service.step(tick)
+    spent = {f"{part}, ms/s": 1000 * sum(one.spent[part] for one in services) / seconds for part in PARTS}
+    lines = sum(len(one.ranges.lines) for one in services)
+    return {
+        "ranges": lines,
+        "held": sum(line.state == HELD for one in services for line in one.ranges.lines) / lines,
+        **spent,
+        "all, ms/s": sum(spent.values()),
+        "calls/s": sum(one.calls for one in services) / seconds,
+        "records/s": sum(one.records for one in services) / seconds,
+        "a record, KB": sum(one.record_bytes for one in services) / 1000 / max(1, sum(one.records for one in services)),
+        "records, KB/s": sum(one.record_bytes for one in services) / 1000 / seconds,
+        "told whole, KB": sum(len(packed(whole(one))) for one in services) / 1000,
+    }
+
+
+def whole(service: Service) -> dict:
+    """All ranges of a service as an edge member is told them that missed a change."""
+    return {"t": "lines", "service": "views", "at": ((1, ""), 1), "lines": [r[:4] for r in service.ranges.record()]}
+
+
+def main() -> None:
+    seconds = int(sys.argv[1]) if len(sys.argv) > 1 else 6
+    rows = []
+    for servers in SIZES:
+        (service,), kept = held(lambda servers=servers: [Service(1, servers, 100)])
+        rows.append((f"{servers:,}", servers, play([service], seconds)))
+        print(f"{servers:,} servers: {kept:.0f} KB at the start", file=sys.stderr)
+    print(table("servers in one service", rows))
+    print("\n180 services of 34 servers:")
+    for name, value in play([Service(seed, 34, 100) for seed in range(180)], seconds).items():
+        print(f"- {name}: {number(value)}")
+    print(f"- one range, packed: {len(msgspec.msgpack.encode(service.ranges.lines[0].record()))} bytes")
+
+
+if __name__ == "__main__":
+    main()
