--- a/kestrelplank/lab/world.py
+++ b/kestrelplank/lab/world.py
@@ -20,7 +20,19 @@
 from kestrelplank.lab.rules import Rules
 from kestrelplank.lab.score import Score
 from kestrelplank.lab.script import MS, Fault, Party, Script, conf, most_waiting
-from kestrelplank.plan.attempts import FAILED, NOT_STARTED, PROOFS, REFUSED, RESET, Attempts, Avoidance, Op
+from kestrelplank.plan.attempts import (
+    FAILED,
+    NOT_STARTED,
+    PROOFS,
+    REFUSED,
+    RESET,
+    Attempts,
+    Avoidance,
+    Op,
+    Send,
+    Step,
+    Wait,
+)
 from kestrelplank.policy import Conductor as Policy
 from kestrelplank.state.guards import Terms
 from kestrelplank.state.intake import SETTLED, Intake, Settling
@@ -89,18 +101,18 @@
         self.ops[number] = op, ask, now, timer
         self.act(op, step)
 
-    def act(self, op: Op, step: tuple) -> None:
+    def act(self, op: Op, step: Step) -> None:
         world, now = self.world, self.world.clock.now()
-        if step[0] == "send":
+        if isinstance(step, Send):
             entry = self.ops[op.number]
             self.ops[op.number] = (*entry[:2], now, entry[3])
-            world.carry(self, op, entry[1], step[1])
-        elif step[0] == "wait":
-            world.clock.at(step[1], lambda: self.awake(self.unheld, op.number))
+            world.carry(self, op, entry[1], step.node)
+        elif isinstance(step, Wait):
+            world.clock.at(step.until, lambda: self.awake(self.unheld, op.number))
         else:
             _, ask, _, timer = self.ops.pop(op.number)
             timer.cancel()
-            world.answered(self, ask, op, step[1], step[2])
+            world.answered(self, ask, op, step.verdict, step.why)
 
     def late(self, number: int) -> None:
         if number in self.ops:
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -1,17 +1,11 @@
 """What a relay does with one op: let it in, pick a line, wait for one, try again once and only with proof that the
-first try never ran, give up. The relay acts on the steps returned here; nothing here sends or waits.
-
-A step is one of
-
-    ("send", node)            open a try there
-    ("wait", until)           no line to pick: call `expire` at that time, and `changed` when tables change
-    ("end", verdict, why)     answer the caller now: acked, rejected (nothing has run) or aborted (it may have)
-
-An op that has ended is answered at once: holding the answer back would only stop the caller from asking again.
+first try never ran, give up. The relay acts on the steps returned here (`Send`, `Wait`, `End`); nothing here sends or
+waits. An op that has ended is answered at once: holding the answer back would only stop the caller from asking again.
 """
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from random import Random
 
 from kestrelplank.plan.limits import Limits, Queue
@@ -36,6 +30,31 @@
 NOBODY = (REFUSED, SILENT)  # a try that met nobody: of a zone that is lost, no other
 
 
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Open a try at that node."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """No node can be picked: call `expire` at that time (ns), and `changed` when tables change."""
+
+    until: int
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Answer the caller now: acked, rejected (nothing has run) or aborted (it may have)."""
+
+    verdict: str
+    why: str
+
+
+Step = Send | Wait | End
+
+
 class Avoidance:
     """Keeps away from a node at which `strikes` of this relay's own tries in a row have failed, for a time drawn
     from `spell` (ns, least and most). Guards against a node that fails before any conductor has heard of it. Also
@@ -128,7 +147,7 @@
         self._op_timeouts, self._avoidance, self._proofs = op_timeouts, avoidance, proofs
         self._budget, self._limits, self._queue, self._weigh, self._zones = budget, limits, queue, weigh, zones
         self._queued: dict[int, Op] = {}
-        self._steps: list[tuple[Op, tuple]] = []
+        self._steps: list[tuple[Op, Step]] = []
         self._rotations: dict[int, Rotation] = {}
         self.own: Counter[int] = Counter()  # tries out, by node
         self._waiting: dict[int, dict[int, Op]] = {}  # by table, in order of arrival
@@ -136,7 +155,7 @@
 
     def ask(
         self, now: int, number: int, op_type: int, table: int, within: int | None = None, key: str = ""
-    ) -> tuple[Op, tuple]:
+    ) -> tuple[Op, Step]:
         """A new op, which its caller waits for so long (ns; its op timeout if that is less or nothing is said)."""
         self.counts["asked"] += 1
         limit = self._op_timeouts[op_type]
@@ -155,9 +174,9 @@
             return op, self._end(op, REJECTED, "no line")
         op.until = min(now + self._hold, op.deadline)
         self._waiting.setdefault(table, {})[number] = op
-        return op, ("wait", op.until)
+        return op, Wait(op.until)
 
-    def ended(self, now: int, op: Op, outcome: str) -> tuple:
+    def ended(self, now: int, op: Op, outcome: str) -> Step:
         """The try that was out has ended so."""
         self._back(now, op, outcome)
         if outcome == GOOD:
@@ -176,7 +195,7 @@
         self.counts["second_tries"] += 1
         return self._send(now, op, node)
 
-    def give_up(self, now: int, op: Op, why: str = "op timeout") -> tuple:
+    def give_up(self, now: int, op: Op, why: str = "op timeout") -> End:
         """Its time is over, or its caller has gone. A try that is out may yet run: the relay closes it, which is
         no proof, and the op is never sent again."""
         if op.node is None:
@@ -185,13 +204,13 @@
         self._back(now, op, SILENT)
         return self._end(op, ABORTED, why)
 
-    def expire(self, now: int, op: Op) -> tuple:
+    def expire(self, now: int, op: Op) -> End:
         """The wait for a line, or for room at a node, is over."""
         queued = op.number in self._queued
         self._forget(op)
         return self._end(op, REJECTED, "no room in time" if queued else "no line")
 
-    def changed(self, now: int, tables: Iterable[int]) -> list[tuple[Op, tuple]]:
+    def changed(self, now: int, tables: Iterable[int]) -> list[tuple[Op, Step]]:
         """These tables may have other lines now: the ops that wait for one and get it, in order of arrival."""
         steps = []
         for table in tables if self._waiting else ():
@@ -202,28 +221,27 @@
                     steps.append((op, self._send(now, op, node)))
         return steps
 
-    def settled(self, now: int) -> list[tuple[Op, tuple]]:
+    def settled(self, now: int) -> list[tuple[Op, Step]]:
         """What the last calls have settled of other ops: turned away for a dearer one, or sent as room was made."""
         if self._queued:
-
-            def fits(number: int) -> bool:
-                op = self._queued[number]
-                node = self._choose(now, op)
-                if node is None:
-                    return False
-                del self._queued[number]
-                op.until = None
-                self._steps.append((op, self._send(now, op, node)))
-                return True
-
-            self._queue.next(fits)
+            self._queue.next(lambda number: self._dequeue(now, self._queued[number]))
         steps, self._steps = self._steps, []
         return steps
 
+    def _dequeue(self, now: int, op: Op) -> bool:
+        """Sends an op that waits for room, if some node has it; whether one has."""
+        node = self._choose(now, op)
+        if node is None:
+            return False
+        del self._queued[op.number]
+        op.until = None
+        self._steps.append((op, self._send(now, op, node)))
+        return True
+
     def waiting(self) -> int:
         return sum(map(len, self._waiting.values())) + len(self._queued)
 
-    def _enqueue(self, now: int, op: Op) -> tuple:
+    def _enqueue(self, now: int, op: Op) -> Wait | End:
         until, turned = None, []
         if self._queue is not None:
             until, turned = self._queue.put(now, op.number, op.op_type, op.deadline)
@@ -235,19 +253,13 @@
             return self._end(op, REJECTED, "full")
         op.until = until
         self._queued[op.number] = op
-        return "wait", until
+        return Wait(until)
 
     def _choose(self, now: int, op: Op) -> int | None:
-        lines: Sequence[tuple[int, float]] = self._tables.open(op.table)
-        if op.tried:
-            lines = [line for line in lines if line[0] not in op.tried]
-        if self._zones is not None and lines:
-            lines = self._zones.narrow(now, lines)
-        if self._limits:
-            lines = [line for line in lines if self._limits.room(line[0], op.op_type)]
+        """The node for its next try; None where none may be had."""
+        lines = self._candidates(now, op)
         if not lines:
             return None
-        lines = self._avoidance.sound(now, lines)
         if self._weigh and len(lines) > 1:
             lines = [(node, weight * self._weigh(node)) for node, weight in lines]
         if self._pick == "key":
@@ -258,14 +270,25 @@
             return self._rotations.setdefault(op.table, Rotation()).pick(lines)
         return weighted(self._random, lines)
 
-    def _send(self, now: int, op: Op, node: int) -> tuple:
+    def _candidates(self, now: int, op: Op) -> Sequence[tuple[int, float]]:
+        """Nodes with their weights that the op may go to now: not tried yet, with room, preferably sound ones."""
+        lines: Sequence[tuple[int, float]] = self._tables.open(op.table)
+        if op.tried:
+            lines = [line for line in lines if line[0] not in op.tried]
+        if self._zones is not None and lines:
+            lines = self._zones.narrow(now, lines)
+        if self._limits:
+            lines = [line for line in lines if self._limits.room(line[0], op.op_type)]
+        return self._avoidance.sound(now, lines) if lines else lines
+
+    def _send(self, now: int, op: Op, node: int) -> Send:
         op.node, op.tried, op.sent_at = node, (*op.tried, node), now
         self.own[node] += 1
         if self._limits:
             self._limits.began(node, op.op_type)
         if self._zones is not None:
             self._zones.began(node)
-        return "send", node
+        return Send(node)
 
     def _back(self, now: int, op: Op, outcome: str) -> None:
         good = outcome == GOOD
@@ -289,6 +312,6 @@
         if not waiting:
             self._waiting.pop(op.table, None)
 
-    def _end(self, op: Op, verdict: str, why: str) -> tuple:
+    def _end(self, op: Op, verdict: str, why: str) -> End:
         self.counts[verdict] += 1
-        return "end", verdict, why
+        return End(verdict, why)
--- a/kestrelplank/relay/proxy.py
+++ b/kestrelplank/relay/proxy.py
@@ -32,6 +32,9 @@
     UNSENT,
     Attempts,
     Op,
+    Send,
+    Step,
+    Wait,
 )
 from kestrelplank.plan.limits import comes_back
 from kestrelplank.plan.pools import DIAL, SHUT, USE, Pool
@@ -425,8 +428,8 @@
         if exchange.op is not None:
             self.outcomes["gone"] += 1
             self._over(exchange, "caller gone")
-            _, verdict, _ = self.attempts.give_up(self.loop.now(), exchange.op, "caller gone")
-            self._done(exchange, verdict, None)
+            end = self.attempts.give_up(self.loop.now(), exchange.op, "caller gone")
+            self._done(exchange, end.verdict, None)
             self._settle()
         else:
             self._leave(exchange)
@@ -540,14 +543,13 @@
                 for exchange in self._waiting.pop(node, ()):
                     self._end_try(exchange, UNSENT)
 
-    def _act(self, exchange: Exchange, step: tuple) -> None:
-        word, *fields = step
-        if word == "send":
-            self._send(exchange, fields[0])
-        elif word == "wait":
-            self.loop.at(fields[0], lambda until=fields[0]: self._expire(exchange, until))
+    def _act(self, exchange: Exchange, step: Step) -> None:
+        if isinstance(step, Send):
+            self._send(exchange, step.node)
+        elif isinstance(step, Wait):
+            self.loop.at(step.until, lambda: self._expire(exchange, step.until))
         else:
-            self._end(exchange, *fields)
+            self._end(exchange, step.verdict, step.why)
 
     def _expire(self, exchange: Exchange, until: int) -> None:
         if exchange.op is not None and exchange.op.until == until and exchange.number in self._exchanges:
