relay: the proxy in modules of one job each

Stages of an exchange are an Enum, refusals, framings and what is found for a key are typed, and closures made at each dial are methods.

Tests reach the same facts under the new names; none asserts less.

--- /dev/null
+++ b/kestrelplank/relay/keyed.py
@@ -0,0 +1,77 @@
+"""Requests with a key, of deduplicated op types: one of them runs, the others get its answer (`state/answers.py`)."""
+
+from dataclasses import dataclass
+
+from kestrelplank.net.counters import Counters
+from kestrelplank.plan.attempts import REJECTED
+from kestrelplank.relay.exchange import Exchange
+from kestrelplank.relay.request import Refusal
+from kestrelplank.state.answers import BUSY, FULL, KNOWN, NEW, OTHER, Answers
+
+UNKNOWN = "the first may have run, and its end is not known"
+TOO_LONG = Refusal(413, "too long for an op with a key")
+TOO_MANY = Refusal(503, "too many keys in hand", retry=True)
+OTHER_REQUEST = Refusal(409, "the key was used with another request")
+MAY_HAVE_RUN = Refusal(409, UNKNOWN)
+FIRST_REJECTED = Refusal(503, "the first was rejected", retry=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """It is the first with its key: its op is asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitFirst:
+    """The first with its key is in hand: it hears of that one's end."""
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """It gets this answer, which the first one got."""
+
+    answer: bytes
+
+
+Found = Forward | AwaitFirst | Replay | Refusal
+
+
+class KeyedRequests:
+    """An exchange holds its key from `look_up` until it is settled or released."""
+
+    def __init__(self, answers: Answers, counters: Counters) -> None:
+        self._answers, self._counters = answers, counters
+
+    def look_up(self, now: int, exchange: Exchange, most_body: int) -> Found:
+        """What becomes of a request that has come whole. Its body has at most so many bytes."""
+        if exchange.request.size > most_body:
+            exchange.key = ""
+            return TOO_LONG
+        told, answer = self._answers.ask(now, exchange.key, exchange.request.digest(), exchange.number)
+        self._counters.add(f"keys_{told}")
+        if told == BUSY:
+            return AwaitFirst()
+        if told == NEW:
+            return Forward()
+        exchange.key = ""
+        if told == KNOWN and answer:
+            return Replay(answer)
+        return {FULL: TOO_MANY, OTHER: OTHER_REQUEST}.get(told, MAY_HAVE_RUN)
+
+    def settle(
+        self, exchange: Exchange, verdict: str, answer: list[bytes] | None
+    ) -> tuple[list[int], Replay | Refusal]:
+        """The first one's op has ended; `answer`: it had this one. Returns the numbers of those who wait for it, and
+        what they get."""
+        key, exchange.key = exchange.key, ""
+        if answer:
+            whole = b"".join(answer)
+            return self._answers.done(key, whole), Replay(whole)
+        ran = verdict != REJECTED
+        return self._answers.failed(key, ran), MAY_HAVE_RUN if ran else FIRST_REJECTED
+
+    def release(self, exchange: Exchange) -> None:
+        """It no longer waits for the first one."""
+        if exchange.key:
+            self._answers.gone(exchange.key, exchange.number)
+            exchange.key = ""
--- a/kestrelplank/relay/message.py
+++ b/kestrelplank/relay/message.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 HOP = frozenset(
     (  # looked up, never walked
@@ -56,13 +57,21 @@
     return [(name, value) for name, value in headers if name.lower() not in HOP and name.lower() not in named]
 
 
-def framing(headers: list[Header]) -> tuple[int | None, bool, str]:
-    """Length, whether chunked, and what is wrong with it, of a head that the parser let through."""
+class Framing(NamedTuple):
+    """How a message's body is delimited; `wrong` says why it can't be read, and is empty where it can."""
+
+    length: int | None
+    chunked: bool
+    wrong: str = ""
+
+
+def framing(headers: list[Header]) -> Framing:
+    """The framing of a head that the parser let through."""
     coding = tokens(headers, b"transfer-encoding")
     length = one(headers, b"content-length")
     if coding and coding != [b"chunked"]:
-        return None, True, "a transfer coding other than chunked"
-    return (int(length) if length is not None else None), bool(coding), ""
+        return Framing(None, True, "a transfer coding other than chunked")
+    return Framing(int(length) if length is not None else None, bool(coding))
 
 
 def head(
@@ -78,6 +87,7 @@
 
 
 def chunk(data: bytes) -> bytes:
+    """A piece of a body in the chunked coding."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
--- a/kestrelplank/relay/node.py
+++ b/kestrelplank/relay/node.py
@@ -1,4 +1,4 @@
-"""The relay's side towards a node: one connection, with one op at a time."""
+"""A connection of the relay to a node: one op at a time, its answer parsed for a `Sink`."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -24,9 +24,9 @@
     def on_lost(self, why: str) -> None: ...
 
 
-class NodeSide:
-    """`up` is called once it can be written to, `ended(why)` when an idle one has ended. `written`: whether any byte of
-    the present op has been handed over; without that the node has seen nothing of it."""
+class NodeConnection:
+    """`up` is called once it can be written to, `ended` when it has closed. `written`: whether any byte of the present
+    op has been handed over; without that the node has seen nothing of it. `dial` is the time to come up, in ns."""
 
     def __init__(
         self,
@@ -35,14 +35,14 @@
         to: str,
         dial: int,
         number: int,
-        up: Callable[["NodeSide"], None],
-        ended: Callable[["NodeSide", str], None],
+        up: Callable[["NodeConnection"], None],
+        ended: Callable[["NodeConnection"], None],
     ) -> None:
         self._up, self._ended, self.number = up, ended, number
         self.sink: Sink | None = None
         self.written = self.is_up = self.closed = False
         self._fresh()
-        self.connection = Dialled(loop, buffers, address(to), self, MOST_UNSENT, dial)
+        self._connection = Dialled(loop, buffers, address(to), self, MOST_UNSENT, dial)
 
     def _fresh(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -55,10 +55,23 @@
         """An op's head goes out; `no_body`: its answer has none whatever it announces (HEAD)."""
         self._fresh()
         self.sink, self._bare, self.written = sink, no_body, True
-        self.connection.write(data)
+        self._connection.write(data)
 
     def more(self, data: bytes) -> None:
-        self.connection.write(data)
+        """More of the op's body."""
+        self._connection.write(data)
+
+    def waiting(self) -> int:
+        """Bytes that the node has not taken yet."""
+        return self._connection.waiting()
+
+    def read(self, on: bool) -> None:
+        """Reads no further, so that the node is held up, or goes on."""
+        self._connection.read(on)
+
+    def on_drained(self, call: Callable[[], None]) -> None:
+        """Calls this whenever all that waited has been written."""
+        self._connection.on_drained = call
 
     def let_go(self) -> None:
         """The op is over; the connection may take another."""
@@ -66,7 +79,7 @@
 
     def close(self, why: str) -> None:
         self.closed = True
-        self.connection.close(why)
+        self._connection.close(why)
 
     # The connection's callbacks.
 
@@ -103,7 +116,7 @@
                 sink.on_whole(False)
             else:
                 sink.on_lost(why)
-        self._ended(self, why)
+        self._ended(self)
 
     # The parser's callbacks.
 
@@ -125,16 +138,17 @@
             if status == 101:
                 self._broken = "it switches protocols unasked"
             return
-        length, chunked, wrong = framing(self._headers)
-        if wrong:
-            self._broken = wrong
+        framed = framing(self._headers)
+        if framed.wrong:
+            self._broken = framed.wrong
             return
         self._headed, self._status = True, status
         bare = self._bare or status in NO_BODY
-        self._until_end = not bare and length is None and not chunked
+        self._until_end = not bare and framed.length is None and not framed.chunked
         if self.sink is not None:
-            self.sink.on_head(status, self._reason, self._headers, length, chunked or self._until_end)
-            if self._bare and length:  # the parser would wait for a body
+            chunked = framed.chunked or self._until_end
+            self.sink.on_head(status, self._reason, self._headers, framed.length, chunked)
+            if self._bare and framed.length:  # the parser would wait for a body
                 self._whole = False
 
     def on_body(self, data: bytes) -> None:
--- a/kestrelplank/relay/program.py
+++ b/kestrelplank/relay/program.py
@@ -21,8 +21,8 @@
 from kestrelplank.plan.tiers import Distances
 from kestrelplank.plan.zones import Preference, Terms
 from kestrelplank.relay.control import PERIOD, Control
-from kestrelplank.relay.message import one
-from kestrelplank.relay.proxy import Bounds, Exchange, Kind, Proxy
+from kestrelplank.relay.proxy import Bounds, OpType, Proxy
+from kestrelplank.relay.request import Request
 from kestrelplank.relay.takeover import Office, listens, take
 from kestrelplank.state import answers
 from kestrelplank.state.sealed import sealed, unsealed
@@ -32,9 +32,9 @@
 FORM = 1  # of kept tables
 
 
-def kinds(file: config.RelayFile) -> list[Kind]:
+def op_types(file: config.RelayFile) -> list[OpType]:
     return [
-        Kind(name, op.method.upper().encode(), op.prefix.encode(), op.effect == "deduplicated", op.timeout)
+        OpType(name, op.method.upper().encode(), op.prefix.encode(), op.effect == "deduplicated", op.timeout)
         for name, op in file.op_types.items()
     ]
 
@@ -96,7 +96,7 @@
             self.pool,
             counters,
             listening,
-            kinds(file),
+            op_types(file),
             bounds(file),
             self.tables,
             self.attempts,
@@ -104,7 +104,7 @@
             answers.Answers(answers.Terms(clients.answers, clients.answers_bytes, clients.answers_age)),
             node_terms(file),
             self.addresses,
-            self._block,
+            self._table_of,
             self._on_try,
             self._on_op,
         )
@@ -150,12 +150,12 @@
                 self.zones.far(zone, distance)
 
     def _weigh(self, node: int) -> float:
-        pool = self.proxy.pools.get(node)
+        pool = self.proxy.upstream.pools.get(node)
         return 1.0 if pool is None else pool.share(self.loop.now())
 
-    def _block(self, exchange: Exchange) -> int:
+    def _table_of(self, request: Request) -> int:
         """The slice of an op: by the header that the file names, or its path."""
-        found = one(exchange.headers, self._by) if self._by else exchange.target.partition(b"?")[0]
+        found = request.header(self._by) if self._by else request.target.partition(b"?")[0]
         return crc32(found or b"") % self.tables.size
 
     def _on_try(self, table: int, node: int, op_type: int, good: bool, time: int) -> None:
@@ -221,7 +221,7 @@
         if list(file.op_types) != list(self.file.op_types):
             raise Unusable("op types can't be added, taken away or put in another order while the relay runs")
         self.file = file
-        self.proxy.kinds, self.proxy.bounds = kinds(file), bounds(file)
+        self.proxy.reconfigure(op_types(file), bounds(file))
         self.proxy.admission.terms = client_terms(file)
 
     def close(self) -> None:
--- /dev/null
+++ b/kestrelplank/relay/upstream.py
@@ -0,0 +1,168 @@
+"""The proxy's connections to nodes, kept in one `Pool` a node, and the exchanges that wait for one of them."""
+
+from collections import deque
+from collections.abc import Callable
+
+from kestrelplank.net.buffers import Pool as Buffers
+from kestrelplank.net.counters import Counters
+from kestrelplank.net.loop import Loop
+from kestrelplank.plan.attempts import REFUSED, UNSENT
+from kestrelplank.plan.pools import DIAL, SHUT, USE, Pool, Terms
+from kestrelplank.relay.exchange import Exchange
+from kestrelplank.relay.node import NodeConnection
+
+
+class Upstream:
+    """`addresses`: node to address; `dial_within` in ns. `on_failed(exchange, outcome)` hears of a try that ended
+    before anything of it was sent."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        buffers: Buffers,
+        counters: Counters,
+        terms: Terms,
+        addresses: dict[int, str],
+        dial_within: int,
+        on_failed: Callable[[Exchange, str], None],
+    ) -> None:
+        self._loop, self._buffers, self._counters = loop, buffers, counters
+        self._terms, self._addresses, self.dial_within = terms, addresses, dial_within
+        self._on_failed = on_failed
+        self._given = 0
+        self.pools: dict[int, Pool] = {}  # by node
+        self.connections: dict[int, NodeConnection] = {}  # those that are up, by number
+        self.waiting: dict[int, deque[Exchange]] = {}  # for a connection, by node
+
+    def send(self, exchange: Exchange, node: int) -> None:
+        """Opens a try of the exchange at that node, on a connection kept or new; it waits where all are busy."""
+        exchange.node = node
+        now = self._loop.now()
+        pool = self.pools.get(node)
+        if pool is None:
+            pool = self.pools[node] = Pool(now, self._terms)
+        how, *number = pool.take(now)
+        if how == USE:
+            exchange.send(self.connections[number[0]])
+        elif how == DIAL:
+            self._dial(exchange, node, pool)
+        elif how == SHUT:
+            self._on_failed(exchange, UNSENT)
+        else:
+            self.waiting.setdefault(node, deque()).append(exchange)
+
+    def release(self, node: int, connection: NodeConnection, keep: bool) -> None:
+        """The try on it has ended; `keep`: the connection may be used again."""
+        if not connection.closed and connection.number in self.connections:
+            connection.let_go()
+            self._give_back(node, connection, keep)
+
+    def detach(self, exchange: Exchange) -> NodeConnection | None:
+        """The exchange wants nothing more of its try. Returns the connection that it is on, if it still stands: to be
+        closed, as an answer may yet come on it."""
+        connection, exchange.connection = exchange.connection, None
+        if exchange.node is not None and exchange in self.waiting.get(exchange.node, ()):
+            self.waiting[exchange.node].remove(exchange)
+        exchange.node = None
+        if connection is None:
+            return None
+        connection.sink = None
+        return None if connection.closed else connection
+
+    def reach_only(self, nodes: dict[int, None]) -> None:
+        """Only these get new tries from now on; what is out at others may end by itself."""
+        now = self._loop.now()
+        for node, pool in self.pools.items():
+            if node in nodes:
+                pool.restore(now)
+            elif pool.withdrawn_at is None:
+                for number in pool.withdraw(now):
+                    self.connections[number].close("withdrawn")
+                for exchange in self.waiting.pop(node, ()):
+                    self._on_failed(exchange, UNSENT)
+
+    def close_late(self) -> None:
+        """Closes connections that have been idle too long, or whose ops outlive the grace of a withdrawn node."""
+        now = self._loop.now()
+        for pool in self.pools.values():
+            for number in pool.expired(now) + pool.overdue(now):
+                if number in self.connections:
+                    self.connections[number].close("idle, or past the grace")
+
+    def close(self) -> None:
+        for connection in list(self.connections.values()):
+            connection.close("we end")
+
+    def _dial(self, exchange: Exchange, node: int, pool: Pool) -> None:
+        if node not in self._addresses:
+            pool.failed()
+            self._on_failed(exchange, REFUSED)
+            return
+        self._given += 1
+        try:
+            connection = NodeConnection(
+                self._loop,
+                self._buffers,
+                self._addresses[node],
+                self.dial_within,
+                self._given,
+                lambda connection: self._up(exchange, node, connection),
+                lambda connection: self._ended(exchange, node, connection),
+            )
+            connection.on_drained(lambda: self._drained(connection))
+        except OSError as err:  # short of descriptors
+            self._counters.trouble("dials_failed", err)
+            pool.failed()
+            self._on_failed(exchange, REFUSED)
+
+    def _up(self, exchange: Exchange, node: int, connection: NodeConnection) -> None:
+        """A connection that was dialled for the exchange can be written to."""
+        pool = self.pools[node]
+        pool.opened(connection.number)
+        self.connections[connection.number] = connection
+        wanted = self._is_tried_at(exchange, node)
+        if wanted and pool.withdrawn_at is None:
+            exchange.send(connection)
+            return
+        # Given up meanwhile, or the node was withdrawn while it was dialled: nothing has been sent.
+        self._give_back(node, connection, True)
+        if self._is_tried_at(exchange, node):
+            self._on_failed(exchange, UNSENT)
+
+    def _ended(self, exchange: Exchange, node: int, connection: NodeConnection) -> None:
+        """A connection has closed, or did not come up for the exchange that it was dialled for."""
+        pool = self.pools[node]
+        if connection.is_up:
+            if self.connections.pop(connection.number, None) is not None:
+                pool.lost(connection.number)
+                self._next_waiting(node)
+            return
+        pool.failed()
+        if self._is_tried_at(exchange, node):
+            self._on_failed(exchange, REFUSED)
+        self._next_waiting(node)
+
+    def _drained(self, connection: NodeConnection) -> None:
+        """A node has taken what waited for it: its client is read again."""
+        if connection.number in self.connections and connection.sink is not None:
+            if not connection.sink.request.whole:
+                connection.sink.client.hold(False)
+
+    def _give_back(self, node: int, connection: NodeConnection, keep: bool) -> None:
+        if not self.pools[node].done(self._loop.now(), connection.number, keep):
+            del self.connections[connection.number]
+            connection.close("done with")
+        self._next_waiting(node)
+
+    def _next_waiting(self, node: int) -> None:
+        """A connection to the node may be had: for who waits longest."""
+        waiting = self.waiting.get(node)
+        if waiting:
+            exchange = waiting.popleft()
+            if not waiting:
+                del self.waiting[node]
+            self.send(exchange, node)
+
+    @staticmethod
+    def _is_tried_at(exchange: Exchange, node: int) -> bool:
+        return exchange.op is not None and exchange.node == node
--- a/tests/relay/test_proxy.py
+++ b/tests/relay/test_proxy.py
@@ -14,7 +14,7 @@
 from kestrelplank.plan.attempts import Attempts, Avoidance, Budget
 from kestrelplank.plan.limits import Limits, Queue
 from kestrelplank.plan.limits import Terms as LimitTerms
-from kestrelplank.relay.proxy import Bounds, Kind, Proxy
+from kestrelplank.relay.proxy import Bounds, OpType, Proxy
 from kestrelplank.state import answers
 from kestrelplank.state.tables import Tables
 
@@ -137,17 +137,17 @@
         )
         self.addresses = {place: node.at for place, node in enumerate(self.nodes)}
         self.tries, self.ops = [], []
-        kinds = [
-            Kind("look", b"GET", b"/look", False, timeouts[0]),
-            Kind("place", b"POST", b"/place", False, timeouts[1]),
-            Kind("keyed", b"", b"/keyed", True, timeouts[2]),
+        op_types = [
+            OpType("look", b"GET", b"/look", False, timeouts[0]),
+            OpType("place", b"POST", b"/place", False, timeouts[1]),
+            OpType("keyed", b"", b"/keyed", True, timeouts[2]),
         ]
         self.proxy = Proxy(
             self.kit.loop,
             self.kit.pool,
             self.kit.counters,
             ("127.0.0.1", 0),
-            kinds,
+            op_types,
             fields.get("bounds", Bounds()),
             self.tables,
             self.attempts,
@@ -155,7 +155,7 @@
             answers.Answers(answers.Terms()),
             fields.get("pools", pools.Terms()),
             self.addresses,
-            fields.get("block", lambda exchange: 0),
+            fields.get("table_of", lambda request: 0),
             lambda *told: self.tries.append(told),
             lambda *told: self.ops.append(told),
         )
@@ -183,7 +183,13 @@
         self.proxy.close()
         for one in (*self.clients, *self.nodes):
             one.close()
-        left = self.attempts.own, self.attempts.waiting(), self.proxy._exchanges, self.proxy._clients, self.kit.pool.out
+        left = (
+            self.attempts.own,
+            self.attempts.waiting(),
+            self.proxy.exchanges,
+            self.proxy.clients.connections,
+            self.kit.pool.out,
+        )
         self.kit.loop.close()
         assert left == ({}, 0, {}, {}, 0), left
 
@@ -286,7 +292,7 @@
 def test_a_node_withdrawn_while_its_connection_is_dialled_gets_nothing(site):
     here = site(answers_with(OK), answers_with(OK), lines={0: 1e9, 1: 1e-9})
     client = here.client(GET)
-    here.wait(lambda: here.proxy.pools)  # the dial is out, its answer has not been looked at
+    here.wait(lambda: here.proxy.upstream.pools)  # the dial is out, its answer has not been looked at
     here.order(("take_out", 0, True))
     here.wait(lambda: client.data == OK)
     assert b"GET" not in here.nodes[0].seen() and here.nodes[1].seen().count(b"GET") == 1
@@ -500,7 +506,7 @@
     while here.kit.loop.now() < end:
         here.kit.loop.at(here.kit.loop.now() + MS, lambda: None)
         here.kit.loop.turn()
-        most = max([most, *(client.connection.waiting() for client in here.proxy._clients.values())])
+        most = max([most, *(client.waiting() for client in here.proxy.clients.connections.values())])
     assert 0 < most < 1 << 20
     sock.setblocking(False)
     got = 0
@@ -512,7 +518,7 @@
         except BlockingIOError:
             pass
     sock.close()
-    here.wait(lambda: not here.proxy._clients)
+    here.wait(lambda: not here.proxy.clients.connections)
 
 
 def test_an_expectation_is_met_once_the_op_is_let_in(site):
@@ -599,7 +605,7 @@
 def test_connections_to_a_node_are_bounded_and_who_waits_for_one_gets_it(site):
     here = site(None, pools=pools.Terms(most=1))
     first, second = here.client(GET), here.client(GET)
-    here.wait(lambda: here.proxy._waiting and here.nodes[0].peers and here.nodes[0].peers[0].data)
+    here.wait(lambda: here.proxy.upstream.waiting and here.nodes[0].peers and here.nodes[0].peers[0].data)
     here.nodes[0].peers[0].write(OK)
     here.wait(lambda: here.nodes[0].seen().count(b"GET") == 2)
     here.nodes[0].peers[0].write(OK)
@@ -653,7 +659,7 @@
             pass
         here.kit.loop.at(here.kit.loop.now() + MS, lambda: None)
         here.kit.loop.turn()
-    assert sent < 25_000_000 and all(side.connection.waiting() < 1 << 20 for _, side in here.proxy._nodes.values())
+    assert sent < 25_000_000 and all(to.waiting() < 1 << 20 for to in here.proxy.upstream.connections.values())
 
 
 def test_second_tries_are_bounded_by_their_budget_when_half_the_nodes_refuse_for_being_full(site):
@@ -702,7 +708,7 @@
         if client.ended:
             break
     client.close()
-    here.wait(lambda: not here.proxy._clients and not here.proxy._exchanges)
+    here.wait(lambda: not here.proxy.clients.connections and not here.proxy.exchanges)
     told = sum(here.attempts.counts[word] for word in ("acked", "rejected", "aborted"))
     assert told == here.attempts.counts["asked"] == len(here.ops)
     here.close()
