lab: world and live in modules of one job each, values typed

Now: relays, conductors, hub, network, discovery, reports, clients and faults, put together by world (118 lines); conductor_process, node_server and process for the live one. What a relay has in hand, its streams, a client's op, sums of reports and a fault's targets are dataclasses in place of lists and tuples; faults are methods by kind in place of one chain.

--- a/kestrelplank/cli/rehearse.py
+++ b/kestrelplank/cli/rehearse.py
@@ -62,8 +62,8 @@
 def command(path: str, seed: int, live: bool, baseline: bool, knowing: bool, to: str | None) -> None:
     """Play a scripted incident with the real decisions, and hold the rules against it."""
     from kestrelplank.lab import rehearsal
+    from kestrelplank.lab.conductors import Standing
     from kestrelplank.lab.script import script
-    from kestrelplank.lab.world import Standing
     from kestrelplank.policy import Conductor
 
     if live + baseline + knowing > 1:
--- a/kestrelplank/lab/knowing.py
+++ b/kestrelplank/lab/knowing.py
@@ -7,8 +7,9 @@
 
 from typing import Any
 
+from kestrelplank.lab.conductors import Standing
 from kestrelplank.lab.script import MS, Script
-from kestrelplank.lab.world import Standing, World
+from kestrelplank.lab.world import World
 
 LOOK = 50 * MS
 BAND = 1.25  # over the mean, from which a slice leaves the fullest node
@@ -47,7 +48,7 @@
         if now >= self.begun + self.script.site.length:
             return
         capacity = [self._capacity(number, now) for number in range(len(self.nodes))]
-        heats = self.heats(now)
+        heats = self.clients.heats(now)
         held = [0.0] * len(self.nodes)
         where = {}
         for table, lines in enumerate(self.hub.lines):
@@ -90,5 +91,5 @@
         self.hub.lines[table] = {node: 1.0}
         for relay in self.relays:
             if relay.alive:
-                relay.tables.read(table, self.hub.charge[table] or 0, {node: 1.0})
-                relay.awake(relay.look, [table])
+                relay.tables.read(table, self.hub.owner[table] or 0, {node: 1.0})
+                relay.when_awake(relay.tables_changed, [table])
--- a/kestrelplank/lab/rehearsal.py
+++ b/kestrelplank/lab/rehearsal.py
@@ -49,7 +49,7 @@
         "acked_without_a_run": world.score.unproved,
         "second_tries": sum(relay.attempts.counts["second_tries"] for relay in world.relays),
         "channel": {"messages": world.hub.messages, "lines": world.hub.line_count, "moves": world.hub.moves},
-        "cross_zone": round(world.cross / world.first, 4) if world.first else 0.0,
+        "cross_zone": round(world.network.cross / world.network.first, 4) if world.network.first else 0.0,
         "events": world.score.events,
         "timelines": world.score.timelines(),
     }
--- a/kestrelplank/lab/script.py
+++ b/kestrelplank/lab/script.py
@@ -120,6 +120,10 @@
     number: int | None = None
     share: float = 1.0
 
+    def has(self, number: int, zones: int) -> bool:
+        """Whether a party with that number, one of so many zones, may be meant."""
+        return self.zone in (None, number % zones) and self.number in (None, number)
+
 
 class Script(Struct, frozen=True, kw_only=True):
     site: Site
--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -9,9 +9,10 @@
 from kestrelplank.cli.rehearse import encoded, kept
 from kestrelplank.config.ini import Ini, Unusable
 from kestrelplank.lab.clock import Clock
+from kestrelplank.lab.conductors import Standing
 from kestrelplank.lab.rehearsal import play
 from kestrelplank.lab.script import script
-from kestrelplank.lab.world import Standing, World
+from kestrelplank.lab.world import World
 from kestrelplank.plan.attempts import PROOFS, RESET, SILENT
 from kestrelplank.policy import Conductor
 
@@ -199,7 +200,7 @@
     held = []
     for at in (2, 7, 18):
         clock.run(10**12 + at * 10**9)
-        held.append(world.hub.charge.count(1))
+        held.append(world.hub.owner.count(1))
     assert held == [18, 0, 18] and world.rules.broken() == []
 
 
@@ -295,5 +296,5 @@
 def test_load_follows_the_script_over_time():
     made = script(Ini("s.ini", SITE + "\n[load more]\nat = 5s\nload = 100%\n[load none]\nat = 10s\nload = 0\n"))
     world = World(made, 1, Clock(10**12))
-    rates = [world.rate(10**12 + at * 10**9) for at in (0, 5, 10)]
+    rates = [world.clients.rate(10**12 + at * 10**9) for at in (0, 5, 10)]
     assert rates[1] == pytest.approx(2 * rates[0]) and rates[2] == 0
--- a/tests/relay/test_relay_program.py
+++ b/tests/relay/test_relay_program.py
@@ -11,7 +11,7 @@
 
 from kestrelplank.config import relay as config
 from kestrelplank.config.ini import Ini, Unusable
-from kestrelplank.lab.live import Process
+from kestrelplank.lab.process import Process
 
 WORDS = ("-c", "from kestrelplank.cli import main; raise SystemExit(main())", "relay", "--config")
 FILE = """[relay]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,7 @@
 import pytest
 from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
 
-from kestrelplank.lab.live import CONDUCTOR, Process
+from kestrelplank.lab.process import CONDUCTOR, Process
 from kestrelplank.net import resp
 from kestrelplank.net.counters import Output
 from kestrelplank.net.discovery import Discovery
