--- a/kestrelplank/lab/score.py
+++ b/kestrelplank/lab/score.py
@@ -4,6 +4,7 @@
 from math import isfinite
 
 from kestrelplank.lab.script import Script
+from kestrelplank.state.sums import TrySum
 
 SECOND = 1_000_000_000
 WINDOW = 5 * SECOND
@@ -20,7 +21,7 @@
         self._by_type = {name: Counter() for name in self._names}
         self._times: list[list[int]] = [[] for _ in self._names]
         self.lost_for: Counter[str] = Counter()
-        self._timeline: list[dict[int, list[int]]] = [{} for _ in range(script.site.nodes)]
+        self._timeline: list[dict[int, TrySum]] = [{} for _ in range(script.site.nodes)]
         self.events: list[list] = []
         self.falls: list[int] = []
         self.ends, self.latest = 0, 0  # of a relay's ops; by how much the latest came after its op timeout (ns)
@@ -57,10 +58,7 @@
             self.lost_for[f"{verdict}: {why}"] += 1
 
     def tried(self, now: int, node: int, good: bool, time: int) -> None:
-        sums = self._timeline[node].setdefault((now - self._begun) // SECOND, [0, 0, 0])
-        sums[0] += 1
-        sums[1] += not good
-        sums[2] += time
+        self._timeline[node].setdefault((now - self._begun) // SECOND, TrySum()).add(good, time)
 
     def event(self, now: int, what: str, nodes: list[int]) -> None:
         self.events.append([round((now - self._begun) / SECOND, 3), what, nodes])
@@ -91,10 +89,10 @@
         """By node, rows of second, tries, failures and mean ms of the good."""
         return [
             [
-                [second, tries, failed, round(time / (tries - failed) / 1e6, 3) if tries > failed else None]
-                for second, (tries, failed, time) in sorted(sums.items())
+                [second, sums.count, sums.failed, None if sums.mean() is None else round(sums.mean() / 1e6, 3)]
+                for second, sums in sorted(seconds.items())
             ]
-            for sums in self._timeline
+            for seconds in self._timeline
         ]
 
 
--- a/kestrelplank/relay/control.py
+++ b/kestrelplank/relay/control.py
@@ -19,6 +19,8 @@
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.http import DIAL, Client, Stream
 from kestrelplank.net.loop import Loop
+from kestrelplank.plan.attempts import ABORTED
+from kestrelplank.state.sums import OpSum, TrySum
 from kestrelplank.state.tables import Refused, Tables
 
 MS = 1_000_000
@@ -53,8 +55,8 @@
         self.addresses, self._on_change, self._on_node = addresses, on_change, on_node
         self.joined_at: int | None = None
         self._posts: deque[tuple[str, bytes]] = deque()
-        self._tries: dict[tuple[int, int], list[int]] = {}
-        self._heat: dict[tuple[int, int], list[int]] = {}
+        self._tries: dict[tuple[int, int], TrySum] = {}  # by node and conductor (-1: none)
+        self._heat: dict[tuple[int, int], OpSum] = {}  # by table and op type
         self._client = Client(loop, pool, hub, self, DIAL, 1 << 12)
         path = f"/v1/tables?relay={number}&zone={zone}"
         self._stream = Stream(
@@ -136,15 +138,12 @@
 
     def on_try(self, table: int, node: int, op_type: int, good: bool, time: int) -> None:
         source = self._tables.source(table)
-        sums = self._tries.setdefault((node, -1 if source is None else source), [0, 0, 0])
-        sums[0] += 1
-        sums[1] += not good
-        sums[2] += time if good else 0
+        self._tries.setdefault((node, -1 if source is None else source), TrySum()).add(good, time)
 
     def on_op(self, table: int, op_type: int, verdict: str) -> None:
-        sums = self._heat.setdefault((table, op_type), [0, 0])
-        sums[0] += 1
-        sums[1] += verdict == "aborted"
+        sums = self._heat.setdefault((table, op_type), OpSum())
+        sums.count += 1
+        sums.aborted += verdict == ABORTED
 
     def _report(self) -> None:
         self._timer = self._loop.at(self._loop.now() + PERIOD, self._report)
@@ -160,10 +159,13 @@
                 "zone": self._zone,
                 "span": PERIOD / MS,
                 "tries": [
-                    [names[node], source, count, failed, time / (count - failed) / MS if count > failed else 0.0]
-                    for (node, source), (count, failed, time) in tries.items()
+                    [names[node], source, sums.count, sums.failed, (sums.mean() or 0.0) / MS]
+                    for (node, source), sums in tries.items()
+                ],
+                "heat": [
+                    [table, self._op_types[op_type], sums.count, sums.aborted]
+                    for (table, op_type), sums in heat.items()
                 ],
-                "heat": [[table, self._op_types[op_type], *sums] for (table, op_type), sums in heat.items()],
             },
         )
 
--- a/kestrelplank/relay/request.py
+++ b/kestrelplank/relay/request.py
@@ -1,9 +1,9 @@
 """One request as a client sent it: its head, the bytes of its body so far, and its form towards a node."""
 
-from hashlib import blake2b
 from typing import NamedTuple
 
 from kestrelplank.relay.message import LAST, Header, chunk, framing, head, one, passed_on, tokens
+from kestrelplank.state.sealed import digest_of
 
 DEADLINE_HEADER = b"X-Deadline-Ms"  # the time that the op has left, for the node
 REPLACED = (b"host", DEADLINE_HEADER.lower())  # headers that are written anew towards a node
@@ -84,4 +84,4 @@
     def digest(self) -> str:
         """Tells one request with a key from another; hexadecimal."""
         parts = self.method, self.target, b"".join(self.body or ())
-        return blake2b(b"\0".join(parts), digest_size=16).hexdigest()
+        return digest_of(b"\0".join(parts))
--- a/tests/lab/test_rehearsal.py
+++ b/tests/lab/test_rehearsal.py
@@ -11,6 +11,7 @@
 from kestrelplank.lab.clock import Clock
 from kestrelplank.lab.conductors import Standing
 from kestrelplank.lab.rehearsal import play
+from kestrelplank.lab.score import Score
 from kestrelplank.lab.script import script
 from kestrelplank.lab.world import World
 from kestrelplank.plan.attempts import PROOFS, RESET, SILENT
@@ -298,3 +299,11 @@
     world = World(made, 1, Clock(10**12))
     rates = [world.clients.rate(10**12 + at * 10**9) for at in (0, 5, 10)]
     assert rates[1] == pytest.approx(2 * rates[0]) and rates[2] == 0
+
+
+def test_the_mean_in_a_nodes_timeline_is_that_of_its_good_tries():
+    score = Score(read(), 0)
+    for good, time in ((True, 20), (False, 700), (True, 40)):
+        score.tried(10**9, 2, good, time * 10**6)
+    score.tried(3 * 10**9, 2, False, 10**6)
+    assert score.timelines()[2] == [[1, 3, 1, 30.0], [3, 1, 1, None]]
