Names of the field in relay, picks, lists and rehearsals; relay program in parts

relay: Control -> HubClient (relay/hub.py), Office -> SuccessorListener, take and listens -> receive_socket and confirm_listening; the process is a class Program of short methods, and the making of a Relay is one method a part. plan/picks: idler -> less_loaded, keyed -> rendezvous, Rotation -> WeightedRoundRobin. state/intake: Settling -> Debounce. lab: Party and Visitor -> StubServer and StubConnection, a script's Party -> Selector, Knowing -> OracleWorld (lab/oracle.py).

--- a/kestrelplank/files/source.py
+++ b/kestrelplank/files/source.py
@@ -1,6 +1,6 @@
 """Nodes from watched files: reads them, hands what they say to the cores in `state/`, and tells the module.
 
-It decides nothing: `Settling` says when a reading counts, `Intake` whether the set it makes may hold, `Roster` what
+It decides nothing: `Debounce` says when a reading counts, `Intake` whether the set it makes may hold, `Roster` what
 that comes to over time, `Blend` how it goes together with discovery.
 """
 
@@ -17,7 +17,7 @@
 from kestrelplank.net.counters import Counters
 from kestrelplank.net.loop import Loop, Timer
 from kestrelplank.state import guards, roster
-from kestrelplank.state.intake import ACCEPTED, REFUSED, SAME, SETTLED, Intake, Settling, restored
+from kestrelplank.state.intake import ACCEPTED, REFUSED, SAME, SETTLED, Debounce, Intake, restored
 from kestrelplank.state.nodeset import NodeSet
 from kestrelplank.state.sealed import digest_of
 from kestrelplank.state.sources import DISCOVERY, FILES, Blend
@@ -62,7 +62,7 @@
     ) -> None:
         self._loop, self._counters, self._nodes, self._ids = loop, counters, nodes, ids
         self._addresses, self._on_event = addresses, on_event
-        self._settling = Settling(nodes.quiet)
+        self._debounce = Debounce(nodes.quiet)
         self._roster = roster.Roster(self._pace(nodes, grace))
         self._blend = Blend(nodes.authority)
         self._timers: dict[str, Timer] = {}  # of files to be read again; and of what is due by itself
@@ -114,13 +114,13 @@
             digest, problem = f"!{err.errno}", f"{path}: can't be read: {err.strerror}"
         except Unusable as err:
             digest, problem = "!size", str(err)
-        step = self._settling.see(now, path, digest)
+        step = self._debounce.see(now, path, digest)
         if step == SETTLED:
             self._counters.add("files_read")
             self.intake.take(path, problem or self._parsed(path, data))
         elif step != SAME:
             self._set(path, step, lambda: self._read(path))
-        if step in (SETTLED, SAME) and self._settling.at_rest(now):
+        if step in (SETTLED, SAME) and self._debounce.at_rest(now):
             self._decide()
 
     def _parsed(self, path: str, data: bytes) -> Any:
@@ -210,7 +210,7 @@
         self._watch.look()  # now, so that what is there is known below
         for path in before:
             if path not in self._watch.paths():
-                self._settling.forget(path)
+                self._debounce.forget(path)
                 self.intake.drop(path)
         self._decide()
 
--- a/kestrelplank/lab/conductor_process.py
+++ b/kestrelplank/lab/conductor_process.py
@@ -9,7 +9,7 @@
 
 from kestrelplank.interface import ALL_TABLES
 from kestrelplank.lab.conductors import Conductor
-from kestrelplank.lab.parties import MS, Party, Visitor, instance, news, node_list
+from kestrelplank.lab.parties import MS, StubConnection, StubServer, instance, news, node_list
 from kestrelplank.lab.process import CONDUCTOR, Process
 from kestrelplank.lab.script import conf
 from kestrelplank.net import resp
@@ -66,10 +66,10 @@
 
     def __init__(self, world: "LiveWorld", number: int) -> None:
         super().__init__(world, number)
-        self._relay = Party(world.kit, self._relay_asked)
-        self._agent = Party(world.kit, self._agent_asked)
-        self._streams: list[Visitor] = []
-        self._watches: list[Visitor] = []
+        self._relay = StubServer(world.kit, self._relay_asked)
+        self._agent = StubServer(world.kit, self._agent_asked)
+        self._streams: list[StubConnection] = []
+        self._watches: list[StubConnection] = []
         self._entries: dict[int, dict] = {}
         self._version, self._signs = 0, None
         self._process: Process | None = None
@@ -182,7 +182,7 @@
 
     # Its relay.
 
-    def _relay_asked(self, visitor: Visitor, path: str, body: bytes) -> None:
+    def _relay_asked(self, visitor: StubConnection, path: str, body: bytes) -> None:
         if path == "/api/stream":
             self._begin_stream(visitor)
             return
@@ -191,7 +191,7 @@
             self.world.hub.call(self.number, orders)
         visitor.reply({"ok_count": len(orders)})
 
-    def _begin_stream(self, visitor: Visitor) -> None:
+    def _begin_stream(self, visitor: StubConnection) -> None:
         """All that stands is told first."""
         world = self.world
         rate = world.clients.rate(world.kit.loop.now()) / len(world.relays)
@@ -240,7 +240,7 @@
         live = [entry for entry in self._entries.values() if entry["lifecycle"] != "terminated"]
         return node_list(self._version, *live, reset=True)
 
-    def _agent_asked(self, visitor: Visitor, path: str, body: bytes) -> None:
+    def _agent_asked(self, visitor: StubConnection, path: str, body: bytes) -> None:
         query = dict(parse_qsl(urlsplit(path).query))
         if "follow" not in query:
             visitor.reply(self._list())
--- a/kestrelplank/lab/discovery.py
+++ b/kestrelplank/lab/discovery.py
@@ -6,11 +6,9 @@
 from kestrelplank.files import nodelist
 from kestrelplank.lab.part import Part
 from kestrelplank.lab.script import Fault
-from kestrelplank.state.guards import Terms
-from kestrelplank.state.intake import SETTLED, Intake, Settling
+from kestrelplank.state import guards, roster
+from kestrelplank.state.intake import SETTLED, Debounce, Intake
 from kestrelplank.state.nodeset import Listed, NodeSet
-from kestrelplank.state.roster import Roster
-from kestrelplank.state.roster import Terms as Pace
 from kestrelplank.state.sealed import digest_of
 
 
@@ -77,8 +75,11 @@
             f"n{node}": Listed(script.site.zones[world.zone_of(node)], f"127.0.0.1:{9000 + node}")
             for node in range(script.site.nodes)
         }
-        self.intake = Intake(Terms(terms.most_closed, terms.stand, False))
-        self._settling, self._roster = Settling(terms.quiet), Roster(Pace(script.rules.grace, terms.weight_step))
+        self.intake = Intake(guards.Terms(terms.most_closed, terms.stand, False))
+        self._debounce, self._roster = (
+            Debounce(terms.quiet),
+            roster.Roster(roster.Terms(script.rules.grace, terms.weight_step)),
+        )
         self._text: bytes | None = nodelist.written(NodeSet(self._nodes)).encode()
         self._read_at(self.clock.now())
         self._read_at(self.clock.now() + terms.quiet)
@@ -133,7 +134,7 @@
 
     def _read_at(self, now: int) -> Any:
         """When to read again, or what has been decided."""
-        step = self._settling.see(now, "nodes.ini", None if self._text is None else digest_of(self._text))
+        step = self._debounce.see(now, "nodes.ini", None if self._text is None else digest_of(self._text))
         if isinstance(step, int):
             return step
         if step == SETTLED:
--- a/kestrelplank/lab/faults.py
+++ b/kestrelplank/lab/faults.py
@@ -6,7 +6,7 @@
 from kestrelplank.lab.clock import chance
 from kestrelplank.lab.part import Part
 from kestrelplank.lab.relays import Relay
-from kestrelplank.lab.script import Fault, Party
+from kestrelplank.lab.script import Fault, Selector
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,24 +34,26 @@
     def plan(self) -> None:
         """Each begins at its time."""
         world = self.world
-        for name, fault, end, parties in world.script.faults:
-            args = name, fault, world.begun + end, parties
+        for name, fault, end, selectors in world.script.faults:
+            args = name, fault, world.begun + end, selectors
             self.clock.at(world.begun + fault.start, lambda args=args: self._begin(*args))
 
-    def _begin(self, name: str, fault: Fault, end: int, parties: tuple[Party, ...]) -> None:
-        targets = self._targets(name, parties)
+    def _begin(self, name: str, fault: Fault, end: int, selectors: tuple[Selector, ...]) -> None:
+        targets = self._targets(name, selectors)
         self.world.score.event(self.clock.now(), f"{name}: {fault.kind} begins", targets.nodes)
         self._begins.get(fault.kind, self._weaken)(name, fault, end, targets)
 
-    def _targets(self, name: str, parties: tuple[Party, ...]) -> Targets:
+    def _targets(self, name: str, selectors: tuple[Selector, ...]) -> Targets:
         world, random = self.world, chance(self.world.seed, "fault", name)
         counts = {"node": len(world.nodes), "relay": len(world.relays), "conductor": len(world.conductors)}
         found: dict[str, dict[int, None]] = {kind: {} for kind in counts}
-        for party in parties:
-            all_of = [number for number in range(counts[party.kind]) if party.has(number, len(world.script.site.zones))]
-            if party.share < 1:
-                all_of = sorted(random.sample(all_of, max(1, round(party.share * len(all_of)))))
-            found[party.kind].update(dict.fromkeys(all_of))
+        for selector in selectors:
+            all_of = [
+                number for number in range(counts[selector.kind]) if selector.has(number, len(world.script.site.zones))
+            ]
+            if selector.share < 1:
+                all_of = sorted(random.sample(all_of, max(1, round(selector.share * len(all_of)))))
+            found[selector.kind].update(dict.fromkeys(all_of))
         return Targets(*map(list, found.values()))
 
     # Faults of nodes and of their list.
@@ -106,9 +108,9 @@
         for node in targets.nodes:
             for at in range(clock.now() + random.randrange(fault.every), end, fault.every):
                 clock.at(at, lambda node=node, at=at: self._pause_node((name, at), node, fault.pause))
-        for party in self._processes(targets):
+        for actor in self._processes(targets):
             for at in range(clock.now() + random.randrange(fault.every), end, fault.every):
-                clock.at(at, lambda party=party: party.pause(clock.now() + fault.pause))
+                clock.at(at, lambda actor=actor: actor.pause(clock.now() + fault.pause))
 
     def _pause_node(self, name: object, node: int, pause: int) -> None:
         now = self.clock.now()
--- a/kestrelplank/lab/node_server.py
+++ b/kestrelplank/lab/node_server.py
@@ -4,7 +4,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 from kestrelplank.lab.node import FAILED, NOT_STARTED
-from kestrelplank.lab.parties import Party, Visitor
+from kestrelplank.lab.parties import StubConnection, StubServer
 from kestrelplank.net.connection import address
 
 if TYPE_CHECKING:
@@ -17,17 +17,16 @@
     def __init__(self, world: "LiveWorld", node: int) -> None:
         self._world, self._number = world, node
         self._node = world.nodes[node]
-        self._asking: dict[int, Visitor] = {}
-        self._numbers: dict[int, int] = {}  # visitor to the op that it waits for
-        self._party: Party | None = None
+        self._asking: dict[int, StubConnection] = {}
+        self._party: StubServer | None = None
         self._listen(("127.0.0.1", 0))
         self.address = self._party.at
 
     def _listen(self, at: tuple[str, int]) -> None:
-        self._party = Party(self._world.kit, self._asked, at)
+        self._party = StubServer(self._world.kit, self._asked, at)
         self._party.left = self._left
 
-    def _asked(self, visitor: Visitor, path: str, body: bytes) -> None:
+    def _asked(self, visitor: StubConnection, path: str, body: bytes) -> None:
         health = path.startswith("/health")
         if self._node.silent:
             if not health:
@@ -44,11 +43,11 @@
         else:
             self._world.network.look_at(self._number)
 
-    def _offer(self, visitor: Visitor, path: str) -> str:
+    def _offer(self, visitor: StubConnection, path: str) -> str:
         op = dict(parse_qsl(urlsplit(path).query))
         number = int(op["number"])
         self._asking[number] = visitor
-        self._numbers[id(visitor)] = number
+        visitor.op = number
         now, work, key = self._world.kit.loop.now(), float(op["work"]), int(op["key"])
         told = self._node.offer(now, number, int(op["type"]), work, key, op["new"] == "1", op["knowing"] == "1")
         self._world.rules.pushed(self._number, self._node.worst_push)
@@ -58,22 +57,20 @@
         """The op has run."""
         visitor = self._asking.pop(number, None)
         if visitor is not None and visitor.gone is None:
-            self._numbers.pop(id(visitor), None)
+            visitor.op = None
             visitor.reply(b"done\n")
 
-    def _left(self, visitor: Visitor) -> None:
+    def _left(self, visitor: StubConnection) -> None:
         if self._party and visitor in self._party.visitors:
             self._party.visitors.remove(visitor)
-        number = self._numbers.pop(id(visitor), None)
-        if number is not None:
-            self._asking.pop(number, None)
-            self._world.network.cancel(self._number, number)
+        if visitor.op is not None and self._party:
+            self._asking.pop(visitor.op, None)
+            self._world.network.cancel(self._number, visitor.op)
 
     def close(self) -> None:
         """Its process ends, and every connection with it."""
         if self._party:
             self._asking.clear()
-            self._numbers.clear()
             party, self._party = self._party, None
             party.close()
 
--- a/kestrelplank/lab/knowing.py
+++ b/kestrelplank/lab/oracle.py
@@ -23,7 +23,7 @@
         """Somebody else knows better."""
 
 
-class Knowing(World):
+class OracleWorld(World):
     def __init__(self, script: Script, seed: int, clock: Any) -> None:
         super().__init__(script, seed, clock, Idle)
 
--- a/kestrelplank/lab/parties.py
+++ b/kestrelplank/lab/parties.py
@@ -26,11 +26,11 @@
         self.loop, self.pool = Loop(fail), Pool(1 << 16, 4)
 
 
-class Visitor:
-    """One connection to a party; its requests, taken apart. `gone` says why it ended."""
+class StubConnection:
+    """One connection to a stub; its requests, taken apart. `gone` says why it ended, `op` is its owner's to set."""
 
-    def __init__(self, party: "Party", sock: socket.socket) -> None:
-        self.party, self.gone, self.bytes_in = party, None, 0
+    def __init__(self, party: "StubServer", sock: socket.socket) -> None:
+        self.party, self.gone, self.bytes_in, self.op = party, None, 0, None
         self.parser, self.body, self.path = httptools.HttpRequestParser(self), b"", ""
         self.connection = Connection(party.kit.loop, party.kit.pool, sock, self, MOST_UNREAD)
 
@@ -65,27 +65,27 @@
             self.connection.write(b"%x\r\n%s\r\n" % (len(data), data))
 
 
-class Party:
+class StubServer:
     """Listens on a free port of loopback. `answer` says what it does with a request; by default nothing."""
 
     def __init__(
         self,
         kit: Kit,
-        answer: Callable[[Visitor, str, bytes], None] = lambda visitor, path, body: None,
+        answer: Callable[[StubConnection, str, bytes], None] = lambda visitor, path, body: None,
         at: tuple[str, int] = ("127.0.0.1", 0),
     ) -> None:
         self.kit, self.answer = kit, answer
-        self.visitors: list[Visitor] = []
+        self.visitors: list[StubConnection] = []
         self.listener = Listener(kit.loop, at, self.accept, fail, MS)
         self.at = "%s:%d" % self.listener.at
 
     def accept(self, sock: socket.socket) -> None:
-        self.visitors.append(Visitor(self, sock))
+        self.visitors.append(StubConnection(self, sock))
 
-    def asked(self, visitor: Visitor, path: str, body: bytes) -> None:
+    def asked(self, visitor: StubConnection, path: str, body: bytes) -> None:
         self.answer(visitor, path, body)
 
-    def left(self, visitor: Visitor) -> None:
+    def left(self, visitor: StubConnection) -> None:
         """A connection has ended."""
 
     def close(self) -> None:
--- a/kestrelplank/lab/rehearsal.py
+++ b/kestrelplank/lab/rehearsal.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from kestrelplank.lab.clock import Clock
-from kestrelplank.lab.knowing import Knowing
+from kestrelplank.lab.oracle import OracleWorld
 from kestrelplank.lab.script import MS, Script
 from kestrelplank.lab.world import World
 from kestrelplank.plan.attempts import PROOFS
@@ -25,7 +25,7 @@
     """Plays it, tells progress as shares of its length, and returns the report. `knowing`: slices are placed by who
     knows the truth, the upper mark."""
     clock = Clock(1_000_000_000_000)  # a node's start is never 0, which would mean long ago
-    world = Knowing(script, seed, clock) if knowing else World(script, seed, clock, policy, proofs)
+    world = OracleWorld(script, seed, clock) if knowing else World(script, seed, clock, policy, proofs)
     world.start()
     while clock.now() < world.over:
         clock.run(min(world.over, clock.now() + STEP))
--- a/kestrelplank/lab/script.py
+++ b/kestrelplank/lab/script.py
@@ -112,7 +112,7 @@
     keeps_queue: Flag = False  # silent: what waited is still there when it comes back
 
 
-class Party(Struct, frozen=True):
+class Selector(Struct, frozen=True):
     """Whom a fault is for: nodes, relays or conductors; of a zone, by number, or a share of them drawn by chance."""
 
     kind: str
@@ -121,7 +121,7 @@
     share: float = 1.0
 
     def has(self, number: int, zones: int) -> bool:
-        """Whether a party with that number, one of so many zones, may be meant."""
+        """Whether the one with that number, one of so many zones, may be meant."""
         return self.zone in (None, number % zones) and self.number in (None, number)
 
 
@@ -138,10 +138,10 @@
     rules: Rules
     files: Files | None
     loads: tuple[tuple[int, float], ...]  # from when on, in order
-    faults: tuple[tuple[str, Fault, int, tuple[Party, ...]], ...]  # name, fault, end, whom
+    faults: tuple[tuple[str, Fault, int, tuple[Selector, ...]], ...]  # name, fault, end, whom
 
 
-def party(word: str, site: Site) -> Party:
+def selector(word: str, site: Site) -> Selector:
     """`zone Z` (its nodes), `nodes`, `relays` or `conductors` followed by `of Z`, a share or a number."""
     found = re.fullmatch(r"(zone|node|relay|conductor)s?(?: (?:of )?(\S+))?", word)
     if not found:
@@ -152,20 +152,20 @@
     if which is None:
         if word.startswith("zone"):
             raise ValueError(f"{word!r} names no zone")
-        return Party(kind)
+        return Selector(kind)
     if which in site.zones:
-        return Party(kind, zone=site.zones.index(which))
+        return Selector(kind, zone=site.zones.index(which))
     share = re.fullmatch(r"(\d+(?:\.\d+)?)%", which)
     if share and 0 < float(share[1]) <= 100 and not word.startswith("zone"):
-        return Party(kind, share=float(share[1]) / 100)
+        return Selector(kind, share=float(share[1]) / 100)
     if which.isascii() and which.isdigit() and not word.startswith("zone"):
         if int(which) >= most:
             raise ValueError(f"there is no {kind} {which}: there are {most}, counted from 0")
-        return Party(kind, number=int(which))
+        return Selector(kind, number=int(which))
     raise ValueError(f"no zone is called {which!r}; there are {', '.join(site.zones)}")
 
 
-def fault(ini: Ini, section: Section, read: Fault, site: Site) -> tuple[str, Fault, int, tuple[Party, ...]]:
+def fault(ini: Ini, section: Section, read: Fault, site: Site) -> tuple[str, Fault, int, tuple[Selector, ...]]:
     if (read.length is None) == (read.end is None):
         raise ini.fail(section, None, "give either length or end")
     end = read.end if read.end is not None else read.start + read.length
@@ -174,7 +174,7 @@
     if read.start >= site.length:
         raise ini.fail(section, "start", "the rehearsal is over by then")
     try:
-        whom = tuple(party(word, site) for word in read.who)
+        whom = tuple(selector(word, site) for word in read.who)
     except ValueError as err:
         raise ini.fail(section, "who", str(err)) from None
     if not whom:
--- a/kestrelplank/plan/attempts.py
+++ b/kestrelplank/plan/attempts.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from kestrelplank.plan.limits import Limits, Queue
-from kestrelplank.plan.picks import Rotation, idler, keyed, weighted
+from kestrelplank.plan.picks import WeightedRoundRobin, less_loaded, rendezvous, weighted
 from kestrelplank.plan.zones import Preference
 from kestrelplank.state.tables import Tables
 
@@ -148,7 +148,7 @@
         self._budget, self._limits, self._queue, self._weigh, self._zones = budget, limits, queue, weigh, zones
         self._queued: dict[int, Op] = {}
         self._steps: list[tuple[Op, Step]] = []
-        self._rotations: dict[int, Rotation] = {}
+        self._rotations: dict[int, WeightedRoundRobin] = {}
         self.own: Counter[int] = Counter()  # tries out, by node
         self._waiting: dict[int, dict[int, Op]] = {}  # by table, in order of arrival
         self.counts: Counter[str] = Counter()
@@ -263,11 +263,11 @@
         if self._weigh and len(lines) > 1:
             lines = [(node, weight * self._weigh(node)) for node, weight in lines]
         if self._pick == "key":
-            return keyed(op.key, lines)
+            return rendezvous(op.key, lines)
         if self._pick == "two":
-            return idler(self._random, lines, self.own)
+            return less_loaded(self._random, lines, self.own)
         if self._pick == "rotate":
-            return self._rotations.setdefault(op.table, Rotation()).pick(lines)
+            return self._rotations.setdefault(op.table, WeightedRoundRobin()).pick(lines)
         return weighted(self._random, lines)
 
     def _candidates(self, now: int, op: Op) -> Sequence[tuple[int, float]]:
--- a/kestrelplank/plan/picks.py
+++ b/kestrelplank/plan/picks.py
@@ -1,4 +1,4 @@
-"""Which of several lines takes an op: by weight, the idler of two, or in turn. No line's weight is 0."""
+"""Which of several lines takes an op: by weight, the less loaded of two, or in turn. No line's weight is 0."""
 
 from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
@@ -20,7 +20,7 @@
     return lines[-1][0]  # the sum was rounded up
 
 
-def idler(random: Random, lines: Lines, own: Mapping[int, int]) -> int:
+def less_loaded(random: Random, lines: Lines, own: Mapping[int, int]) -> int:
     """Of two different nodes drawn by weight, the one with fewer of our own ops out; the first of equals.
 
     Source: the power of two choices (M. Mitzenmacher, 2001), with own ops for the queue, as nothing else is known."""
@@ -32,7 +32,7 @@
     return second if own.get(second, 0) < own.get(first, 0) else first
 
 
-def keyed(key: str, lines: Lines) -> int:
+def rendezvous(key: str, lines: Lines) -> int:
     """The same node for the same key, each node with its part of the keys by weight: the highest of scores drawn from
     key and node. When a weight grows keys only move to that node, when it shrinks only away from it, and when a line
     goes only its keys move.
@@ -55,7 +55,7 @@
     return lines
 
 
-class Rotation:
+class WeightedRoundRobin:
     """In turn, evenly by weight: each pick adds its weight to every line's credit, and the line with most gives up
     what all got. Over any stretch each line is within one pick of its part."""
 
--- a/kestrelplank/relay/control.py
+++ b/kestrelplank/relay/hub.py
@@ -1,4 +1,4 @@
-"""The relay's control side: tables from a hub, answers to marks, and what it met, each second.
+"""The relay's client of a hub: tables from a hub, answers to marks, and what it met, each second.
 
     GET /v1/tables?relay=17&zone=a          chunked, one JSON object a line, never ends
     POST /v1/done {"relay":17,"source":0,"mark":905}
@@ -32,7 +32,7 @@
 PERIOD = 1_000 * MS
 
 
-class Control:
+class HubClient:
     """`on_change(tables)` hears which tables have other open lines; `addresses` is kept up to date, by node."""
 
     def __init__(
--- a/kestrelplank/relay/program.py
+++ b/kestrelplank/relay/program.py
@@ -20,16 +20,17 @@
 from kestrelplank.plan.returning import Damping
 from kestrelplank.plan.tiers import Distances
 from kestrelplank.plan.zones import Preference, Terms
-from kestrelplank.relay.control import PERIOD, Control
+from kestrelplank.relay.hub import PERIOD, HubClient
 from kestrelplank.relay.proxy import Bounds, OpType, Proxy
 from kestrelplank.relay.request import Request
-from kestrelplank.relay.takeover import Office, listens, take
+from kestrelplank.relay.takeover import SuccessorListener, confirm_listening, receive_socket
 from kestrelplank.state import answers
 from kestrelplank.state.sealed import sealed, unsealed
 from kestrelplank.state.tables import Refused, Tables
 
 BUFFER, BUFFERS = 1 << 16, 64
 FORM = 1  # of kept tables
+IDLE_LOOK = 20_000_000  # ns between looks whether all clients are gone, while it stops
 
 
 def op_types(file: config.RelayFile) -> list[OpType]:
@@ -64,18 +65,27 @@
 
     def __init__(self, loop: Loop, counters: Counters, file: config.RelayFile, listening: object) -> None:
         self.loop, self.counters, self.file = loop, counters, file
-        place, tries, ops = file.place, file.tries, list(file.op_types.values())
+        place, ops = file.place, list(file.op_types.values())
         self.pool, self.ids = Pool(BUFFER, BUFFERS), Ids(text)
-        self.tables = Tables(place.slices, len(ops), int(tries.again))
+        self.tables = Tables(place.slices, len(ops), int(file.tries.again))
         self.addresses: dict[int, str] = {}
         self._zone_of: dict[int, int] = {}
         self._dirty = False
-        random = Random(place.seed)
-        held = limits.Limits(limits.Terms(tries.first, tries.least, tries.most, tries.tolerance))
+        held = limits.Limits(limits.Terms(file.tries.first, file.tries.least, file.tries.most, file.tries.tolerance))
         self.zones = self._preference(held) if file.zones.prefer else None
         self.distances = Distances()
+        self.attempts = self._made_attempts(held)
+        self._by = b"" if place.block_by == "path" else place.block_by.lower().encode()
+        self.kept_at: float | None = self._restore()
+        self.proxy = self._made_proxy(listening)
+        self.hub = self._made_hub_client() if place.hub else None
+        self._looks = loop.at(loop.now() + PERIOD, self._look_at_distances)
+        self._timer = loop.at(loop.now() + place.state_every, self._keep)
+
+    def _made_attempts(self, held: limits.Limits) -> Attempts:
+        tries, ops, random = self.file.tries, list(self.file.op_types.values()), Random(self.file.place.seed)
         values, targets = [op.value for op in ops], [op.target for op in ops]
-        self.attempts = Attempts(
+        return Attempts(
             random,
             self.tables,
             [op.timeout for op in ops],
@@ -85,16 +95,16 @@
             budget=Budget(len(ops), tries.budget, tries.budget_saved),
             limits=held if tries.limited else None,
             queue=limits.Queue(tries.queue, targets, values, tries.queue_part),
-            weigh=self._weigh if file.nodes.warm_up else None,
+            weigh=self._weigh if self.file.nodes.warm_up else None,
             zones=self.zones,
         )
-        self._by = b"" if place.block_by == "path" else place.block_by.lower().encode()
-        self.kept_at: float | None = self._restore()
-        clients = file.clients
-        self.proxy = Proxy(
-            loop,
+
+    def _made_proxy(self, listening: object) -> Proxy:
+        file, clients = self.file, self.file.clients
+        return Proxy(
+            self.loop,
             self.pool,
-            counters,
+            self.counters,
             listening,
             op_types(file),
             bounds(file),
@@ -108,24 +118,23 @@
             self._on_try,
             self._on_op,
         )
-        self.control = None
-        if place.hub:
-            self.control = Control(
-                loop,
-                self.pool,
-                counters,
-                place.hub,
-                place.number,
-                place.zone,
-                self.ids,
-                self.tables,
-                list(file.op_types),
-                self.addresses,
-                self._changed,
-                self._placed,
-            )
-        self._looks = loop.at(loop.now() + PERIOD, self._look_at_distances)
-        self._timer = loop.at(loop.now() + place.state_every, self._keep)
+
+    def _made_hub_client(self) -> HubClient:
+        place = self.file.place
+        return HubClient(
+            self.loop,
+            self.pool,
+            self.counters,
+            place.hub,
+            place.number,
+            place.zone,
+            self.ids,
+            self.tables,
+            list(self.file.op_types),
+            self.addresses,
+            self._changed,
+            self._placed,
+        )
 
     def _preference(self, held: limits.Limits) -> Preference:
         file, own = self.file.zones, self.ids.zone(self.file.place.zone)
@@ -159,14 +168,14 @@
         return crc32(found or b"") % self.tables.size
 
     def _on_try(self, table: int, node: int, op_type: int, good: bool, time: int) -> None:
-        if self.control:
-            self.control.on_try(table, node, op_type, good, time)
+        if self.hub:
+            self.hub.on_try(table, node, op_type, good, time)
         if self.zones and good and node in self._zone_of:
             self.distances.seen(self.ids.zone(self.file.place.zone), self._zone_of[node], 1, time)
 
     def _on_op(self, *told: object) -> None:
-        if self.control:
-            self.control.on_op(*told)
+        if self.hub:
+            self.hub.on_op(*told)
 
     def _changed(self, tables: list[int]) -> None:
         self._dirty = True
@@ -228,13 +237,84 @@
         self._timer.cancel()
         self._looks.cancel()
         self.keep()
-        if self.control:
-            self.control.close()
+        if self.hub:
+            self.hub.close()
         self.proxy.close()
 
 
+class Program:
+    """A relay as a process: it takes signals, may take over a predecessor's socket, and hands its own to a successor.
+    Raises OSError where it can't listen."""
+
+    def __init__(self, loop: Loop, counters: Counters, path: str, file: config.RelayFile) -> None:
+        self._loop, self._counters, self._path = loop, counters, path
+        at, self._stop_within = file.place.successor, file.place.stop_within
+        self._taken = receive_socket(at) if at else None
+        listening = self._taken[0] if self._taken else address(file.place.listen)
+        self._relay = Relay(loop, counters, file, listening)
+        descriptor = self._relay.proxy.descriptor
+        self._successor = SuccessorListener(loop, at, descriptor, lambda: self.stop("successor")) if at else None
+
+    def run(self) -> None:
+        """Until it is told to stop, and then until requests in hand have their answers."""
+        handlers = {
+            signal.SIGTERM: self.stop,
+            signal.SIGINT: self.stop,
+            signal.SIGHUP: self._reload,
+            signal.SIGUSR1: self._counters.report,
+        }
+        signals = Signals(self._loop, handlers)
+        self._counters.info(
+            "started",
+            listen="%s:%d" % self._relay.proxy.at,
+            tables="kept" if self._relay.kept_at else "none yet",
+            predecessor=bool(self._taken),
+        )
+        if self._taken:
+            confirm_listening(self._taken[1])
+        self._loop.run()
+        self._relay.close()
+        if self._successor:
+            self._successor.close()
+        signals.close()
+        self._loop.close()
+        self._report()
+
+    def stop(self, why: str = "signal") -> None:
+        """Takes no new connection, and ends once all are closed, or it has waited long enough."""
+        self._counters.info("stopping", why=why)
+        self._relay.proxy.stop()
+        self._end_when_idle(self._loop.now() + self._stop_within)
+
+    def _end_when_idle(self, deadline: int) -> None:
+        now = self._loop.now()
+        if self._relay.proxy.idle() or now >= deadline:
+            self._loop.stop()
+        else:
+            self._loop.at(now + IDLE_LOOK, lambda: self._end_when_idle(deadline))
+
+    def _reload(self) -> None:
+        try:
+            self._relay.reload(config.read(Ini.of(self._path)))
+        except Unusable as err:
+            self._counters.trouble("reloads_refused", err)
+            return
+        self._counters.add("reloads")
+        self._counters.info("reloaded")
+
+    def _report(self) -> None:
+        relay, counters = self._relay, self._counters
+        for verdict, number in sorted(relay.proxy.outcomes.items()):
+            counters.add(f"ops_{verdict}", number)
+        for name, number in sorted(relay.zones.counts.items()) if relay.zones else ():
+            counters.add(name, number)
+        counters.add("second_tries", relay.attempts.counts["second_tries"])
+        counters.report()
+
+
 def main(path: str) -> int:
-    """Runs until SIGTERM, or until a successor has taken over, and then until requests in hand have their answers."""
+    """Runs until SIGTERM, or until a successor has taken over. Returns the exit code: 2 where the file can't be used, 1
+    where the relay can't listen."""
     try:
         file = config.read(Ini.of(path))
     except Unusable as err:
@@ -242,60 +322,10 @@
         return 2
     loop = Loop(lambda err: counters.defect(err))
     counters = Counters(logger(f"relay-{file.place.number}"), loop.now)
-    taken = office = None
     try:
-        if file.place.successor:
-            taken = take(file.place.successor)
-        relay = Relay(loop, counters, file, taken[0] if taken else address(file.place.listen))
-        if file.place.successor:
-            office = Office(loop, file.place.successor, relay.proxy.descriptor, lambda: stop("successor"))
+        program = Program(loop, counters, path, file)
     except OSError as err:
         print(f"kestrelplank: can't listen: {err.strerror or err}", file=sys.stderr)
         return 1
-
-    def stop(why: str = "signal") -> None:
-        counters.info("stopping", why=why)
-        relay.proxy.stop()
-        end = loop.now() + file.place.stop_within
-
-        def look() -> None:
-            if relay.proxy.idle() or loop.now() >= end:
-                loop.stop()
-            else:
-                loop.at(loop.now() + 20_000_000, look)
-
-        look()
-
-    def reload() -> None:
-        try:
-            relay.reload(config.read(Ini.of(path)))
-        except Unusable as err:
-            counters.trouble("reloads_refused", err)
-            return
-        counters.add("reloads")
-        counters.info("reloaded")
-
-    signals = Signals(
-        loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload, signal.SIGUSR1: counters.report}
-    )
-    counters.info(
-        "started",
-        listen="%s:%d" % relay.proxy.at,
-        tables="kept" if relay.kept_at else "none yet",
-        predecessor=bool(taken),
-    )
-    if taken:
-        listens(taken[1])
-    loop.run()
-    relay.close()
-    if office:
-        office.close()
-    signals.close()
-    loop.close()
-    for verdict, number in sorted(relay.proxy.outcomes.items()):
-        counters.add(f"ops_{verdict}", number)
-    for name, number in sorted(relay.zones.counts.items()) if relay.zones else ():
-        counters.add(name, number)
-    counters.add("second_tries", relay.attempts.counts["second_tries"])
-    counters.report()
+    program.run()
     return 0
--- a/kestrelplank/relay/takeover.py
+++ b/kestrelplank/relay/takeover.py
@@ -14,7 +14,7 @@
 WITHIN = 2.0  # s for a predecessor to hand over; it may be gone, or hang
 
 
-def take(path: str) -> tuple[socket.socket, socket.socket] | None:
+def receive_socket(path: str) -> tuple[socket.socket, socket.socket] | None:
     """The predecessor's listening socket, and the connection over which to say that we listen; None where there is no
     predecessor. Raises OSError where there is one that does not hand over."""
     link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -34,15 +34,15 @@
         raise
 
 
-def listens(link: socket.socket) -> None:
+def confirm_listening(link: socket.socket) -> None:
     """Tells the predecessor to stop."""
     link.sendall(b"1")
     link.close()
 
 
-class Office:
+class SuccessorListener:
     """Waits at `path` for a successor. `descriptor` is the listening socket's; `on_taken` is called once a successor
-    listens, and the office closes. Who connects and says nothing changes nothing."""
+    listens, and this closes. Who connects and says nothing changes nothing."""
 
     def __init__(self, loop: Loop, path: str, descriptor: Callable[[], int], on_taken: Callable[[], None]) -> None:
         self._loop, self._descriptor, self._on_taken = loop, descriptor, on_taken
--- a/kestrelplank/state/intake.py
+++ b/kestrelplank/state/intake.py
@@ -17,7 +17,7 @@
 SAME, SETTLED = "same", "settled"
 
 
-class Settling:
+class Debounce:
     """When the content of a file counts: once two readings at least `quiet` (ns) apart found the same, by digest
     (None: no such file). Guards against a write that is under way. Also catches a file that is gone for a moment, as
     editors rename. Harm: a change counts that much later, and one that never rests never does."""
--- a/tests/files/test_source.py
+++ b/tests/files/test_source.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import pytest
-from parties import MS, Kit, Party, attach, news, until
+from parties import MS, Kit, StubServer, attach, news, until
 
 from kestrelplank.config.ini import Unusable
 from kestrelplank.config.operator import Nodes
@@ -57,8 +57,8 @@
             relay.joined(0)
             for table in range(SLICES):
                 relay.read(table, 0, {name(1 + table % 2): 1.0})
-        self.hub = Party(self.kit, self.asked)
-        self.agent = Party(self.kit)  # says nothing
+        self.hub = StubServer(self.kit, self.asked)
+        self.agent = StubServer(self.kit)  # says nothing
         ids = self.ids = Ids(text)
         found = settings(CONF, ids, "settings")
         kit = self.kit
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -8,7 +8,20 @@
 from kestrelplank.net.counters import Counters, logger
 from kestrelplank.net.orders import Orders
 
-__all__ = ["MS", "Calls", "Kit", "Party", "attach", "fail", "instance", "names", "news", "node_list", "orders", "until"]
+__all__ = [
+    "MS",
+    "Calls",
+    "Kit",
+    "StubServer",
+    "attach",
+    "fail",
+    "instance",
+    "names",
+    "news",
+    "node_list",
+    "orders",
+    "until",
+]
 
 
 def until(loop, condition, seconds=20):
@@ -28,7 +41,7 @@
         self.events = []
 
 
-class Party(parties.Party):
+class StubServer(parties.StubServer):
     """One that remembers what it was asked."""
 
     def __init__(self, kit, answer=lambda visitor, path, body: None):
--- a/tests/relay/test_control.py
+++ b/tests/relay/test_hub.py
@@ -1,10 +1,10 @@
 import json
 
 import pytest
-from parties import MS, Kit, Party, until
+from parties import MS, Kit, StubServer, until
 
 from kestrelplank.decode import Ids, text
-from kestrelplank.relay.control import Control
+from kestrelplank.relay.hub import HubClient
 from kestrelplank.state.tables import Tables
 
 
@@ -13,9 +13,9 @@
 
     def __init__(self, *standing):
         self.kit, self.standing, self.changed, self.fails = Kit(), standing, [], 0
-        self.hub = Party(self.kit, self.asked)
+        self.hub = StubServer(self.kit, self.asked)
         self.tables, self.ids = Tables(4, 2, 1), Ids(text)
-        self.control = Control(
+        self.control = HubClient(
             self.kit.loop,
             self.kit.pool,
             self.kit.counters,
--- a/tests/relay/test_relay_program.py
+++ b/tests/relay/test_relay_program.py
@@ -6,7 +6,7 @@
 import socket
 
 import pytest
-from parties import MS, Kit, Party, until
+from parties import MS, Kit, StubServer, until
 from test_proxy import GET, OK, Client, Node, answers_with
 
 from kestrelplank.config import relay as config
@@ -43,7 +43,7 @@
     def __init__(self, folder):
         self.kit, self.folder, self.programs, self.clients = Kit(), folder, [], []
         self.node = Node(self.kit, answers_with(OK))
-        self.hub = Party(self.kit, self.asked)
+        self.hub = StubServer(self.kit, self.asked)
         self.path = folder / "relay.ini"
         self.path.write_text(FILE % (self.hub.at, folder, folder))
 
--- a/tests/state/test_intake.py
+++ b/tests/state/test_intake.py
@@ -4,7 +4,7 @@
 
 from kestrelplank.decode import Malformed
 from kestrelplank.state.guards import Terms
-from kestrelplank.state.intake import ACCEPTED, PATIENCE, REFUSED, SAME, SETTLED, WAITING, Intake, Settling, restored
+from kestrelplank.state.intake import ACCEPTED, PATIENCE, REFUSED, SAME, SETTLED, WAITING, Debounce, Intake, restored
 from kestrelplank.state.nodeset import Line, Listed, Part
 from kestrelplank.state.sealed import digest_of
 
@@ -21,7 +21,7 @@
 
 
 def test_a_reading_counts_once_two_of_them_a_quiet_time_apart_are_the_same():
-    settling = Settling(10)
+    settling = Debounce(10)
     assert settling.see(0, "a", "one") == 10
     assert settling.see(5, "a", "two") == 15 and settling.see(12, "a", "two") == 15
     assert settling.see(15, "a", "two") == SETTLED and settling.see(16, "a", "two") == SAME
@@ -32,7 +32,7 @@
 
 
 def test_files_that_have_settled_wait_for_one_that_is_written_but_not_for_ever():
-    settling = Settling(10)
+    settling = Debounce(10)
     settling.see(0, "a", "one")
     settling.see(0, "b", "0")
     assert settling.see(10, "a", "one") == SETTLED
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from parties import MS, Kit, Party, attach, instance, news, node_list, until
+from parties import MS, Kit, StubServer, attach, instance, news, node_list, until
 
 from kestrelplank.decode import Ids, settings, text
 from kestrelplank.net.conductor import Conductor
@@ -31,7 +31,7 @@
 }
 
 
-class Relay(Party):
+class Relay(StubServer):
     def __init__(self, kit, seed):
         super().__init__(kit, self.asked)
         self.random, self.calm, self.streams, self.away_until = Random(seed), False, [], 0
@@ -136,7 +136,7 @@
         whole = node_list(version, *(instance(name, states[name]) for name in NODES), reset=True)
         visitor.tell(whole) if "follow" in path else visitor.reply(whole)
 
-    agent, ids = Party(kit, agent_does), Ids(text)
+    agent, ids = StubServer(kit, agent_does), Ids(text)
     found = settings(CONF, ids, "settings")
 
     def on_event(event):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,7 +5,7 @@
 import tracemalloc
 
 import pytest
-from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
+from parties import MS, Kit, StubServer, attach, instance, names, news, node_list, orders, until
 
 from kestrelplank.decode import Malformed
 from kestrelplank.net import resp
@@ -421,7 +421,7 @@
         for at in range(0, len(answer or b""), piece):
             visitor.connection.write(answer[at : at + piece])
 
-    party, asker = Party(kit, does), Asker()
+    party, asker = StubServer(kit, does), Asker()
     client = Client(kit.loop, kit.pool, party.at, asker, 250 * MS, 500)
     for number in (1, 2):
         client.call("GET", "/", b"", (100 if outcome == "silent" else 20_000) * MS)
@@ -445,7 +445,7 @@
 
 @pytest.mark.parametrize("outcome", [GOOD, "silent", "ended"])
 def test_a_call_that_is_out_ends_where_it_went_and_the_next_goes_to_the_new_address(kit, outcome):
-    old, new = Party(kit), Party(kit, lambda visitor, path, body: visitor.connection.write(GOOD))
+    old, new = StubServer(kit), StubServer(kit, lambda visitor, path, body: visitor.connection.write(GOOD))
     asker = Asker()
     client = Client(kit.loop, kit.pool, old.at, asker, 250 * MS, 500)
     client.call("GET", "/", b"", (50 if outcome == "silent" else 20_000) * MS)
@@ -625,7 +625,7 @@
 
 
 def relayed(kit, *known):
-    relay = Party(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
+    relay = StubServer(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
     made = orders(kit)
     told = News(kit.loop, kit.pool, kit.counters, relay.at, names(), 9, 9, made, kit.events.append)
     until(kit.loop, lambda: kit.counters.counts["news_started"])
@@ -781,7 +781,7 @@
         else:
             visitor.reply(node_list(5, instance("s-1"), reset=True))
 
-    agent = Party(kit, answer)
+    agent = StubServer(kit, answer)
     made = Discovery(kit.loop, kit.pool, kit.counters, agent.at, names(), kit.events.append)
     made.start(known)
     return agent, made
@@ -868,7 +868,7 @@
 
 
 def test_a_list_that_does_not_come_is_told_as_failed(kit):
-    agent = Party(kit)
+    agent = StubServer(kit)
     made = Discovery(kit.loop, kit.pool, kit.counters, agent.at, names(), kit.events.append)
     made.fetch()
     until(kit.loop, lambda: kit.events == [("roster", "failed", [])])
@@ -890,7 +890,7 @@
     ],
 )
 def test_a_probe_tells_what_the_node_answered(kit, status, body, verdict, load):
-    node = Party(
+    node = StubServer(
         kit, lambda visitor, path, _: visitor.reply(body, status) if status else visitor.connection.close("broken off")
     )
     probes = Probes(kit.loop, kit.pool, kit.counters, {0: node.at}, True, 250 * MS, True, kit.events.append)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,7 +9,7 @@
 from random import Random
 
 import pytest
-from parties import MS, Kit, Party, attach, instance, names, news, node_list, orders, until
+from parties import MS, Kit, StubServer, attach, instance, names, news, node_list, orders, until
 
 from kestrelplank.lab.process import CONDUCTOR, Process
 from kestrelplank.net import resp
@@ -166,7 +166,7 @@
             visitor.tell(node_list(2, instance("s-1", "terminating")))
 
     calls = []
-    relay, agent = Party(kit, relay_does), Party(kit, agent_does)
+    relay, agent = StubServer(kit, relay_does), StubServer(kit, agent_does)
     known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
     for number in (signal.SIGKILL, signal.SIGTERM):
         program = Program(kit, tmp_path / "c.json", discovery=agent.at, hub={"address": relay.at}, known=known)
@@ -195,7 +195,7 @@
                 )
             )
 
-    relays, agents = ([Party(kit, does) for _ in range(2)] for does in (relay_does, agent_does))
+    relays, agents = ([StubServer(kit, does) for _ in range(2)] for does in (relay_does, agent_does))
     places = [{"discovery": agent.at, "hub": {"address": relay.at}} for agent, relay in zip(agents, relays)]
     known = node_list(1, instance("s-1"), instance("s-2"), reset=True)
     program = Program(kit, path := tmp_path / "c.json", known=known, **places[0])
@@ -239,7 +239,7 @@
 
 def test_with_an_operators_file_nodes_come_from_watched_files_and_a_bad_one_is_refused(kit, tmp_path, monkeypatch):
     """Discovery says nothing at all; a drain saved in the list reaches the relay, on SIGHUP terms are read anew."""
-    relay, ini = Party(kit, relay_does), tmp_path / "k.ini"
+    relay, ini = StubServer(kit, relay_does), tmp_path / "k.ini"
     (tmp_path / "nodes.ini").write_text(NODES % "")
     good = f"[nodes]\nfiles = {tmp_path}/nodes.ini\nquiet = 20ms\npoll = 50ms\nstate = {tmp_path}/state\n"
     ini.write_text(good)
@@ -312,7 +312,7 @@
 
 def test_connects_and_breaks_leave_nothing_behind(kit, monkeypatch):
     monkeypatch.setattr("kestrelplank.net.news.PAUSES", (MS, 10 * MS))
-    relay = Party(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
+    relay = StubServer(kit, lambda visitor, path, body: visitor.begin() if path == "/api/stream" else None)
     front = Front(kit.loop, kit.pool, kit.counters, ("127.0.0.1", 0), names(), 9, kit.events.append)
     told = News(kit.loop, kit.pool, kit.counters, relay.at, names(), 9, 9, orders(kit), kit.events.append)
     until(kit.loop, lambda: relay.requests)
