--- a/kestrelplank/lab/rehearsal.py
+++ b/kestrelplank/lab/rehearsal.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from kestrelplank.lab.clock import Clock
-from kestrelplank.lab.knowing import Knowing
+from kestrelplank.lab.oracle import OracleWorld
 from kestrelplank.lab.script import MS, Script
 from kestrelplank.lab.world import World
 from kestrelplank.plan.attempts import PROOFS
@@ -25,7 +25,7 @@
     """Plays it, tells progress as shares of its length, and returns the report. `knowing`: slices are placed by who
     knows the truth, the upper mark."""
     clock = Clock(1_000_000_000_000)  # a node's start is never 0, which would mean long ago
-    world = Knowing(script, seed, clock) if knowing else World(script, seed, clock, policy, proofs)
+    world = OracleWorld(script, seed, clock) if knowing else World(script, seed, clock, policy, proofs)
     world.start()
     while clock.now() < world.over:
         clock.run(min(world.over, clock.now() + STEP))
@@ -49,7 +49,7 @@
         "acked_without_a_run": world.score.unproved,
         "second_tries": sum(relay.attempts.counts["second_tries"] for relay in world.relays),
         "channel": {"messages": world.hub.messages, "lines": world.hub.line_count, "moves": world.hub.moves},
-        "cross_zone": round(world.cross / world.first, 4) if world.first else 0.0,
+        "cross_zone": round(world.network.cross / world.network.first, 4) if world.network.first else 0.0,
         "events": world.score.events,
         "timelines": world.score.timelines(),
     }
--- a/tests/relay/test_relay_program.py
+++ b/tests/relay/test_relay_program.py
@@ -6,12 +6,12 @@
 import socket
 
 import pytest
-from parties import MS, Kit, Party, until
+from parties import MS, Kit, StubServer, until
 from test_proxy import GET, OK, Client, Node, answers_with
 
 from kestrelplank.config import relay as config
 from kestrelplank.config.ini import Ini, Unusable
-from kestrelplank.lab.live import Process
+from kestrelplank.lab.process import Process
 
 WORDS = ("-c", "from kestrelplank.cli import main; raise SystemExit(main())", "relay", "--config")
 FILE = """[relay]
@@ -43,7 +43,7 @@
     def __init__(self, folder):
         self.kit, self.folder, self.programs, self.clients = Kit(), folder, [], []
         self.node = Node(self.kit, answers_with(OK))
-        self.hub = Party(self.kit, self.asked)
+        self.hub = StubServer(self.kit, self.asked)
         self.path = folder / "relay.ini"
         self.path.write_text(FILE % (self.hub.at, folder, folder))
 
