The replicated state of the control members, a state machine without I/O

Need: one order of events for all members; what entries add up to must be the same bytes everywhere.

--- /dev/null
+++ b/tests/state/test_control_state.py
@@ -0,0 +1,199 @@
+"""The replicated state machine, as tables of entries and what they add up to."""
+
+from random import Random
+
+import msgspec
+import pytest
+from configuration.test_plan import encoded
+from hypothesis import given
+from hypothesis import strategies as some
+
+from kestrelplank.configuration.plan import read
+from kestrelplank.consensus.messages import ChangeMembership, Entry, Membership, Noop, PutConfiguration, PutRecord
+from kestrelplank.decode import Malformed
+from kestrelplank.state.control_state import NO_CHANGE, ApplyResult, ControlState
+
+MEMBERS = ChangeMembership(Membership(2, ("a:1/first", "b:1/first")))
+
+
+def order(version, sharded=("views",), mark=""):
+    """An order whose configuration shards these of its services; `mark` makes another text of the same version."""
+    services = [{"name": name, "sharded": name in sharded} for name in ("views", "orders", "carts")]
+    text = encoded(version=f"{version:08x}", service_table=services) + mark.encode()
+    return PutConfiguration(version, read(text).unwrap().key.digest, text)
+
+
+def applied(*commands):
+    state = ControlState()
+    results = [state.apply(Entry(index, 1, command)) for index, command in enumerate(commands, 1)]
+    return state, results
+
+
+FIVE, OTHER_FIVE, SEVEN = order(5), order(5, mark=" "), order(7)
+BOTH, NONE = order(6, ("views", "orders")), order(8, ())
+VIEWS, VIEWS_2, ORDERS = PutRecord("views", b"v"), PutRecord("views", b"v2"), PutRecord("orders", b"o")
+
+
+@pytest.mark.parametrize(
+    "commands, in_force, records, last",
+    [
+        # nothing yet
+        ([], None, {}, None),
+        ([Noop()], None, {}, NO_CHANGE),
+        ([MEMBERS], None, {}, NO_CHANGE),
+        ([VIEWS], None, {}, NO_CHANGE),
+        # configurations
+        ([FIVE], FIVE, {}, ApplyResult(in_force=FIVE)),
+        ([FIVE, SEVEN], SEVEN, {}, ApplyResult(in_force=SEVEN)),
+        ([SEVEN, FIVE], SEVEN, {}, NO_CHANGE),
+        ([FIVE, FIVE], FIVE, {}, NO_CHANGE),
+        ([FIVE, OTHER_FIVE], FIVE, {}, NO_CHANGE),
+        ([OTHER_FIVE, FIVE], OTHER_FIVE, {}, NO_CHANGE),
+        ([FIVE, SEVEN, OTHER_FIVE], SEVEN, {}, NO_CHANGE),
+        ([order(0)], order(0), {}, ApplyResult(in_force=order(0))),
+        # records
+        ([FIVE, VIEWS], FIVE, {"views": b"v"}, ApplyResult(record_of="views")),
+        ([FIVE, VIEWS, VIEWS_2], FIVE, {"views": b"v2"}, ApplyResult(record_of="views")),
+        ([FIVE, ORDERS], FIVE, {}, NO_CHANGE),
+        ([FIVE, PutRecord("nobody", b"n")], FIVE, {}, NO_CHANGE),
+        ([FIVE, VIEWS, Noop(), MEMBERS], FIVE, {"views": b"v"}, NO_CHANGE),
+        # records go with the configuration that shards their service no longer
+        ([FIVE, VIEWS, SEVEN], SEVEN, {"views": b"v"}, ApplyResult(in_force=SEVEN)),
+        ([BOTH, VIEWS, ORDERS, SEVEN], SEVEN, {"views": b"v"}, ApplyResult(in_force=SEVEN, dropped=("orders",))),
+        ([BOTH, VIEWS, ORDERS, NONE], NONE, {}, ApplyResult(in_force=NONE, dropped=("orders", "views"))),
+        ([BOTH, VIEWS, ORDERS, FIVE], BOTH, {"views": b"v", "orders": b"o"}, NO_CHANGE),
+        ([BOTH, ORDERS, NONE, order(9, ("orders",))], order(9, ("orders",)), {}, None),
+        ([NONE, order(9), VIEWS], order(9), {"views": b"v"}, ApplyResult(record_of="views")),
+    ],
+)
+def test_entries_add_up_to(commands, in_force, records, last):
+    state, results = applied(*commands)
+    assert state.configuration == in_force and state.records == records
+    assert last is None or results[-1] == last
+    assert state.version == (-1 if in_force is None else in_force.version)
+
+
+@pytest.mark.parametrize(
+    "result, changed",
+    [
+        (NO_CHANGE, False),
+        (ApplyResult(in_force=FIVE), True),
+        (ApplyResult(in_force=FIVE, dropped=("views",)), True),
+        (ApplyResult(record_of="views"), True),
+    ],
+)
+def test_a_result_tells_whether_anything_changed(result, changed):
+    assert result.changed is changed
+
+
+@pytest.mark.parametrize(
+    "commands, asked, answer",
+    [
+        ([], FIVE, False),
+        ([], order(0), False),
+        ([FIVE], FIVE, True),
+        ([FIVE], OTHER_FIVE, True),
+        ([SEVEN], FIVE, True),
+        ([FIVE], SEVEN, False),
+        ([FIVE, SEVEN], SEVEN, True),
+    ],
+)
+def test_an_order_is_acknowledged_once_it_is_in_force_or_overtaken(commands, asked, answer):
+    assert applied(*commands)[0].acknowledges(asked) is answer
+
+
+def test_the_configuration_in_force_is_compiled_once_and_again_for_the_next():
+    state, _ = applied(FIVE)
+    assert state.parsed.key.version == 5 and state.parsed.text == FIVE.text
+    assert state.parsed is state.parsed
+    state.apply(Entry(2, 1, SEVEN))
+    assert state.parsed.key.version == 7
+
+
+def test_a_text_that_this_release_refuses_is_in_force_by_number_and_drops_no_record():
+    state, _ = applied(FIVE, VIEWS, PutConfiguration(6, "d", b"{not whole"))
+    assert state.version == 6 and state.parsed is None and state.records == {"views": b"v"}
+    state.apply(Entry(4, 1, SEVEN))
+    assert state.parsed.key.version == 7 and state.records == {"views": b"v"}
+
+
+def test_records_cannot_be_changed_from_outside():
+    state, _ = applied(FIVE, VIEWS)
+    with pytest.raises(TypeError):
+        state.records["views"] = b"other"
+
+
+HISTORIES = [
+    [],
+    [FIVE],
+    [FIVE, VIEWS],
+    [BOTH, VIEWS, ORDERS],
+    [BOTH, VIEWS, ORDERS, NONE],
+    [PutConfiguration(6, "d", b"{not whole"), VIEWS],
+]
+
+
+@pytest.mark.parametrize("commands", HISTORIES)
+def test_a_snapshot_holds_the_whole_state(commands):
+    state, _ = applied(*commands)
+    for target in (ControlState(), applied(BOTH, VIEWS, PutRecord("orders", b"stale"))[0]):
+        target.restore(state.snapshot())
+        assert target.configuration == state.configuration and target.records == state.records
+        assert target.snapshot() == state.snapshot()
+        assert (target.parsed is None) == (state.parsed is None)
+        for index, command in enumerate((ORDERS, VIEWS_2, order(9, ("orders",)), FIVE), 9):
+            target.apply(Entry(index, 2, command))
+        expected, _ = applied(*commands, ORDERS, VIEWS_2, order(9, ("orders",)), FIVE)
+        assert target.snapshot() == expected.snapshot()
+
+
+def test_snapshots_are_the_same_bytes_in_whatever_order_records_came():
+    assert applied(BOTH, VIEWS, ORDERS)[0].snapshot() == applied(BOTH, ORDERS, VIEWS)[0].snapshot()
+
+
+@pytest.mark.parametrize(
+    "snapshot, names",
+    [
+        (b"", "snapshot"),
+        (b"\xc1", "snapshot"),
+        (msgspec.msgpack.encode([2, None, []]), "form 2"),
+        (msgspec.msgpack.encode([1, None, [["views"]]]), "snapshot"),
+        (msgspec.msgpack.encode([1, 5, []]), "snapshot"),
+    ],
+)
+def test_a_snapshot_that_cannot_be_read_changes_nothing(snapshot, names):
+    state, _ = applied(FIVE, VIEWS)
+    before = state.snapshot()
+    with pytest.raises(Malformed, match=names):
+        state.restore(snapshot)
+    assert state.snapshot() == before and state.parsed.key.version == 5
+
+
+def test_a_torn_snapshot_is_refused_at_each_length():
+    state, _ = applied(BOTH, VIEWS, ORDERS)
+    whole = state.snapshot()
+    for end in range(len(whole)):
+        with pytest.raises(Malformed):
+            ControlState().restore(whole[:end])
+
+
+@given(some.integers(0, 1 << 32), some.integers(0, 30))
+def test_any_history_is_bounded_by_what_is_in_force_and_never_goes_back(seed, cut):
+    chance = Random(seed)
+    choices = [Noop(), MEMBERS, VIEWS, VIEWS_2, ORDERS, PutRecord("carts", b"c"), FIVE, OTHER_FIVE, BOTH, SEVEN, NONE]
+    commands = [chance.choice(choices) for _ in range(30)]
+    state, restored = ControlState(), ControlState()
+    bound = {}
+    for index, command in enumerate(commands, 1):
+        before = state.version
+        state.apply(Entry(index, 1, command))
+        if index == cut:
+            restored.restore(state.snapshot())
+        elif index > cut:
+            restored.apply(Entry(index, 1, command))
+        assert state.version >= before
+        if state.configuration:
+            assert bound.setdefault(state.version, state.configuration) == state.configuration
+            sharded = {name for name, service in state.parsed.services.items() if service.sharded}
+            assert set(state.records) <= sharded
+    assert restored.snapshot() == state.snapshot()
