--- a/kestrelplank/storage/log_file.py
+++ b/kestrelplank/storage/log_file.py
@@ -141,8 +141,7 @@
         except Corrupt as err:
             log.warning("Storage: %s: %s; this disk counts as empty", self.path, err)
         self.close()
-        os.unlink(self.path)
-        sync_folder(self.folder)
+        os.unlink(self.path)  # should a loss of power bring it back, it is found corrupt again
         return Loaded()
 
     def keep_incarnation(self, incarnation: str) -> None:
--- a/tests/storage/power_loss.py
+++ b/tests/storage/power_loss.py
@@ -6,7 +6,8 @@
 - each name that was made, renamed or removed since its folder was synced, kept or lost by itself;
 - of each file what was written or cut since its last sync: nothing, all, each prefix (by a stride), with and without the
   file's new length, and with holes at the front and in the middle;
-- what a failed sync should have written is not written by a later one, unless it was written again meanwhile.
+- what a failed sync should have written, it may have written in part; a later sync writes none of it, unless it was
+  written again meanwhile.
 """
 
 import itertools
@@ -21,11 +22,12 @@
 
 
 class File:
-    """One file's contents: what the disk has, and what is due to reach it with the next sync."""
+    """One file's contents: what the disk may have, and what is due to reach it with the next sync."""
 
     def __init__(self, durable=b""):
-        self.durable, self.seen = durable, durable
-        self.due, self.length_due, self.versions = [], False, [durable]
+        self.seen = durable
+        self.durable = [durable]  # more than one after a sync that failed
+        self._begin()
 
     def written(self, seen, start, end):
         self.due.append((start, end))
@@ -41,29 +43,37 @@
         self.versions.append(seen)
 
     def synced(self):
-        length = len(self.seen) if self.length_due else len(self.durable)
-        data = bytearray(self.durable[:length].ljust(length, b"\0"))
+        self.durable = list(dict.fromkeys(self._with_due(old) for old in self.durable))
+        self._begin()
+
+    def _with_due(self, old):
+        length = len(self.seen) if self.length_due else len(old)
+        data = bytearray(old[:length].ljust(length, b"\0"))
         for start, end in self.due:
             end = min(end, length, len(self.seen))
             data[start:end] = self.seen[start:end]
-        self.durable = bytes(data)
-        self._begin()
+        return bytes(data)
 
     def sync_failed(self):
+        """Each content that a loss of power could have left just before may be what the disk has from now on; three
+        stand for all: nothing of it, half of it, all of it."""
+        halves = [half for old in self.durable for half in self._torn(old, HOLE)]
+        self.durable = list(dict.fromkeys([*self.durable, *halves[len(halves) // 2 :][:1], self.seen]))
         self._begin()
 
     def _begin(self):
-        self.due, self.length_due, self.versions = [], False, [self.durable]
+        self.due, self.length_due, self.versions = [], False, []
 
     def contents(self, stride):
         """All that a loss of power may leave, each once."""
-        found = dict.fromkeys(self.versions)
+        found = dict.fromkeys([*self.durable, *self.versions])
         if self.due or self.length_due:
-            found.update(dict.fromkeys(self._torn(stride)))
+            for old in self.durable:
+                found.update(dict.fromkeys(self._torn(old, stride)))
         return list(found)
 
-    def _torn(self, stride):
-        old, new = self.durable, self.seen
+    def _torn(self, old, stride):
+        new = self.seen
         length = max(len(old), len(new))
         full = old.ljust(len(new), b"\0")  # the new length came down, the bytes did not
         start = next((at for at, (one, other) in enumerate(zip(old, new)) if one != other), min(len(old), len(new)))
--- a/tests/storage/test_log_file.py
+++ b/tests/storage/test_log_file.py
@@ -520,6 +520,53 @@
     assert found_in(scenario.folder) == COMPACTED
 
 
+def test_a_refused_write_is_cut_off_durably_before_the_next_and_no_other_pays_for_it(tmp_path, monkeypatch):
+    scenario = Scenario(tmp_path, monkeypatch, *BEFORE)
+    log = scenario.begin()
+    with monkeypatch.context() as patched:
+        scenario.disk.install(patched)
+        scenario.disk.arm(1, REFUSALS[0], lasting=True)
+        with pytest.raises(OSError):
+            log.write([BIG])
+        scenario.disk.arm()
+        log.write([BIG])
+        assert scenario.disk.log == ["ftruncate", "fsync", "pwrite", "fdatasync"]
+        scenario.disk.arm()
+        log.write([persist(term=9)])
+        assert scenario.disk.log == ["pwrite", "fdatasync"]
+
+
+def test_nothing_is_appended_to_a_new_file_before_its_name_is_durable(tmp_path, monkeypatch):
+    scenario = Scenario(tmp_path, monkeypatch, *BEFORE)
+    log = scenario.begin()
+    with monkeypatch.context() as patched:
+        scenario.disk.install(patched)
+        scenario.disk.arm(4, REFUSALS[0])
+        with pytest.raises(OSError):
+            log.write([COMPACTION])
+        assert scenario.disk.log[-1] == "sync folder"
+        scenario.disk.arm(0, REFUSALS[0])
+        with pytest.raises(OSError):
+            log.write([persist(term=6)])
+        assert scenario.disk.log == ["sync folder"]
+        scenario.disk.arm()
+        log.write([persist(term=6)])
+        assert distinct(scenario.after_power_loss()) == [Loaded("first", SIX, snapshot(4), (entry(5),))]
+
+
+def test_refusals_leave_no_file_open(tmp_path, monkeypatch):
+    scenario = Scenario(tmp_path, monkeypatch, *BEFORE)
+    log = scenario.begin()
+    with monkeypatch.context() as patched:
+        scenario.disk.install(patched)
+        before = len(os.listdir("/proc/self/fd"))
+        for at in (0, 1, 2, 3, 4) * 3:
+            scenario.disk.arm(at, REFUSALS[1])
+            with pytest.raises(OSError):
+                log.write([COMPACTION])
+        assert len(os.listdir("/proc/self/fd")) == before
+
+
 def test_a_refused_write_takes_no_space(tmp_path, monkeypatch):
     scenario = Scenario(tmp_path, monkeypatch, *BEFORE)
     for log in refuse_each_call(scenario, lambda log: log.write([BIG]), REFUSALS[1]):
@@ -694,8 +741,12 @@
     assert sorted(os.listdir(folder)) == ["configuration-0000000000000005.json", "log", "registers"]
 
 
-def test_the_folder_and_those_above_it_are_made(tmp_path):
-    folder = str(tmp_path / "a" / "b" / "c")
+def test_the_folder_and_those_above_it_are_made_durably(tmp_path, monkeypatch):
+    folder, synced = str(tmp_path / "a" / "b" / "c"), []
+    with monkeypatch.context() as patched:
+        patched.setattr(log_file, "sync_folder", synced.append)
+        LogFile(folder)
+    assert synced == [str(tmp_path), str(tmp_path / "a"), str(tmp_path / "a" / "b")]
     filled(folder, *BEFORE)
     assert found_in(folder) == HELD
 
