--- a/tests/storage/test_log_file.py
+++ b/tests/storage/test_log_file.py
@@ -251,6 +251,28 @@
     assert again(log)[1] == batch[-1][1]
 
 
+# The one in memory.
+
+
+@pytest.mark.parametrize(
+    "keeps_refused, left", [(False, Loaded("i", ONE)), (True, Loaded("i", TWO, entries=(entry(1),)))]
+)
+def test_a_log_in_memory_refuses_as_it_is_told(keeps_refused, left):
+    log = MemoryLog()
+    log.keep_incarnation("i")
+    log.write([persist(term=1)])
+    log.refusal, log.keeps_refused = REFUSALS[0], keeps_refused
+    for _ in range(2):
+        with pytest.raises(OSError):
+            log.write([persist(term=2), persist(entry(1))])
+        assert log.load() == left
+    log.refusal = None
+    log.write([persist(term=2), persist(entry(1)), persist(entry(2))])
+    assert log.load() == Loaded("i", TWO, entries=entries(1, 2))
+    log.empty()
+    assert log.load() == Loaded()
+
+
 # The one on disk: power.
 
 
