--- a/kestrelplank/storage/log_file.py
+++ b/kestrelplank/storage/log_file.py
@@ -52,8 +52,9 @@
 DIGEST_BYTES = 16
 SALT_BYTES = 16
 NO_SALT = b""  # of the head, which tells the salt
-TEMPORARY = "."  # what names of temporary files begin with
 COPY_PREFIX, COPY_SUFFIX = "configuration-", ".json"
+TEMPORARY = f".{NAME}."  # what names of files that are being made begin with
+TEMPORARIES = (TEMPORARY, f".{COPY_PREFIX}")
 COPIES_KEPT = 2
 log = logging.getLogger("storage")
 
@@ -131,8 +132,9 @@
         """Reads the disk, and makes sure that what it returns is durable. Raises OSError, and Malformed where another
         release wrote the file in a form not known here; nothing is removed then."""
         self.close()
+        self._end, self.frames = 0, 0
         for name in os.listdir(self.folder):
-            if name.startswith(TEMPORARY):
+            if name.startswith(TEMPORARIES):
                 os.unlink(os.path.join(self.folder, name))
         try:
             return self._open()
@@ -157,16 +159,15 @@
         if self._incarnation is None:
             raise ValueError("no incarnation is kept yet")
         self._finish_rename()
-        joined = join(persists)
+        joined = join(persists, self._first - 1)
         if joined.snapshot is not None:
             check_follows(joined.entries, joined.snapshot.index)
             hard_state = joined.hard_state or self._hard_state
             self._replace(Loaded(self._incarnation, hard_state, joined.snapshot, joined.entries))
             self._finish_rename()
         elif joined.hard_state is not None or joined.entries:
-            entries = after(self._first - 1, joined.entries)
-            check_follows(entries, self._last)
-            self._append(Batch(joined.hard_state, entries))
+            check_follows(joined.entries, self._last)
+            self._append(Batch(joined.hard_state, joined.entries))
 
     def keep_copy(self, version: int, text: bytes) -> None:
         """Writes a configuration as a plain file for operators, and removes all but the newest copies. Best effort: a
@@ -261,7 +262,7 @@
         salt = os.urandom(SALT_BYTES)
         head = Head(FORM, salt, loaded.incarnation, loaded.hard_state, loaded.snapshot, loaded.entries)
         data = framed(NO_SALT, 0, msgspec.msgpack.encode(head))
-        fd, temporary = tempfile.mkstemp(dir=self.folder, prefix=f"{TEMPORARY}{NAME}.")
+        fd, temporary = tempfile.mkstemp(dir=self.folder, prefix=TEMPORARY)
         try:
             write_at(fd, data, 0)
             os.fsync(fd)
@@ -288,17 +289,18 @@
         return sorted(name for name in names if name.startswith(COPY_PREFIX) and name.endswith(COPY_SUFFIX))
 
 
-def join(persists: Sequence[Persist]) -> Persist:
-    """One Persist with the effect of all these in order. Raises ValueError where entries don't follow each other."""
+def join(persists: Sequence[Persist], covered: int) -> Persist:
+    """One Persist with the effect of all these in order. `covered`: index of the snapshot held so far; entries that a
+    snapshot contains are passed over. Raises ValueError where entries don't follow each other."""
     hard_state: HardState | None = None
     snapshot: Snapshot | None = None
     entries: list[Entry] = []
     for persist in persists:
         hard_state = persist.hard_state or hard_state
         if persist.snapshot is not None:
-            snapshot = persist.snapshot
+            snapshot, covered = persist.snapshot, persist.snapshot.index
             entries.clear()
-        put(entries, persist.entries if snapshot is None else after(snapshot.index, persist.entries))
+        put(entries, after(covered, persist.entries))
     return Persist(0, hard_state, snapshot, tuple(entries))
 
 
