--- a/kestrelplank/storage/log_file.py
+++ b/kestrelplank/storage/log_file.py
@@ -251,9 +251,9 @@
             log.warning("Storage: what a refused write left behind can't be removed yet: %s", err)
 
     def _check_name(self) -> None:
-        """Raises OSError where the open file is no longer the one that the next start will read."""
-        named, ours = os.stat(self.path), os.fstat(self._fd)
-        if (named.st_dev, named.st_ino) != (ours.st_dev, ours.st_ino):
+        """Raises OSError where the open file is no longer the one that the next start will read. By length and not by
+        inode: some file systems number an open file and its name apart."""
+        if os.stat(self.path).st_size != self._end:
             raise OSError(errno.ESTALE, "the log was moved or replaced", self.path)
 
     def _replace(self, loaded: Loaded) -> None:
