state/tables: one way to set a line, for relays' tables and the hub's store

A line was set, or taken away at weight 0, by the same six lines in Tables and in the hub of rehearsals; with_line serves both. Tables.apply checks a message and leaves what it does to a second method.

--- a/kestrelplank/lab/hub.py
+++ b/kestrelplank/lab/hub.py
@@ -2,6 +2,7 @@
 
 from kestrelplank.lab.part import Part
 from kestrelplank.lab.relays import Relay, Stream
+from kestrelplank.state.tables import with_line
 
 
 class Hub(Part):
@@ -29,13 +30,8 @@
     def _store(self, word: str, *fields) -> None:
         if word == "line":
             table, node, weight = fields
-            lines = dict(self.lines[table])
-            self.moves += bool(weight) and node not in lines
-            if weight:
-                lines[node] = weight
-            else:
-                lines.pop(node, None)
-            self.lines[table] = lines
+            self.moves += bool(weight) and node not in self.lines[table]
+            self.lines[table] = with_line(self.lines[table], node, weight)
         elif word == "clear":
             self.lines[fields[0]] = {}
 
--- a/kestrelplank/state/tables.py
+++ b/kestrelplank/state/tables.py
@@ -32,6 +32,16 @@
         self.again: int | None = None
 
 
+def with_line(lines: dict[int, float], node: int, weight: float) -> dict[int, float]:
+    """A table's lines with that one set; a weight of 0 takes it away. `lines` stays as it is."""
+    found = dict(lines)
+    if weight:
+        found[node] = weight
+    else:
+        found.pop(node, None)
+    return found
+
+
 class Tables:
     """`tables` tables numbered from 0, `op_types` kinds of op. `usual_again` holds until a conductor orders another
     way of trying again. What may be picked is worked out once a change, not once an op."""
@@ -74,28 +84,26 @@
             if why:
                 raise Refused(f"order {place}: {why}")
         known.expects += 1
+        changed = self._carry_out(source, known, orders)
+        for table in changed:
+            self._open[table] = None
+        return list(changed), marks
+
+    def _carry_out(self, source: int, known: Source, orders: Sequence[tuple]) -> dict[int, None]:
+        """Orders that have been checked take effect. Returns the tables whose open lines may have changed, in order."""
         changed: dict[int, None] = {}
         turned: dict[int, None] = {}  # nodes withdrawn or let in again
         for word, *fields in orders:
             if word == "line":
                 table, node, weight = fields
-                lines = dict(self._lines[table])
-                if weight:
-                    lines[node] = weight
-                else:
-                    lines.pop(node, None)
-                self._lines[table] = lines
+                self._lines[table] = with_line(self._lines[table], node, weight)
                 changed[table] = None
             elif word == "clear":
                 self.read(fields[0], source, {})
                 changed[fields[0]] = None
             elif word == "take_out":
-                node, out = fields
-                turned[node] = None
-                if out:
-                    known.out[node] = None
-                else:
-                    known.out.pop(node, None)
+                self._set_withdrawn(known, *fields)
+                turned[fields[0]] = None
             elif word == "level":
                 self._set_level(known, *fields)
         if turned:  # one walk a message, however many nodes a zone's loss withdraws
@@ -104,9 +112,7 @@
                 for table, lines in enumerate(self._lines)
                 if self._source[table] == source and not turned.keys().isdisjoint(lines)
             )
-        for table in changed:
-            self._open[table] = None
-        return list(changed), marks
+        return changed
 
     def _unusable(self, order: tuple) -> str:
         word, *fields = order
@@ -124,6 +130,12 @@
                 return f"way {again} of trying again needs no proof"
         return "" if word in ("line", "clear", "take_out", "level", "mark") else f"no order is called {word!r}"
 
+    def _set_withdrawn(self, known: Source, node: int, out: bool) -> None:
+        if out:
+            known.out[node] = None
+        else:
+            known.out.pop(node, None)
+
     def _set_level(self, known: Source, table: int, op_types: int, share: float, again: int) -> None:
         shares = known.shares if table == ALL_TABLES else self._levels.setdefault(table, {})
         for place in range(self._op_types):
