--- a/kestrelplank/lab/discovery.py
+++ b/kestrelplank/lab/discovery.py
@@ -28,8 +28,8 @@
 
     def tell_all(self, conductor: int, how: str) -> None:
         """Tells a conductor the whole roster."""
-        seat, now = self.world.conductors[conductor], self.clock.now()
-        seat.tell(("roster", how, [self.entry(node) for node in range(len(self.listed))]))
+        now = self.clock.now()
+        self.world.conductors[conductor].tell(("roster", how, [self.entry(node) for node in range(len(self.listed))]))
         for node, (condition, boot) in enumerate(self.listed):
             self.world.rules.told(now, conductor, node, condition, boot is not None)
 
@@ -49,19 +49,20 @@
             self.listed[node] = condition, boot if boot is not None else self.listed[node][1]
         entries, now = [self.entry(node) for node in nodes], self.clock.now()
         told = [(node, condition, boot) for node in nodes]
-        for seat in world.conductors:
+        for conductor in world.conductors:
             late = self.random.randint(*world.script.discovery.spread)
-            self._last[seat.number] = max(self._last[seat.number], now + late)
+            self._last[conductor.number] = max(self._last[conductor.number], now + late)
             self.clock.at(
-                self._last[seat.number], lambda seat=seat, life=seat.life: self._tell(seat, life, entries, told)
+                self._last[conductor.number],
+                lambda conductor=conductor, life=conductor.life: self._tell(conductor, life, entries, told),
             )
 
-    def _tell(self, seat: Any, life: int, entries: list[tuple], told: list[tuple]) -> None:
+    def _tell(self, conductor: Any, life: int, entries: list[tuple], told: list[tuple]) -> None:
         """`told`: node, condition and start, as the rules hold them."""
-        if seat.alive and seat.life == life and entries:
-            seat.tell(("roster", "delta", entries))
+        if conductor.alive and conductor.life == life and entries:
+            conductor.tell(("roster", "delta", entries))
             for node, condition, boot in told:
-                self.world.rules.told(self.clock.now(), seat.number, node, condition, boot is not None)
+                self.world.rules.told(self.clock.now(), conductor.number, node, condition, boot is not None)
 
 
 class NodeFiles(Discovery):
@@ -158,8 +159,8 @@
             self.listed[node], self._weights[node] = (condition, boot), weight
             told.append((node, condition, boot))
         entries = [self.entry(node) for node, *_ in told]
-        for seat in self.world.conductors:
-            self._tell(seat, seat.life, entries, told)
+        for conductor in self.world.conductors:
+            self._tell(conductor, conductor.life, entries, told)
         due = self._roster.due(now)
         if due is not None:
             self.clock.at(due, self._advance)
--- a/kestrelplank/lab/reports.py
+++ b/kestrelplank/lab/reports.py
@@ -24,11 +24,11 @@
     def close(self) -> None:
         """The span is over: tells each conductor its lines, as many as it takes in."""
         world, script = self.world, self.world.script.reports
-        for seat in world.conductors:
-            tries, self.tries[seat.number] = self.tries[seat.number], {}
-            heat, self.heat[seat.number] = self.heat[seat.number], {}
-            queue = self._queues[seat.number]
-            if not seat.alive:
+        for conductor in world.conductors:
+            tries, self.tries[conductor.number] = self.tries[conductor.number], {}
+            heat, self.heat[conductor.number] = self.heat[conductor.number], {}
+            queue = self._queues[conductor.number]
+            if not conductor.alive:
                 queue.clear()
                 continue
             for (zone, node), sums in tries.items():
@@ -38,6 +38,6 @@
             most = max(1, script.intake_per_s * script.every // 1_000_000_000)
             late = self.random.randint(*script.late)
             for event in queue[:most]:
-                seat.tell(event, late)
+                conductor.tell(event, late)
             del queue[:most]
         self.clock.at(self.clock.now() + script.every, self.close)
--- a/kestrelplank/relay/request.py
+++ b/kestrelplank/relay/request.py
@@ -35,6 +35,8 @@
     """`body` holds the pieces that have come, to be sent again; None once that is too much. `size` counts its bytes,
     `whole` says that all have come."""
 
+    __slots__ = ("method", "target", "version", "headers", "length", "chunked", "body", "size", "whole")
+
     def __init__(self) -> None:
         self.method, self.target, self.version = b"", b"", "1.1"
         self.headers: list[Header] = []
