--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -1,20 +1,27 @@
 """What a request costs the edge program, by hand: one edge process, a server that answers at once and clients that ask
-again at once, each in a process of its own on loopback. `python benchmarks/edge.py [SECONDS] [--profile]`."""
+again at once, each in a process of its own on loopback. `python benchmarks/edge.py [SECONDS] [--profile]`.
+
+With `--rate=N` requests come at so many a second, at random times, and what the edge adds to each is told: the time to
+the whole answer, beside that of the same requests sent straight to the server. `--servers=N`: so many are listed, in
+180 services, 34 of them or all if fewer of the one that is asked."""
 
 import asyncio
 import cProfile
 import json
 import multiprocessing
 import pstats
+import random
 import resource
 import sys
 import time
+from statistics import quantiles
 
 from kestrelplank.config import lean  # noqa: F401
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
 from kestrelplank.http.serve import listener
 
 IP, CLIENTS = "127.0.0.1", 8
+BESIDE, OTHERS = 34, 179  # servers of the service that is asked, and the other services
 CONFIGURATION = json.dumps(
     {
         "config_version": "00000007",
@@ -53,12 +60,23 @@
             self.transport.write(ANSWER % next(lines).split(b": ")[1])
 
 
-async def serve(port):
-    server = await asyncio.get_running_loop().create_server(Serving, IP, port)
+def listed(servers, behind):
+    """The platform's list: the servers that are asked, each at an address of its own, and those of other services."""
+    asked = min(servers, BESIDE)
+    found = [(f"views-{at}", "views", f"127.0.0.{at + 1}:{behind}", "hall", 64, "ready", 0) for at in range(asked)]
+    for at in range(servers - asked):
+        address = f"10.{at >> 16}.{at >> 8 & 255}.{at & 255}:80"
+        found.append((f"i-{at:08x}", f"other-{at % OTHERS}", address, "hall", 2, "ready", 0))
+    return found
+
+
+async def serve(port, servers):
+    hosts = [f"127.0.0.{at + 1}" for at in range(min(servers, BESIDE))]
+    server = await asyncio.get_running_loop().create_server(Serving, hosts, port)
     await server.serve_forever()
 
 
-async def edge(port, behind, seconds, profile, told):
+async def edge(port, behind, servers, seconds, profile, told):
     from kestrelplank.edge.program import EdgeProgram
 
     found = EdgeProgram(
@@ -72,9 +90,7 @@
     found.listen()
     wire = type("FrameConnection", (), {"peer": "m"})()
     found.on_frame(wire, {"t": "word", "key": (7, ""), "text": CONFIGURATION})
-    found.on_frame(
-        wire, {"t": "roster", "age": 0, "list": [("views-0", "views", f"{IP}:{behind}", "hall", 64, "ready", 0)]}
-    )
+    found.on_frame(wire, {"t": "roster", "age": 0, "list": listed(servers, behind)})
     await asyncio.sleep(1)
     profiler, spent = cProfile.Profile(), time.process_time()
     if profile:
@@ -106,16 +122,57 @@
     told.send(sum(counts))
 
 
+async def pace(ports, seconds, rate, told):
+    """Requests at random times to each of the ports by turns; milliseconds that each took, by port."""
+    await asyncio.sleep(0.9)
+    spare, took, number = {port: [] for port in ports}, {port: [] for port in ports}, 0
+
+    async def one(port, number):
+        began = time.perf_counter()
+        reader, writer = spare[port].pop() if spare[port] else await asyncio.open_connection(IP, port)
+        writer.write(ASK % number)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200"), head
+        await reader.readexactly(400)
+        took[port].append(1000 * (time.perf_counter() - began))
+        spare[port].append((reader, writer))
+
+    due, until, tasks = time.monotonic(), time.monotonic() + seconds, []
+    while due < until:
+        await asyncio.sleep(max(0, due - time.monotonic()))
+        number += 1
+        tasks.append(asyncio.create_task(one(ports[number % len(ports)], number)))
+        due += random.expovariate(rate * len(ports))
+    await asyncio.gather(*tasks)
+    told.send([took[port] for port in ports])
+
+
+def option(name, usual):
+    """The number that was given as `--name=N`."""
+    return int(next((word.split("=")[1] for word in sys.argv[1:] if word.startswith(f"--{name}=")), usual))
+
+
+def free_ports():
+    """The first of ten ports of which those used here are free, below those that the system gives away by itself."""
+    while True:
+        first = random.randrange(20_000, 30_000)
+        try:
+            for port in (first, first + 1, first + 9):
+                listener(IP, port).close()
+        except OSError:
+            continue
+        return first
+
+
 def main():
     seconds = float(next((word for word in sys.argv[1:] if not word.startswith("-")), "5"))
-    sock = listener(IP, 0)
-    port = sock.getsockname()[1]
-    sock.close()
+    rate, servers = option("rate", 0), option("servers", 1)
+    port = free_ports()
     ends = [multiprocessing.Pipe(False) for _ in range(2)]
     work = [
-        (serve, (port + 9,)),
-        (edge, (port, port + 9, seconds, "--profile" in sys.argv, ends[0][1])),
-        (ask, (port, seconds, ends[1][1])),
+        (serve, (port + 9, servers)),
+        (edge, (port, port + 9, servers, seconds, "--profile" in sys.argv, ends[0][1])),
+        (pace, ((port, port + 9), seconds, rate, ends[1][1])) if rate else (ask, (port, seconds, ends[1][1])),
     ]
     processes = [multiprocessing.Process(target=run, args=one, daemon=True) for one in work]
     for process in processes:
@@ -123,6 +180,11 @@
     if not all(end.poll(seconds + 10) for end, _ in ends):
         sys.exit("one of the processes failed")
     (spent, memory), count = ends[0][0].recv(), ends[1][0].recv()
+    if rate:
+        through, straight = ([quantiles(took, n=1000)[at] for at in (499, 899, 989)] for took in count)
+        for name, one, other in zip(("half", "9 in 10", "99 in 100"), through, straight):
+            print(f"{name}: {one:.2f} ms, straight to the server {other:.2f}, added {one - other:.2f}")
+        count = len(count[0])
     print(
         f"{count / seconds:.0f} requests a second, {1e6 * spent / count:.0f} us of processor each, "
         f"{memory / 1024:.0f} MB at most"
--- a/benchmarks/key_ranges.py
+++ b/benchmarks/key_ranges.py
@@ -9,7 +9,7 @@
 from random import Random
 
 import msgspec
-from slopes import held, number, table
+from slopes import held, number, spent, table
 
 from kestrelplank.sharding.lines import HELD, KEYS, KeyRanges
 from kestrelplank.sharding.lines import Server as Listed
@@ -100,17 +100,18 @@
             if tick == SETTLES * ticks:
                 service.forget()
             service.step(tick)
-    spent = {f"{part}, ms/s": 1000 * sum(one.spent[part] for one in services) / seconds for part in PARTS}
+    costs = {f"{part}, ms/s": 1000 * sum(one.spent[part] for one in services) / seconds for part in PARTS}
     lines = sum(len(one.ranges.lines) for one in services)
     return {
         "ranges": lines,
         "held": sum(line.state == HELD for one in services for line in one.ranges.lines) / lines,
-        **spent,
-        "all, ms/s": sum(spent.values()),
+        **costs,
+        "all, ms/s": sum(costs.values()),
         "calls/s": sum(one.calls for one in services) / seconds,
         "records/s": sum(one.records for one in services) / seconds,
         "a record, KB": sum(one.record_bytes for one in services) / 1000 / max(1, sum(one.records for one in services)),
         "records, KB/s": sum(one.record_bytes for one in services) / 1000 / seconds,
+        "told whole, ms": spent(lambda: [packed(whole(one)) for one in services]),
         "told whole, KB": sum(len(packed(whole(one))) for one in services) / 1000,
     }
 
