The replicated log and majorities against naive ones, by hypothesis

Change: a state machine plays append, truncate, compact, install, restart and slice against a naive list; majorities, joint quorums and what a quorum has reached against plain counting.

--- /dev/null
+++ b/tests/consensus/test_log_properties.py
@@ -0,0 +1,205 @@
+"""The replicated log and majorities against naive ones, over orders of calls that hypothesis finds."""
+
+from itertools import combinations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from kestrelplank.consensus.log import KEPT_ENTRIES, ReplicatedLog, entry_size
+from kestrelplank.consensus.messages import ChangeMembership, Entry, Membership, Noop, PutConfiguration, Snapshot
+from kestrelplank.consensus.quorum import has_majority, is_quorum, majority, reached_by_quorum
+
+FIRST = Membership(1, ("a", "b", "c"))
+NAMES = "abcdefg"
+MOST_AT_ONCE = 40
+
+
+def entry_at(index, term, kind):
+    if kind == 0:
+        return Entry(index, term, ChangeMembership(Membership(index, ("a", f"{index}.{term}"))))
+    if kind == 1:
+        return Entry(index, term, Noop())
+    return Entry(index, term, PutConfiguration(index, "", b"x" * kind))
+
+
+class LogAgainstList(RuleBasedStateMachine):
+    """`all`: every entry from 1 on, though the log may have let go of it, or never had it; `committed`: up to here
+    entries don't change, as the core takes care that they don't. `known_from`: the first that the log must still have."""
+
+    @initialize(told=st.booleans())
+    def begin(self, told):
+        self.first = FIRST if told else None
+        self.log = ReplicatedLog(self.first, None, ())
+        self.all = []
+        self.term = 1
+        self.committed = 0
+        self.snapshot_index = 0
+        self.known_from = 1
+
+    def memberships(self, index):
+        changes = [one.command.membership for one in self.all[:index] if isinstance(one.command, ChangeMembership)]
+        return changes[-1] if changes else self.first
+
+    def more(self, base, kinds):
+        return [entry_at(base + 1 + place, self.term, kind) for place, kind in enumerate(kinds)]
+
+    @rule(kinds=st.lists(st.integers(0, 90), max_size=MOST_AT_ONCE), new_term=st.booleans())
+    def append(self, kinds, new_term):
+        self.term += new_term
+        entries = self.more(len(self.all), kinds)
+        self.log.append(tuple(entries))
+        self.all += entries
+        self.compare()
+
+    @rule(gap=st.sampled_from((-1, 1, 5)))
+    def append_elsewhere_is_refused(self, gap):
+        with pytest.raises(ValueError, match="does not follow"):
+            self.log.append((entry_at(len(self.all) + 1 + gap, self.term, 1),))
+        self.compare()
+
+    @rule(data=st.data())
+    def truncate(self, data):
+        first = data.draw(st.integers(self.committed + 1, len(self.all) + 1))
+        self.log.truncate(first)
+        del self.all[first - 1 :]
+        self.term += 1
+        self.compare()
+
+    @rule(data=st.data())
+    def commit(self, data):
+        self.committed = data.draw(st.integers(self.committed, len(self.all)))
+
+    @precondition(lambda self: self.committed > self.snapshot_index)
+    @rule(data=st.data())
+    def compact(self, data):
+        index = data.draw(st.integers(self.snapshot_index + 1, self.committed))
+        snapshot = self.log.compact(index, b"%d" % index)
+        if self.memberships(index) is None:
+            assert snapshot is None
+            self.compare()
+            return
+        assert snapshot == Snapshot(index, self.all[index - 1].term, self.memberships(index), b"%d" % index)
+        self.snapshot_index = index
+        self.known_from = max(self.known_from, index + 1 - KEPT_ENTRIES)
+        self.compare()
+
+    @rule(data=st.data(), ahead=st.integers(1, 50), alike=st.booleans())
+    def install(self, data, ahead, alike):
+        """Of an index above what is committed, in the log (alike or not) or beyond its end."""
+        index = data.draw(st.integers(self.committed + 1, len(self.all) + ahead))
+        inside = index <= len(self.all)
+        if inside and alike:
+            found = self.all[index - 1]
+        else:
+            self.term += 1
+            del self.all[index - 1 :]
+            self.all += [entry_at(at, self.term, 1) for at in range(len(self.all) + 1, index)]
+            found = entry_at(index, self.term, 0)
+            self.all.append(found)
+        membership = self.memberships(index) or FIRST
+        if self.memberships(index) is None:
+            self.first = FIRST
+        snapshot = Snapshot(index, found.term, membership, b"installed")
+        self.log.install(snapshot)
+        assert self.log.snapshot == snapshot
+        self.committed = self.snapshot_index = index
+        self.known_from = index + 1
+        self.compare()
+
+    @rule()
+    def restart(self):
+        """From what a disk has: the snapshot and the entries after it."""
+        self.log = ReplicatedLog(self.first, self.log.snapshot, self.log.after_snapshot())
+        if self.snapshot_index:
+            self.committed, self.known_from = max(self.committed, self.snapshot_index), self.snapshot_index + 1
+        self.compare()
+
+    @rule(first=st.integers(0, 200), most=st.integers(1, 70), most_bytes=st.integers(1, 2000))
+    def slices(self, first, most, most_bytes):
+        first = min(self.known_from + first, len(self.all) + 1)
+        found = self.log.slice(first, most, most_bytes)
+        expected = []
+        for entry in self.all[first - 1 : first - 1 + most]:
+            if expected and sum(map(entry_size, expected)) + entry_size(entry) > most_bytes:
+                break
+            expected.append(entry)
+        assert list(found) == expected
+
+    def compare(self):
+        log = self.log
+        assert log.last_index == len(self.all) and log.membership == self.memberships(len(self.all))
+        assert log.base_index == self.known_from - 1
+        for index in range(self.known_from, len(self.all) + 1):
+            assert log.term_at(index) == self.all[index - 1].term and log.entry(index) == self.all[index - 1]
+            assert log.membership_at(index) == self.memberships(index)
+        base = log.base_index
+        assert log.term_at(base) == (self.all[base - 1].term if base else 0)
+        assert log.term_at(len(self.all) + 1) is None and (base == 0 or log.term_at(base - 1) is None)
+        assert log.last_term == (self.all[-1].term if self.all else 0)
+        assert list(log.after_snapshot()) == self.all[self.snapshot_index :]
+        if log.membership is not None and log.membership_index > base:
+            assert self.all[log.membership_index - 1].command.membership == log.membership
+
+
+TestLogAgainstList = LogAgainstList.TestCase
+TestLogAgainstList.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+groups = st.lists(st.sampled_from(NAMES), min_size=1, max_size=7, unique=True).map(tuple)
+memberships = st.builds(Membership, st.just(1), groups, st.one_of(st.just(()), groups))
+some = st.sets(st.sampled_from(NAMES))
+
+
+def naive_majority(voters, yes):
+    return 2 * len([voter for voter in voters if voter in yes]) > len(voters)
+
+
+@given(groups, some)
+def test_more_than_half_is_a_majority_and_nothing_less(voters, yes):
+    assert has_majority(voters, sorted(yes)) == naive_majority(voters, yes)
+
+
+@given(memberships, some)
+def test_a_quorum_is_a_majority_of_each_side(membership, yes):
+    expected = naive_majority(membership.voters, yes)
+    if membership.outgoing:
+        expected = expected and naive_majority(membership.outgoing, yes)
+    assert is_quorum(membership, sorted(yes)) == expected
+
+
+@given(memberships, some, some)
+def test_any_two_quorums_meet_in_one_who_counts(membership, one, other):
+    if is_quorum(membership, one) and is_quorum(membership, other):
+        assert one & other & set(membership.voters)
+        assert not membership.joint or one & other & set(membership.outgoing)
+
+
+@given(groups, groups, some, some)
+def test_a_joint_quorum_meets_the_quorums_before_and_after(before, after, joint, other):
+    if is_quorum(Membership(2, after, before), joint):
+        for alone in (Membership(1, before), Membership(3, after)):
+            assert not is_quorum(alone, other) or joint & other
+
+
+@given(memberships, st.fixed_dictionaries({name: st.integers(0, 9) for name in NAMES}))
+def test_what_a_quorum_has_reached_is_the_highest_that_a_quorum_has(membership, values):
+    reached = reached_by_quorum(membership, values.__getitem__)
+    expected = [
+        value for value in range(10) if is_quorum(membership, [name for name in NAMES if values[name] >= value])
+    ]
+    assert reached == max(expected)
+
+
+@pytest.mark.parametrize("count", range(1, 10))
+def test_a_majority_is_the_least_number_that_meets_itself(count):
+    members = range(count)
+    needed = majority(count)
+    assert all(
+        set(one) & set(other) for one in combinations(members, needed) for other in combinations(members, needed)
+    )
+    assert needed == 1 or not all(
+        set(one) & set(other)
+        for one in combinations(members, needed - 1)
+        for other in combinations(members, needed - 1)
+    )
