--- /dev/null
+++ b/tests/consensus/test_review.py
@@ -0,0 +1,229 @@
+"""What a review of the core doubted, each brought about on the real `ConsensusNode` without a cluster round it."""
+
+from random import Random
+
+import pytest
+
+from kestrelplank.consensus.effects import Persist, Send
+from kestrelplank.consensus.messages import (
+    FIRST,
+    Append,
+    AppendReply,
+    ChangeMembership,
+    Entry,
+    HardState,
+    Membership,
+    PutConfiguration,
+    Snapshot,
+    VoteReply,
+    VoteRequest,
+    identity_of,
+)
+from kestrelplank.consensus.node import HEARTBEAT, KEPT_PROBES, LEADER, LEASE, MS, ConsensusNode
+from kestrelplank.consensus.progress import Progress
+from kestrelplank.consensus.snapshots import OutgoingSnapshot
+
+A, B, C, D = (identity_of(name, FIRST) for name in "abcd")
+ABC = Membership(1, (A, B, C))
+START = 10**9
+NOTHING = HardState()
+
+
+def member(identity, hard_state=NOTHING, entries=(), snapshot=None, first_start=True):
+    return ConsensusNode(START, Random(1), identity, ABC, hard_state, tuple(entries), snapshot, first_start)
+
+
+def order(index, term):
+    return Entry(index, term, PutConfiguration(index, f"{term}", b"%d of term %d" % (index, term)))
+
+
+def written(node, now, effects):
+    """All of it becomes durable; what is sent then and at once."""
+    sent = [effect for effect in effects if isinstance(effect, Send)]
+    for effect in effects:
+        if isinstance(effect, Persist):
+            sent += [late for late in node.persisted(now, effect.number) if isinstance(late, Send)]
+    return sent
+
+
+def elected(node, now, answering):
+    """Plays until the node leads its next term by the vote of `answering`; the time then."""
+    for _ in range(100):
+        now += 50 * MS
+        sent = written(node, now, node.tick(now))
+        while sent and node.role != LEADER:
+            one = sent.pop(0)
+            if isinstance(one.message, VoteRequest) and one.to == answering:
+                reply = VoteReply(one.message.term, 1, granted=True, trial=one.message.trial)
+                sent += written(node, now, node.receive(now, answering, reply))
+        if node.role == LEADER:
+            return now
+    raise AssertionError(f"{node.identity} is not elected")
+
+
+def leader():
+    """A leads term 1 by the vote of B, and both have its first entry."""
+    node = member(A)
+    now = elected(node, START, B) + HEARTBEAT
+    written(node, now, node.tick(now))
+    written(node, now, node.receive(now, B, AppendReply(1, 1, True, 1, 2)))
+    assert node.leads(now)
+    return node, now
+
+
+# What is durable is told apart from what is in memory.
+
+
+def with_old_tail():
+    """A follower whose disk has entries 1 to 30 of term 1, of which nobody committed any, and the snapshot at 20 of
+    term 2 that the leader of term 3 sends it."""
+    follower = member(B, HardState(1, A, A), [order(index, 1) for index in range(1, 31)], first_start=False)
+    snapshot = Snapshot(20, 2, ABC, b"state")
+    return follower, OutgoingSnapshot(snapshot).piece(3, 1, 1)
+
+
+def highest_match(sent):
+    return max(
+        (one.message.match for one in sent if isinstance(one.message, AppendReply) and one.message.success), default=0
+    )
+
+
+def test_entries_that_a_snapshot_replaces_are_not_acknowledged_before_the_snapshot_is_durable():
+    """The same piece again, as its answer was late, while the disk has not written the snapshot yet."""
+    follower, piece = with_old_tail()
+    now = START + 10 * MS
+    first = follower.receive(now, C, piece)
+    hard_state, with_snapshot = [effect for effect in first if isinstance(effect, Persist)]
+    again = [*follower.receive(now + MS, C, piece), *follower.persisted(now + 2 * MS, hard_state.number)]
+    assert highest_match(effect for effect in again if isinstance(effect, Send)) == 0
+    assert highest_match(written(follower, now + 3 * MS, [with_snapshot])) == 20
+
+
+def test_a_member_killed_while_a_snapshot_replaces_old_entries_catches_up_after_its_restart():
+    """As before; then the member is killed before the snapshot is durable, and starts with its old entries."""
+    follower, piece = with_old_tail()
+    now = START + 10 * MS
+    hard_state = next(effect for effect in follower.receive(now, C, piece) if isinstance(effect, Persist))
+    replies = [*follower.receive(now + MS, C, piece), *follower.persisted(now + 2 * MS, hard_state.number)]
+    chief, leader_now = leading_term_3()
+    for reply in replies:
+        if isinstance(reply, Send) and isinstance(reply.message, AppendReply):
+            chief.receive(leader_now, B, reply.message)
+    follower = member(B, hard_state.hard_state, [order(index, 1) for index in range(1, 31)], first_start=False)
+    messages = []
+    for _ in range(200):
+        leader_now += 50 * MS
+        messages += [sent.message for sent in written(chief, leader_now, chief.tick(leader_now)) if sent.to == B]
+        if not messages:
+            continue
+        message = messages.pop(0)
+        for reply in written(follower, START + leader_now, follower.receive(START + leader_now, C, message)):
+            answer = chief.receive(leader_now, B, reply.message)
+            messages += [sent.message for sent in written(chief, leader_now, answer) if sent.to == B]
+        written(chief, leader_now, chief.receive(leader_now, A, AppendReply(3, 1, True, 21, chief._round)))
+        if follower.log.last_term == 3:
+            return
+    raise AssertionError(f"the follower's log still ends with {follower.log.last_index} of {follower.log.last_term}")
+
+
+def leading_term_3():
+    """C leads term 3 by the vote of A, from a disk that has the snapshot at 20 of term 2."""
+    node = member(C, HardState(2, C, C), snapshot=Snapshot(20, 2, ABC, b"state"), first_start=False)
+    return node, elected(node, START, A)
+
+
+# A change of membership begins with both sides.
+
+
+@pytest.mark.parametrize(
+    "following",
+    [
+        Membership(2, (A, B, D)),  # not joint
+        Membership(2, (D,), (A,)),  # joint, but with others than those who count
+        Membership(2, (), (A, B, C)),  # nobody is left
+    ],
+)
+def test_a_change_of_membership_that_does_not_begin_with_all_who_count_is_refused(following):
+    node, now = leader()
+    index, _ = node.propose(now, ChangeMembership(following))
+    assert index is None and node.membership == ABC
+
+
+def test_a_joint_change_from_those_who_count_is_taken():
+    node, now = leader()
+    index, _ = node.propose(now, ChangeMembership(Membership(2, (A, B, D), (A, B, C))))
+    assert index is not None
+
+
+# Promises.
+
+
+def test_the_member_last_followed_is_voted_for_at_once_after_a_restart_and_others_after_the_lease():
+    log = [order(1, 1)]
+    for candidate, waits in ((A, False), (C, True)):
+        node = member(B, HardState(1, A, A), log, first_start=False)
+        request = VoteRequest(2, 1, 1, 1)
+        early = [s.message.granted for s in written(node, START, node.receive(START, candidate, request))]
+        assert early == [not waits]
+        late = [
+            s.message.granted for s in written(node, START + LEASE, node.receive(START + LEASE, candidate, request))
+        ]
+        assert late == [True]
+
+
+def test_a_vote_is_told_only_once_it_is_durable_and_not_twice_after_a_restart():
+    node = member(B)
+    effects = node.receive(START, A, VoteRequest(1, 1, 0, 0))
+    assert [effect for effect in effects if isinstance(effect, Send)] == []
+    persist = next(effect for effect in effects if isinstance(effect, Persist))
+    assert persist.hard_state == HardState(1, A, "")
+    again = member(B, persist.hard_state, first_start=False)
+    later = START + 2 * LEASE
+    refused = written(again, later, again.receive(later, C, VoteRequest(1, 1, 9, 1)))
+    assert [sent.message.granted for sent in refused] == [False]
+
+
+def test_a_request_by_transfer_of_a_former_term_does_not_break_a_promise():
+    """The leader of term 1 handed over; the vote that its heir asked for arrives when term 2 has another leader."""
+    node = member(B, HardState(1, A, A), [order(1, 1)], first_start=False)
+    heartbeat = Append(2, 1, 1, 1, (), 0, 1)
+    written(node, START, node.receive(START, C, heartbeat))
+    stale = VoteRequest(2, 1, 1, 1, transfer=True)
+    replies = written(node, START + MS, node.receive(START + MS, A, stale))
+    assert [reply.message.granted for reply in replies] == [False] and node.leader == C
+
+
+def test_the_former_sides_lease_ends_before_the_new_side_alone_can_elect():
+    """A newcomer that has acknowledged the joint membership votes for nobody else for a whole lease."""
+    newcomer = ConsensusNode(START - 2 * LEASE, Random(2), D, None, HardState(), (), None, False)
+    joint = Entry(1, 1, ChangeMembership(Membership(2, (B, C, D), (A, B, C))))
+    replies = written(newcomer, START, newcomer.receive(START, A, Append(1, 2, 0, 0, (joint,), 0, 1)))
+    assert highest_match(replies) == 1
+    request = VoteRequest(2, 3, 2, 1)
+    for when, grants in ((START + LEASE - 1, False), (START + LEASE, True)):
+        found = [s.message.granted for s in written(newcomer, when, newcomer.receive(when, C, request))]
+        assert found == [grants]
+
+
+# Progress.
+
+
+def test_a_late_refusal_does_not_take_back_what_is_known_to_be_durable():
+    peer = Progress(11)
+    peer.appended(START, AppendReply(1, 1, True, 10, 1))
+    peer.appended(START, AppendReply(1, 1, False, 3, 1))
+    assert peer.match == 10 and peer.next == 11 and not peer.alike
+
+
+@pytest.mark.parametrize("appends, is_current", [(KEPT_PROBES, True), (KEPT_PROBES + 1, False)])
+def test_a_follower_is_current_by_its_oldest_probe_that_is_kept(appends, is_current):
+    """More answers under way than are kept leave it not current: the bound on appends during one way there and back."""
+    node = member(B)
+    heartbeat = Append(1, 1, 0, 0, (), 0, 1)
+    probe = 0
+    for place in range(appends):
+        (reply,) = written(node, START + place, node.receive(START + place, A, heartbeat))
+        probe = probe or reply.message.probe
+    now = START + 50 * MS
+    written(node, now, node.receive(now, A, Append(1, 1, 0, 0, (), 0, 2, probe=probe, lease=LEASE)))
+    assert node.current(now) is is_current
