--- /dev/null
+++ b/tests/consensus/test_replacement.py
@@ -0,0 +1,333 @@
+"""Members that are replaced, planned and unplanned, with the next trouble at each step: the real core and the real policy
+in a simulated cluster, which holds all invariants after every event.
+
+Machines are `a`, `b`, `c` and so on; those that count at the first start come first. In CI each point of a change meets
+each victim with one kind of loss; `python tests/consensus/test_replacement.py [SEEDS]` plays all kinds with several seeds.
+"""
+
+import pytest
+
+from consensus.cluster import IN_FORCE, MS, S
+from consensus.replacing import (
+    COVERAGE,
+    FROZEN,
+    GONE,
+    ISOLATED,
+    KILLED,
+    POWER_LOST,
+    SOON,
+    SYNC,
+    WIPED,
+    ReplacingCluster,
+    every_point,
+    started,
+)
+from kestrelplank.consensus.node import LEASE
+
+
+def seeded(**settings):
+    return started(seed=COVERAGE.seed, **settings)
+
+
+def planned_replacement(leaver):
+    """Begins with the newcomer d up for a second as `leaver` (0: the leader) is told to end."""
+
+    def begin():
+        cluster, leader, others = seeded()
+        cluster.start("d")
+        cluster.run(S)
+        cluster.terminate([leader, *others][leaver])
+        return cluster
+
+    return begin
+
+
+def d_has_its_place(cluster):
+    return cluster.has_replaced("d")
+
+
+# A second loss at each step.
+
+
+@pytest.mark.parametrize("leaver", [0, 1], ids=["leader", "follower"])
+def test_a_loss_at_each_step_of_a_planned_replacement(leaver):
+    """The newcomer runs before the SIGTERM. Whoever is lost, at whichever step: orders are taken, and also after the
+    leaver has ended, which does not count as lost, as its successor ran in time."""
+    for play in every_point(planned_replacement(leaver), d_has_its_place, "abcd"):
+        play.cluster.serves(2)
+        if play.loss is GONE:
+            play.cluster.run(SOON)
+            play.cluster.serves(3)
+
+
+def test_a_loss_at_each_step_of_an_unplanned_replacement():
+    """c dies, d starts a second later. A second loss before d counts is one too many, so the machine comes back with its
+    disk; nothing acknowledged is lost, and the replacement is carried through."""
+
+    def begin():
+        cluster, _, _ = seeded()
+        cluster.kill("c")
+        cluster.run(S)
+        cluster.start("d")
+        return cluster
+
+    for play in every_point(begin, d_has_its_place, "abd", (KILLED, ISOLATED, FROZEN), stride=2):
+        play.cluster.until_replaced("d", 30 * S)
+        play.cluster.serves(2)
+
+
+@pytest.mark.parametrize("wait", [0, 500 * MS, S, 5 * S])
+@pytest.mark.parametrize("victim", "abc")
+def test_the_next_loss_is_borne_once_a_newcomer_has_run_for_the_platforms_time(victim, wait):
+    """Whoever is lost first, and whether the newcomer starts at once or later: then any other may go for good."""
+    for second in "abcd".replace(victim, ""):
+        cluster, _, _ = seeded()
+        cluster.kill(victim)
+        cluster.run(wait)
+        cluster.start("d")
+        cluster.run(SYNC)
+        assert cluster.voters() == "abcd".replace(victim, "")
+        cluster.wipe(second)
+        cluster.serves(2)
+
+
+def test_all_lose_power_at_each_step_of_a_change():
+    for leaver in (0, 1):
+        for play in every_point(planned_replacement(leaver), d_has_its_place, "-", (POWER_LOST,)):
+            play.cluster.run(S)
+            play.cluster.serves(2)
+            play.cluster.until(lambda cluster=play.cluster: cluster.counts(cluster.voters()), SOON)
+
+
+def test_a_wiped_member_at_each_step_of_anothers_joining():
+    """Five count, two losses are borne. c is dead and f joins for it; a second machine loses its disk."""
+
+    def begin():
+        cluster, _, _ = seeded(counted=5, losses=2, spare=1)
+        cluster.kill("c")
+        cluster.run(1500 * MS)
+        cluster.start("f")
+        return cluster
+
+    for play in every_point(begin, lambda cluster: cluster.counts("abdef"), "abdef", (WIPED, GONE), stride=5):
+        play.cluster.serves(2)
+        if play.loss is WIPED:
+            play.cluster.run(play.loss.lasts)
+            play.cluster.until_counts("abdef", SYNC)
+
+
+def test_a_wiped_member_at_each_step_of_anothers_planned_joining():
+    """Three count. c leaves for d, and a or b loses its disk, and comes back as another member, which takes its place."""
+
+    def kept(cluster):
+        return len(cluster.voters()) == 3 and cluster.counts(cluster.voters())
+
+    for play in every_point(planned_replacement(1), d_has_its_place, "abcd", (WIPED,), stride=3):
+        play.cluster.run(play.loss.lasts)
+        play.cluster.until(lambda cluster=play.cluster: kept(cluster), SOON)
+        play.cluster.serves(2)
+
+
+def test_growth_from_three_to_five_with_a_loss_at_each_step():
+    """Eleven machines start together, three of them are named at the first start; two losses are to be borne."""
+
+    def begin():
+        cluster = ReplacingCluster(losses=2, spare=8, seed=COVERAGE.seed)
+        for name in "defghijk":
+            cluster.at(cluster.random.randrange(300 * MS), lambda name=name: cluster.start(name))
+        cluster.elect()
+        return cluster
+
+    def five(cluster):
+        return len(cluster.voters()) == 5 and cluster.counts(cluster.voters())
+
+    for play in every_point(begin, five, "abcde", (GONE, WIPED), stride=60):
+        play.cluster.serves(1)
+        play.cluster.run(SYNC)
+        assert len(play.cluster.voters()) == 5
+        play.cluster.serves(2)
+
+
+# Who leaves, who comes.
+
+
+@pytest.mark.parametrize("leaving, lost", [("c", "a"), ("a", "c")])
+def test_a_leaving_member_holds_the_newest_entry(leaving, lost):
+    """b was cut off while version 2 came to a and c. One of these leaves, d joins for it, and the other is lost at each
+    step: version 2 is in force on all the rest."""
+
+    def begin():
+        cluster, leader, _ = seeded()
+        cluster.start("d")
+        cluster.run(S)
+        cluster.isolate("b")
+        cluster.isolate("d")
+        assert cluster.put(2, b"second", at=leader if leader in "ac" else "a") == IN_FORCE
+        cluster.join()
+        cluster.terminate(leaving)
+        return cluster
+
+    for play in every_point(begin, d_has_its_place, lost, (GONE, WIPED)):
+        play.cluster.until(lambda cluster=play.cluster: cluster.leader(), SOON)
+        assert play.cluster.leader().replica.text == b"second"
+        play.cluster.run(SOON)
+        play.cluster.serves(3)
+
+
+def test_replaced_twice_in_ten_seconds():
+    """c is lost, d takes its place and is lost too, e takes that; then c is back with its old disk and does not count."""
+    cluster, _, _ = seeded()
+    begun_at = cluster.time
+    for lost, newcomer in (("c", "d"), ("d", "e")):
+        cluster.kill(lost)
+        cluster.start(newcomer)
+        cluster.until_replaced(newcomer, SYNC)
+    assert cluster.time - begun_at < 10 * S
+    cluster.start("c")
+    cluster.until_counts("abe")
+    cluster.run(3 * S)
+    assert cluster.counts("abe")
+    cluster.kill("a")
+    cluster.serves(2)
+
+
+@pytest.mark.parametrize("gap", [0, 1 * MS, 100 * MS])
+def test_two_newcomers_for_one_place(gap):
+    """One is taken; the other waits, and takes the place of the next that is lost."""
+    cluster, _, _ = seeded()
+    cluster.kill("c")
+    cluster.start("d")
+    cluster.run(gap)
+    cluster.start("e")
+    cluster.run(SYNC)
+    assert cluster.counts("abd") or cluster.counts("abe")
+    assert len(cluster.changes) == 1
+    taken, waits = ("d", "e") if "d" in cluster.voters() else ("e", "d")
+    cluster.kill("b")
+    cluster.until_counts("ade", SYNC)
+    cluster.wipe(taken)
+    cluster.serves(2)
+    assert waits in cluster.voters()
+
+
+def test_a_newcomer_of_the_same_zone_is_taken_first():
+    cluster, _, _ = seeded(zones={"a": "x", "b": "y", "c": "z", "d": "y", "e": "z"})
+    cluster.kill("c")
+    cluster.start("d")
+    cluster.start("e")
+    cluster.until_counts("abe", SYNC)
+
+
+def test_two_wiped_at_once_of_five_again_and_again():
+    cluster, _, _ = seeded(counted=5, losses=2, spare=0)
+    for version, lost in enumerate(("ab", "cd", "ea", "bc"), 2):
+        cluster.serves(version)
+        for name in lost:
+            cluster.wipe(name)
+            cluster.at(S, lambda name=name: cluster.start(name))
+        cluster.run(S)
+        cluster.until_counts("abcde", SYNC)
+    cluster.serves(6)
+
+
+def test_a_flapping_voter_without_a_standby_stays():
+    cluster, _, others = seeded()
+    for _ in range(4):
+        cluster.isolate(others[0])
+        cluster.run(2500 * MS)
+        cluster.join()
+        cluster.run(2500 * MS)
+    assert not cluster.changes and cluster.counts("abc")
+
+
+def test_a_member_that_is_stopped_and_started_keeps_its_place_without_a_standby():
+    cluster, leader, others = seeded()
+    for name in (*others, leader):
+        cluster.terminate(name, grace=S)
+        cluster.run(2 * S)
+        cluster.start(name)
+        cluster.until(cluster.caught_up)
+    assert not cluster.changes and cluster.counts("abc")
+
+
+# Old epochs.
+
+
+@pytest.mark.parametrize("keep", [False, True], ids=["lost", "held up"])
+def test_an_old_leader_returns_after_a_cut_believing_in_the_old_epoch_with_clients(keep):
+    """The leader is cut off with a client, and replaced. Orders that it takes then are never in force, nor does it answer
+    reads; once the cut ends it follows, under the newest epoch."""
+    cluster, leader, others = seeded()
+    cluster.start("d")
+    cluster.run(S)
+    cluster.isolate(leader, keep=keep)
+    old = cluster.machines[leader]
+    stale = [cluster.order(leader, 2, b"stale")]
+    cluster.run(LEASE)
+    members = "".join(sorted([*others, "d"]))
+    cluster.until(lambda: cluster.voters() == members, SOON)
+    for version in (2, 3):
+        stale.append(cluster.order(leader, version, b"stale"))
+        assert cluster.put(version, b"%d" % version, at="d") == IN_FORCE
+        assert cluster.read(leader).answer != IN_FORCE
+    assert old.node.epoch < cluster.machines["d"].node.epoch
+    cluster.join()
+    cluster.until(cluster.caught_up)
+    cluster.run(3 * S)
+    assert all(attempt.answer != IN_FORCE for attempt in stale)
+    assert old.node.epoch == cluster.machines["d"].node.epoch
+    assert not old.node.is_voter and old.replica.text == b"3"
+    assert cluster.counts(members)
+
+
+def test_a_change_proposed_by_two_members_at_once():
+    """The leader proposes that d takes the place of the silent c, and from some point on reaches nobody but d. The others
+    elect, where they can, one that proposes a change of its own, of the same epoch. Once all are joined, one membership
+    counts, and all follow it."""
+    rivals = 0
+    for point in range(40):
+        cluster, leader, (second, third) = seeded()
+        cluster.kill(third)
+        cluster.start("d")
+        cluster.start("e")
+        cluster.until(lambda cluster=cluster: cluster.changes)
+
+        def part(cluster=cluster, leader=leader, second=second, third=third):
+            cluster.cut_off(leader, second + third + "e")
+            cluster.cut_off("d", second + third + "e")
+            cluster.start(third)
+
+        cluster.watch(point, part)
+        cluster.run(6 * S)
+        epochs = [change.membership.epoch for change in cluster.changes]
+        rivals += len(epochs) > len(set(epochs))
+        cluster.join()
+        cluster.until(lambda cluster=cluster: cluster.counts(cluster.voters()), SOON)
+        cluster.serves(2)
+        assert len({machine.node.epoch for machine in cluster.running()}) == 1
+    assert rivals > 0
+
+
+def test_a_sole_member_is_replaced_with_power_lost_at_each_step():
+    """No loss is to be borne, so one member counts; it leaves for d."""
+
+    def begin():
+        cluster, _, _ = seeded(counted=1, losses=0, spare=3)
+        cluster.start("d")
+        cluster.run(S)
+        cluster.terminate("a", grace=60 * S)
+        return cluster
+
+    for play in every_point(begin, lambda cluster: cluster.counts("d"), "-", (POWER_LOST,)):
+        play.cluster.run(S)
+        play.cluster.serves(2)
+
+
+if __name__ == "__main__":
+    import sys
+
+    COVERAGE.thorough = True
+    for COVERAGE.seed in range(1, int(sys.argv[1] if sys.argv[1:] else 3) + 1):
+        print("seed", COVERAGE.seed, flush=True)
+        if pytest.main(["-q", "-p", "no:cacheprovider", "--tb=short", "--durations=12", __file__]):
+            sys.exit(1)
