--- a/kestrelplank/consensus/messages.py
+++ b/kestrelplank/consensus/messages.py
@@ -113,13 +113,12 @@
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag="voted"):
-    """`term`: of the request where granted, else the voter's own. `wait`: ns until its promise to a leader ends."""
+    """`term`: of the request where granted, else the voter's own."""
 
     term: int
     epoch: int
     granted: bool
     trial: bool = False
-    wait: int = 0
 
 
 class Append(msgspec.Struct, frozen=True, array_like=True, tag="append"):
--- a/kestrelplank/consensus/node.py
+++ b/kestrelplank/consensus/node.py
@@ -10,7 +10,8 @@
   reply.
 - Replies carry a probe that the leader echoes, so a follower knows how old the leader's word is at most, whatever a cut
   or a freeze has held up.
-- A candidate that is no voter of the membership a voter knows is denied unless it knows a newer one.
+- A candidate that is no voter of the newest membership that a voter knows to be committed is denied, unless it knows a
+  newer one.
 """
 
 from random import Random
@@ -48,7 +49,7 @@
 CANDIDACY = 400 * MS  # after which votes that did not suffice are asked for again
 ENTRIES_AT_ONCE = 64
 BYTES_AT_ONCE = 64 << 10
-KEPT_PROBES = 64
+KEPT_PROBES = 1024
 FOLLOWER, CANDIDATE, LEADER = "follower", "candidate", "leader"
 EMPTY, BEHIND, RECEIVING_SNAPSHOT, FOLLOWING, CURRENT_STATE = (
     "empty",
@@ -263,12 +264,16 @@
         snapshot: Snapshot | None = None,
         entries: tuple[Entry, ...] = (),
         then: list[Effect] | None = None,
+        alike_until: int | None = None,
     ) -> None:
+        """`alike_until`: a snapshot replaces what is on disk from the entry after this one; by default it replaces
+        nothing but what it covers."""
         self._number += 1
         first = entries[0].index if entries else 0
         last = entries[-1].index if entries else 0
         if snapshot is not None:
-            first, last = snapshot.index + 1, max(last, snapshot.index)
+            first = (snapshot.index if alike_until is None else alike_until) + 1
+            last = max(last, snapshot.index)
         self._writes.append(PendingWrite(self._number, first, last, hard_state is not None, then or []))
         if snapshot is not None:
             hard_state = self.hard_state  # the snapshot replaces the whole log, and what was durable must stay so
@@ -349,8 +354,7 @@
         if grants:
             self._plan_campaign(now)
             self._campaign_at = max(self._campaign_at, now + CANDIDACY)
-        wait = max(0, self._promised_until - now)
-        self._send_when_durable(sender, VoteReply(self.term, self.epoch, grants, wait=wait))
+        self._send_when_durable(sender, VoteReply(self.term, self.epoch, grants))
 
     def _would_vote(self, now: int, sender: str, request: VoteRequest) -> bool:
         if request.term < self.term or not self._free_for(now, sender, request):
@@ -363,7 +367,8 @@
 
     def _free_for(self, now: int, sender: str, request: VoteRequest) -> bool:
         """Whether no promise stands in the way of a vote for that member, and it counts as far as is known here."""
-        if self.membership is not None and sender not in self.membership.everybody() and request.epoch <= self.epoch:
+        counted = self.log.membership_at(self.commit)
+        if counted is not None and sender not in counted.everybody() and request.epoch <= counted.epoch:
             return False
         if self.role == LEADER and now < max(self.lease_until, self._lead_since + LEASE):
             return False
@@ -391,7 +396,8 @@
             self._become_leader(now)
 
     def _on_transfer(self, now: int, sender: str, message: TransferLeadership) -> None:
-        if message.term == self.term and self.role == FOLLOWER and self.is_voter and self.may_campaign:
+        asked_by_leader = message.term == self.term and sender in (self.leader, self.hard_state.leader)
+        if asked_by_leader and self.role == FOLLOWER and self.is_voter and self.may_campaign:
             self._stand(now, transfer=True)
 
     # Leading.
@@ -420,8 +426,10 @@
         """A change of membership waits until the one before is committed, and begins at the next epoch."""
         if not isinstance(command, ChangeMembership):
             return False
-        under_way = self.log.membership_index > self.commit or self.membership.joint
-        return under_way or command.membership.epoch != self.epoch + 1
+        wanted, counted = command.membership, self.membership
+        if self.log.membership_index > self.commit or counted.joint:
+            return True
+        return not wanted.voters or wanted.outgoing != counted.voters or wanted.epoch != counted.epoch + 1
 
     def _append_own(self, now: int, command: Command) -> int:
         entry = Entry(self.log.last_index + 1, self.term, command)
@@ -471,11 +479,17 @@
             if peer.snapshot is None:
                 self._send_snapshot(now, name, peer)
             return
-        while peer.may_send(self.log.last_index):
-            entries = self.log.slice(peer.next, ENTRIES_AT_ONCE, BYTES_AT_ONCE)
+        last = self._last_for(name)
+        while peer.may_send(last):
+            entries = self.log.slice(peer.next, min(ENTRIES_AT_ONCE, last - peer.next + 1), BYTES_AT_ONCE)
             self._send_append(now, name, peer, entries)
             peer.sent(now, entries)
 
+    def _last_for(self, name: str) -> int:
+        """The last entry that a member may be sent. One that does not count is told only what is committed: a log that
+        is newer than those of all that may lead would keep it from voting for them."""
+        return self.log.last_index if name in self.membership.everybody() else self.commit
+
     def _send_append(self, now: int, name: str, peer: Progress, entries: tuple[Entry, ...]) -> None:
         previous = peer.next - 1
         term = self.log.term_at(previous) or 0
@@ -500,11 +514,12 @@
         peer = self._heard_from(now, sender, reply.term, reply.round)
         if peer is None:
             return
+        asked_from = peer.next
         peer.appended(now, reply)
-        if not reply.success and not self._needs_snapshot(peer):
-            self._send_append(now, sender, peer, ())
-        else:
+        if reply.success or self._needs_snapshot(peer):
             self._send_entries(now, sender, peer)
+        elif peer.next < asked_from:
+            self._send_append(now, sender, peer, ())
         self._renew_lease(now)
         self._advance_commit(now)
 
@@ -557,20 +572,24 @@
         self.commit = reached
         self._apply()
         self._confirm_election(now)
+        for name, peer in self.peers.items():
+            if peer.alike:
+                self._send_entries(now, name, peer)
         self._heartbeat_at = min(self._heartbeat_at, now)  # the others learn what is committed with the next tick
         self._finish_change(now)
 
     def _finish_change(self, now: int) -> None:
-        """A joint membership that is committed is followed by the new one alone; a leader outside of it lets go."""
+        """A joint membership that is committed is followed by the new one alone. A leader outside of it lets go first:
+        were that last entry in its log alone, it could neither stand nor vote for those that have it not."""
         membership = self.membership
         if self.log.membership_index > self.commit:
             return
-        if membership.joint:
+        if self.identity not in membership.voters:
+            self._transfer(now)
+        elif membership.joint:
             final = Membership(membership.epoch + 1, membership.voters, (), membership.zones)
             self._append_own(now, ChangeMembership(final))
             self._advance_commit(now)
-        elif self.identity not in membership.voters:
-            self._transfer(now)
 
     def _step_down(self, now: int, leader: str) -> None:
         """Follows from now on."""
@@ -690,11 +709,12 @@
             self._install(now, sender, snapshot)
 
     def _install(self, now: int, sender: str, snapshot: Snapshot) -> None:
+        alike_until = snapshot.index if self.log.term_at(snapshot.index) == snapshot.term else self.commit
         self.log.install(snapshot)
         self.commit = self.applied = snapshot.index
-        self.durable = min(self.durable, snapshot.index)
-        durable_reply = AppendReply(self.term, self.epoch, True, snapshot.index, 0)
-        self._persist(snapshot=snapshot, entries=self.log.after_snapshot(), then=[Send(sender, durable_reply)])
+        self.durable = min(self.durable, alike_until)
+        then: list[Effect] = [Send(sender, AppendReply(self.term, self.epoch, True, snapshot.index, 0))]
+        self._persist(snapshot=snapshot, entries=self.log.after_snapshot(), then=then, alike_until=alike_until)
         self._effects.append(Restored(snapshot))
         self._plan_campaign(now)
 
