Grants and releases as calls to servers stand in a module of their own

Cause: class Caller stood inside the control program and reached back into it. Change: control/server_calls.py, ServerCalls; it reports through a callback in place of the program itself. No behaviour changed.

--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -8,7 +8,6 @@
 from random import Random, SystemRandom
 from typing import Any
 
-import httpcore
 import msgspec
 
 from kestrelplank.config.platform import Settings, endpoint, ns
@@ -16,10 +15,11 @@
 from kestrelplank.configuration.plan import Configuration
 from kestrelplank.control.box import Box, Effect
 from kestrelplank.control.calls import application
+from kestrelplank.control.server_calls import FAILED, ServerCalls
 from kestrelplank.http.call import Line as Connection
 from kestrelplank.http.call import dial
 from kestrelplank.http.serve import Duties, listener, server
-from kestrelplank.sharding.lines import CALL, HOLD, RELEASE, Line
+from kestrelplank.sharding.lines import Line
 from kestrelplank.storage.store import Store
 from kestrelplank.transport.sessions import Sessions
 from kestrelplank.transport.wire import Frame, FrameConnection, packed
@@ -31,68 +31,6 @@
 POLL, POLL_RANK = S // 2, S // 2  # how old the platform's list may become, and how much older by rank
 EDGE_SILENT = 2 * S
 log = logging.getLogger("control")
-FAILED = (OSError, TimeoutError, httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
-
-
-class Caller:
-    """Grants and releases to one server, one after the other on one connection."""
-
-    def __init__(self, program: "ControlProgram", address: str) -> None:
-        self.program, self.address = program, endpoint(address)
-        self.connection: Connection | None = None
-        self.queue: asyncio.Queue[Effect] = asyncio.Queue()
-        self.task = asyncio.create_task(self.run())
-
-    async def run(self) -> None:
-        while True:
-            _, word, service, name, _, line, until = await self.queue.get()
-            grant = word == "grant"
-            if grant and time.monotonic_ns() >= until:
-                self.program.called(service, word, line, False, None, None)
-                continue
-            body = {"source": line.first, "target_version": line.last, "fence": line.fence}
-            if grant:
-                body["hold_s"] = HOLD / S
-                if line.handover:
-                    body["handover"] = line.handover
-            sent, status, handover = await self.ask(
-                f"/api/{word}", body, (CALL if grant else RELEASE) / S, until if grant else None
-            )
-            self.program.called(service, word, line, sent, status, handover)
-
-    async def ask(
-        self, target: str, body: dict[str, Any], within: float, until: int | None
-    ) -> tuple[bool, int | None, str | None]:
-        """Whether anything was sent, the status if an answer came, and the handover that it carried."""
-        text = msgspec.json.encode(body)
-        headers = [
-            (b"Host", b"server"),
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", str(len(text)).encode()),
-        ]
-        connection, sent = self.connection, False
-        try:
-            async with asyncio.timeout(within):
-                if connection is None or connection.surplus() or not connection.keep:
-                    if connection is not None:
-                        connection.reset()
-                    connection = self.connection = await dial(self.address, DIAL)
-                if until is not None and time.monotonic_ns() >= until:
-                    return False, None, None
-                sent = True
-                answer = await connection.ask(b"POST", target.encode(), headers, text)
-            handover = answer.fields.get(b"x-handover")
-            return True, answer.status, handover.decode() if handover else None
-        except FAILED:
-            if connection is not None:
-                connection.reset()
-            self.connection = None
-            return sent, None, None
-
-    def close(self) -> None:
-        self.task.cancel()
-        if self.connection is not None:
-            self.connection.reset()
 
 
 class ControlProgram:
@@ -109,7 +47,7 @@
         self.peers: dict[str, FrameConnection] = {}  # those we dialled, by member
         self.edges, self.speakers = Sessions(), Sessions()  # edge members, and the other control members
         self.wires: dict[FrameConnection, int] = {}  # all that came in, with when they last said anything
-        self.callers: dict[str, Caller] = {}
+        self.callers: dict[str, ServerCalls] = {}
         self.tickets: dict[int, asyncio.Future[Any]] = {}
         self.ticket = 0
         self.cloud: Connection | None = None
@@ -135,7 +73,7 @@
             elif word == "call":
                 caller = self.callers.get(effect[4])
                 if caller is None:
-                    caller = self.callers[effect[4]] = Caller(self, effect[4])
+                    caller = self.callers[effect[4]] = ServerCalls(self.called, effect[4])
                 caller.queue.put_nowait(effect)
             elif word in ("answer", "show"):
                 future = self.tickets.pop(effect[1], None)
