One table decides whether a call may be sent again; steps of a request are typed

Cause: the rule stood in three places (the core's outcomes, the connections' judgement, the program's cancel), a try that timed out while it was still being dialled counted as sent, a refusal without the request's id was believed, and a try of a request whose service had left the configuration meanwhile ended in an error of ours. Change: forwarding/resend.py (kind of call x what was seen -> ran, again), forwarding/steps.py, request.py, budget.py, errors.py, endpoints.py, edge/server_connections.py, edge/client_requests.py (out of edge/program.py). A reset, a close, a torn answer, an unreadable one and silence are told apart. A server's own 5xx is passed on where no further try may follow, in place of a 504 of ours; 503 promises only where no try may have run. Connections of clients: header and idle limits of the configuration as they are at each moment, none before a configuration; nothing that has begun or lies in the kernel is cut; bytes that can't be read are not answered in an earlier request's place; 408, 431; a stop answers what is in hand at its end. An early answer is read while its request is still being written, and costs the connection. Tests: two rows of an answer without the request's id expected 'not run'; they now expect that it proves nothing, as a surplus answer could stand there.

--- a/kestrelplank/control/calls.py
+++ b/kestrelplank/control/calls.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from kestrelplank.configuration.plan import Configuration, read
-from kestrelplank.forwarding.kinds import ANSWERS, Fault
+from kestrelplank.forwarding.errors import ANSWERS, Fault
 
 MOST_BODY = 64 << 20
 Result = tuple[int, bytes]
--- a/kestrelplank/control/server_calls.py
+++ b/kestrelplank/control/server_calls.py
@@ -12,8 +12,7 @@
 import msgspec
 
 from kestrelplank.config.platform import endpoint
-from kestrelplank.http.call import Line as Connection
-from kestrelplank.http.call import dial
+from kestrelplank.http.call import Connection, dial
 from kestrelplank.sharding.lines import CALL, HOLD, RELEASE, Line
 
 S = 1_000_000_000
--- a/kestrelplank/forwarding/stands.py
+++ b/kestrelplank/forwarding/endpoints.py
@@ -55,7 +55,7 @@
         self.zone, self.slots = entry.zone, max(1, entry.slots)
         self.ready, self.warm_at, self.listed = entry.state == READY, 0, True
         self.own, self.told, self.told_at, self.took = 0, 0.0, 0, USUAL
-        self.kept = 0  # our connections there that stand unused, as the adapter says
+        self.kept = 0  # our connections there that nobody uses, as the adapter says
         self.left_at = 0  # when the list was fetched that shows it leaving; 0: the first that shows it does
         self.forget()
 
@@ -107,70 +107,72 @@
         """A new list has come: who is gone or draining gets nothing new."""
         seen = {}
         for entry in entries:
-            stand = self.by_name.get(entry.server)
-            if stand is None:
+            endpoint = self.by_name.get(entry.server)
+            if endpoint is None:
                 self._given += 1
-                stand = Endpoint(self._given, entry)
-            if stand.ready and entry.state != READY:
-                stand.left_at = fetched_at
-            stand.ready, stand.warm_at = entry.state == READY, fetched_at + entry.warm
-            seen[entry.server] = stand
-        for name, stand in self.by_name.items():
+                endpoint = Endpoint(self._given, entry)
+            if endpoint.ready and entry.state != READY:
+                endpoint.left_at = fetched_at
+            endpoint.ready, endpoint.warm_at = entry.state == READY, fetched_at + entry.warm
+            seen[entry.server] = endpoint
+        for name, endpoint in self.by_name.items():
             if name not in seen:
-                stand.ready = stand.listed = False  # nobody finds it any more
+                endpoint.ready = endpoint.listed = False  # nobody finds it any more
         self.by_name = seen
         self.services = {}
-        for stand in seen.values():
-            self.services.setdefault(stand.service, []).append(stand)
+        for endpoint in seen.values():
+            self.services.setdefault(endpoint.service, []).append(endpoint)
 
     def choose(self, now: int, service: str, tried: tuple[str, ...], size: int = 0) -> Endpoint | None:
         """The server with the least wait of all that may be used, for a body of `size` bytes; None where there is
         none."""
-        open_ = [stand for stand in self.services.get(service, ()) if stand.ready and stand.server not in tried]
+        open_ = [
+            endpoint for endpoint in self.services.get(service, ()) if endpoint.ready and endpoint.server not in tried
+        ]
         if not open_:
             return None
-        sound = self._avoidance.sound(now, [(stand.number, 1.0) for stand in open_])
+        sound = self._avoidance.sound(now, [(endpoint.number, 1.0) for endpoint in open_])
         if len(sound) < len(open_):
             kept = {number for number, _ in sound}
-            open_ = [stand for stand in open_ if stand.number in kept]
-        return min(open_, key=lambda stand: self._cost(now, stand, size))
+            open_ = [endpoint for endpoint in open_ if endpoint.number in kept]
+        return min(open_, key=lambda endpoint: self._cost(now, endpoint, size))
 
-    def _cost(self, now: int, stand: Endpoint, size: int) -> float:
-        cost = stand.wait(now) * (1 if stand.zone == self._zone else AWAY + size / AWAY_BYTES)
-        if not stand.kept:
+    def _cost(self, now: int, endpoint: Endpoint, size: int) -> float:
+        cost = endpoint.wait(now) * (1 if endpoint.zone == self._zone else AWAY + size / AWAY_BYTES)
+        if not endpoint.kept:
             cost *= DIALLED
         cost *= 1 + 0.3 * self._random.random()  # equals are not all taken for the same one
-        return cost / COLD if now < stand.warm_at else cost
+        return cost / COLD if now < endpoint.warm_at else cost
 
-    def avoided(self, now: int, stand: Endpoint) -> bool:
+    def avoided(self, now: int, endpoint: Endpoint) -> bool:
         """Whether tries there have failed in a row just now."""
-        return not self._avoidance.sound(now, [(stand.number, 1.0), (0, 1.0)])[0][0] == stand.number
+        return not self._avoidance.sound(now, [(endpoint.number, 1.0), (0, 1.0)])[0][0] == endpoint.number
 
-    def began(self, stand: Endpoint) -> None:
-        stand.own += 1
-        stand.tries += 1
-        stand.kept = max(0, stand.kept - 1)
+    def began(self, endpoint: Endpoint) -> None:
+        endpoint.own += 1
+        endpoint.tries += 1
+        endpoint.kept = max(0, endpoint.kept - 1)
 
-    def never_began(self, stand: Endpoint) -> None:
+    def never_began(self, endpoint: Endpoint) -> None:
         """What was begun there was not sent, for a reason of our own."""
-        stand.own -= 1
-        stand.tries -= 1
+        endpoint.own -= 1
+        endpoint.tries -= 1
 
-    def ended(self, now: int, stand: Endpoint, good: bool, took: int, load: tuple[int, int, int] | None) -> None:
+    def ended(self, now: int, endpoint: Endpoint, good: bool, took: int, load: tuple[int, int, int] | None) -> None:
         """A try there has ended. `took`: ns; `load`: running, waiting and slots, as the server told."""
-        stand.own -= 1
-        stand.failed += not good
-        if stand.listed:
-            self._avoidance.ended(now, stand.number, good)
+        endpoint.own -= 1
+        endpoint.failed += not good
+        if endpoint.listed:
+            self._avoidance.ended(now, endpoint.number, good)
         if good:
-            stand.took += 0.1 * (min(took / S, 2.0) - stand.took)
+            endpoint.took += 0.1 * (min(took / S, 2.0) - endpoint.took)
         if load is not None:
-            stand.told, stand.told_at = max(0.0, load[0] + load[1] - stand.own - 1.0), now
-            stand.slots = max(1, load[2])
-            if now >= stand.warm_at:
+            endpoint.told, endpoint.told_at = max(0.0, load[0] + load[1] - endpoint.own - 1.0), now
+            endpoint.slots = max(1, load[2])
+            if now >= endpoint.warm_at:
                 # What is left at work when this one has gone: the next in its queue has begun by then.
-                stand.told_busy += min(max(0, load[0] + load[1] - 1), stand.slots)
-                stand.told_times += 1
-                if good and took > 0 and load[0] + load[1] <= stand.slots:
-                    stand.alone_logs += math.log(took / S)
-                    stand.alone_times += 1
+                endpoint.told_busy += min(max(0, load[0] + load[1] - 1), endpoint.slots)
+                endpoint.told_times += 1
+                if good and took > 0 and load[0] + load[1] <= endpoint.slots:
+                    endpoint.alone_logs += math.log(took / S)
+                    endpoint.alone_times += 1
--- a/kestrelplank/http/serve.py
+++ b/kestrelplank/http/serve.py
@@ -9,6 +9,8 @@
 
 import uvicorn
 
+from kestrelplank.http.client_protocol import ClientLimits, ClientProtocol
+
 BACKLOG = 512
 log = logging.getLogger("http")
 
@@ -55,20 +57,33 @@
 
 
 class Server(uvicorn.Server):
-    """Signals are for the program to take."""
+    """Signals are for the program to take. `limits`: what clients may do, as it is in force; to be set at any time."""
+
+    def __init__(self, config: uvicorn.Config, limits: ClientLimits) -> None:
+        super().__init__(config)
+        self.limits = limits
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def answered(self, within: float) -> None:
+        """Waits until what was cut off by the end of `grace` has been answered too, for so many seconds at most."""
+        until = asyncio.get_running_loop().time() + within
+        while self.server_state.connections or self.server_state.tasks:
+            left = until - asyncio.get_running_loop().time()
+            if left <= 0:
+                return
+            await asyncio.sleep(min(left, 0.02))
+
 
-def server(app: Any, idle: float, grace: float) -> Server:
-    """A server for that ASGI application. `idle`: seconds for which a kept connection may stand between requests;
-    `grace`: seconds that requests in hand have once it is told to stop."""
+def server(app: Any, idle: float | None, grace: float) -> Server:
+    """A server for that ASGI application. `idle`: seconds for which a kept connection may stand between requests, None
+    while that is not known; `grace`: seconds that requests in hand have once it is told to stop."""
     config = uvicorn.Config(
         app,
         interface="asgi3",
-        http="httptools",
+        http=ClientProtocol,
         ws="none",
         lifespan="off",
         loop="asyncio",
@@ -78,7 +93,8 @@
         date_header=False,
         proxy_headers=False,
         backlog=BACKLOG,
-        timeout_keep_alive=idle,  # type: ignore[arg-type]
         timeout_graceful_shutdown=grace,
     )  # type: ignore[arg-type]
-    return Server(config)
+    limits = ClientLimits(idle_s=idle)
+    config.client_limits = limits  # type: ignore[attr-defined]
+    return Server(config, limits)
--- a/kestrelplank/http/stream.py
+++ b/kestrelplank/http/stream.py
@@ -1,7 +1,8 @@
-"""The socket under one of httpcore's connections, which tells what its own streams hide: bytes that nobody has asked
-for, and whether anything was sent. It is closed in one place, by `aclose` or `reset`."""
+"""The socket under one of httpcore's connections, which tells what its own streams hide: what was sent, what came, and
+bytes that nobody has asked for. It is closed in one place, by `aclose` or `reset`."""
 
 import asyncio
+import select
 import socket
 import struct
 from typing import Any
@@ -27,17 +28,32 @@
         pass  # it has gone already
 
 
+def readable(transport: asyncio.BaseTransport | None) -> bool:
+    """Whether bytes, or an end, lie in the kernel that the loop has not read yet."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Stream(httpcore.AsyncNetworkStream, asyncio.Protocol):
-    """One TCP connection. `sent`: bytes given to the kernel since it was last set to 0; `muted`: writes are
-    swallowed, to read on for an answer that is still owed."""
+    """One TCP connection. `sent` and `received`: bytes given to the kernel and read from it since `begin`; `muted`:
+    writes are swallowed, to read on for an answer that is still owed."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
-        self.ended, self.muted, self.sent = False, False, 0
+        self.ended, self.muted = False, False
+        self.sent, self.received = 0, 0
         self.error: Exception | None = None
-        self._waiter: asyncio.Future[None] | None = None
-        self._room: asyncio.Future[None] | None = None
+        self._reader: asyncio.Future[None] | None = None  # who waits for bytes
+        self._writer: asyncio.Future[None] | None = None  # who waits for room in the kernel
+
+    def begin(self) -> None:
+        """A new call begins: what is sent and received is counted from here."""
+        self.sent, self.received = 0, 0
 
     # The loop's side.
 
@@ -46,6 +62,7 @@
         harden(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
+        self.received += len(data)
         self.buffer += data
         self._wake()
 
@@ -57,29 +74,27 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ended, self.error = True, exc
         self._wake()
-        self.resume_writing()
 
     def pause_writing(self) -> None:
-        self._room = asyncio.get_running_loop().create_future()
+        self._writer = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
-        if self._room is not None and not self._room.done():
-            self._room.set_result(None)
-        self._room = None
+        _done(self._writer)
+        self._writer = None
 
     def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        _done(self._reader)
+        _done(self._writer)  # who answers before it has all of the request may read no more of it
 
     # httpcore's side.
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if not self.buffer and not self.ended:
-            self._waiter = asyncio.get_running_loop().create_future()
+            self._reader = asyncio.get_running_loop().create_future()
             try:
-                await self._waiter
+                await self._reader
             finally:
-                self._waiter = None
+                self._reader = None
         if self.buffer:
             data = bytes(self.buffer[:max_bytes])
             del self.buffer[:max_bytes]
@@ -95,8 +110,8 @@
             raise httpcore.WriteError("closed")
         self.sent += len(buffer)
         self.transport.write(buffer)
-        if self._room is not None:
-            await self._room
+        if self._writer is not None:
+            await self._writer
 
     async def aclose(self) -> None:
         if self.transport is not None:
@@ -113,7 +128,16 @@
 
     def quiet(self) -> bool:
         """Whether nothing has come that nobody asked for, an end included."""
-        return not self.buffer and not self.ended
+        return not self.buffer and not self.ended and not readable(self.transport)
+
+    def unsent(self) -> bool:
+        """Whether bytes of a request still wait to be taken by the kernel."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+
+def _done(future: asyncio.Future[None] | None) -> None:
+    if future is not None and not future.done():
+        future.set_result(None)
 
 
 async def connect(host: str, port: int, within: float) -> Stream:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -56,7 +56,7 @@
         yield found, behind, ports[0]
     finally:
         behind.let.set()
-        found.lines.tidy(set())
+        found.connections.tidy(set())
         await found.leave(0)
         await behind.stop()
 
@@ -157,13 +157,13 @@
 def test_while_stopping_we_are_not_ready_and_each_answer_ends_its_connection():
     async def play(found, behind, port):
         behind.let.set()
-        found.stopping = True
+        found.requests.stopping = True
         reader, writer = await asyncio.open_connection(IP, port)
         writer.write(head("/nowhere", "Content-Length: 0"))
         status, fields, _ = await answer(reader)
         assert status == 404 and fields["connection"] == "close"
         writer.close()
-        reader, writer = await asyncio.open_connection(IP, found.readiness_port)
+        reader, writer = await asyncio.open_connection(IP, found.requests.readiness_port)
         writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
         assert (await answer(reader))[0] == 503
         writer.close()
@@ -183,7 +183,7 @@
         while not behind.tally.runs or found.front.server_state.tasks:
             await asyncio.sleep(0)
         assert behind.tally.runs == {"me": runs}
-        assert [stand.own for stand in found.junction.stands.by_name.values()] == [0]
+        assert [endpoint.own for endpoint in found.forwarder.endpoints.by_name.values()] == [0]
 
     run(play)
 
@@ -191,7 +191,7 @@
 def test_bodies_are_held_within_a_bound_and_given_back():
     async def play():
         async with edge() as (found, behind, port):
-            found.holds = 50_000
+            found.requests.most_held = 50_000
             first = await asyncio.open_connection(IP, port)
             first[1].write(head("/a/b/x", "Content-Length: 40000") + bytes(40_000))
             await behind.arrived.wait()
@@ -200,7 +200,7 @@
             refused = await second[0].readuntil(b"\r\n\r\n")
             behind.let.set()
             served = await first[0].readuntil(b"\r\n\r\n")
-            while found.held:
+            while found.requests.held:
                 await asyncio.sleep(0)
             for _, writer in (first, second):
                 writer.close()
@@ -214,7 +214,7 @@
 def test_one_request_is_traced_by_its_id(caplog):
     async def play():
         async with edge() as (found, behind, port):
-            found.trace = 1
+            found.requests.trace = 1
             behind.let.set()
             reader, writer = await asyncio.open_connection(IP, port)
             writer.write(head("/a/b/x", "Content-Length: 0"))
@@ -292,7 +292,7 @@
                     writer.write(head("/a/b/x", "Content-Length: 4") + b"body")
                     served += (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
                     writer.close()
-            return served, met, found.held
+            return served, met, found.requests.held
 
     served, met, held = asyncio.run(play())
     assert served == 30 and held == 0 and len(met) > 60
--- a/tests/edge/test_lines.py
+++ b/tests/edge/test_server_connections.py
@@ -7,10 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from kestrelplank.edge.lines import Lines
-from kestrelplank.forwarding.passage import ANSWERED, BROKEN, BUSY, NOT_RUN, SILENT, UNSENT
+from kestrelplank.edge.server_connections import ServerConnections, ServerRequest
+from kestrelplank.forwarding.resend import Seen
 
 OURS = b"X-Attempt-Id: me\r\n"
+REQUEST = ServerRequest(b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me")
 
 
 def answer(status=200, head=OURS + b"X-Server-Seal: s\r\n", body=b"whole", more=b""):
@@ -49,13 +50,11 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        lines, ended = Lines(time.monotonic_ns), []
+        connections, ended = ServerConnections(time.monotonic_ns), []
         for _ in range(len(scripts)):
-            ended.append(
-                await lines.carry(address, b"GET", b"/a/b?c=%20d", [(b"host", b"h")], b"", b"me", int(within * 1e9), 24)
-            )
+            ended.append(await connections.send(address, REQUEST, int(within * 1e9), 24))
             await asyncio.sleep(wait)
-        lines.tidy(set())
+        connections.tidy(set())
         server.close()
         return ended, len(came)
 
@@ -64,28 +63,31 @@
 
 def kinds(*scripts, **more):
     ended, _ = played(*scripts, **more)
-    return [one.kind for one in ended]
+    return [one.seen for one in ended]
 
 
 def test_whole_answers_come_on_one_connection():
     ended, connections = played(answer(), answer(500, body=b"failed"), answer(404))
-    assert [one.kind for one in ended] == [ANSWERED] * 3 and connections == 1
+    assert [one.seen for one in ended] == [Seen.ANSWERED, Seen.FAILED, Seen.ANSWERED] and connections == 1
     assert ended[1].answer.status == 500 and ended[1].answer.body == b"failed"
 
 
 @pytest.mark.parametrize(
     "script, kind",
     [
-        (answer(503, OURS + b"X-Not-Executed: 1\r\n"), NOT_RUN),
-        (answer(429, b"X-Not-Executed: 1\r\n"), NOT_RUN),
-        (answer(503), ANSWERED),  # its own word: it may have run
-        (answer(421, b"X-Instance-Id: i-2\r\n"), NOT_RUN),
-        (answer(200, OURS), BROKEN),  # no stamp: not the server's answer
-        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", BROKEN),
-        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcut", BROKEN),
-        (b"no answer at all\r\n\r\n", BROKEN),
-        ("close", BROKEN),
-        ("silence", SILENT),
+        (answer(503, OURS + b"X-Not-Executed: 1\r\n"), Seen.NOT_RUN),
+        (answer(429, OURS + b"X-Not-Executed: 1\r\n"), Seen.NOT_RUN),
+        (answer(429, b"X-Not-Executed: 1\r\n"), Seen.SILENT),  # whose? it may be a surplus one
+        (answer(429, OURS + b"X-Attempt-Id: other\r\nX-Not-Executed: 1\r\n"), Seen.SILENT),
+        (answer(503), Seen.FAILED),  # its own word: it may have run
+        (answer(421, OURS + b"X-Instance-Id: i-2\r\n"), Seen.NOT_RUN),
+        (answer(421, b"X-Instance-Id: i-2\r\n"), Seen.SILENT),
+        (answer(200, OURS), Seen.UNREADABLE),  # no stamp: not the server's answer
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", Seen.TORN),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcut", Seen.TORN),
+        (b"no answer at all\r\n\r\n", Seen.UNREADABLE),
+        ("close", Seen.CLOSED),
+        ("silence", Seen.SILENT),
     ],
 )
 def test_what_an_answer_proves(script, kind):
@@ -95,9 +97,9 @@
 def test_an_answer_to_an_older_request_is_not_ours_and_ours_is_read_behind_it():
     other = answer(head=b"X-Attempt-Id: other\r\nX-Server-Seal: o\r\n", body=b"not yours")
     ended, _ = played(other + answer(body=b"mine"))
-    assert ended[0].kind == ANSWERED and ended[0].answer.body == b"mine"
-    assert kinds((other, answer(body=b"mine")), "close", within=0.3)[0] == ANSWERED
-    assert kinds(other, within=0.2) == [SILENT]
+    assert ended[0].seen == Seen.ANSWERED and ended[0].answer.body == b"mine"
+    assert kinds((other, answer(body=b"mine")), "close", within=0.3)[0] == Seen.ANSWERED
+    assert kinds(other, within=0.2) == [Seen.SILENT]
 
 
 def test_surplus_bytes_behind_an_answer_cost_the_connection_and_nothing_else():
@@ -108,7 +110,7 @@
 
 def test_a_connection_that_says_it_closes_is_not_used_again():
     ended, connections = played(answer(head=OURS + b"X-Server-Seal: s\r\nConnection: close\r\n"), answer())
-    assert [one.kind for one in ended] == [ANSWERED, ANSWERED] and connections == 2
+    assert [one.seen for one in ended] == [Seen.ANSWERED, Seen.ANSWERED] and connections == 2
 
 
 @pytest.mark.parametrize(
@@ -117,7 +119,7 @@
 def test_a_connection_is_kept_for_less_than_its_server_says(told, connections):
     keeps = answer(head=OURS + b"X-Server-Seal: s\r\nKeep-Alive: %s\r\n" % told)
     ended, came = played(keeps, keeps)
-    assert [one.kind for one in ended] == [ANSWERED] * 2 and came == connections
+    assert [one.seen for one in ended] == [Seen.ANSWERED] * 2 and came == connections
 
 
 def test_nobody_there_is_proof_that_nothing_ran():
@@ -126,9 +128,9 @@
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         server.close()
         await server.wait_closed()
-        return await Lines(time.monotonic_ns).carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 10**9, 24)
+        return await ServerConnections(time.monotonic_ns).send(address, REQUEST, 10**9, 24)
 
-    assert asyncio.run(play()).kind == UNSENT
+    assert asyncio.run(play()).seen == Seen.UNSENT
 
 
 def test_more_requests_than_connections_are_not_sent():
@@ -141,16 +143,14 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        lines = Lines(time.monotonic_ns)
-        ended = await asyncio.gather(
-            *(lines.carry(address, b"GET", b"/", [(b"host", b"h")], b"", b"me", 200_000_000, 2) for _ in range(5))
-        )
+        connections = ServerConnections(time.monotonic_ns)
+        ended = await asyncio.gather(*(connections.send(address, REQUEST, 200_000_000, 2) for _ in range(5)))
         server.close()
         for writer in came:
             writer.close()
-        return sorted(one.kind for one in ended), len(came)
+        return sorted(one.seen.value for one in ended), len(came)
 
-    assert asyncio.run(play()) == ([BUSY] * 3 + [SILENT] * 2, 2)
+    assert asyncio.run(play()) == ([Seen.NO_ROOM.value] * 3 + [Seen.SILENT.value] * 2, 2)
 
 
 PIECES = [
@@ -181,10 +181,10 @@
     """Of 150 mixtures of an answer's parts; most end as broken."""
     data = b"".join(pieces)
     one = played(data + b"cut", within=0.5)[0][0]
-    if one.kind == ANSWERED:
+    if one.seen == Seen.ANSWERED:
         assert one.answer.fields[b"x-attempt-id"] == b"me"
         assert one.answer.status >= 300 or b"x-server-seal" in one.answer.fields
         length = one.answer.fields.get(b"content-length")
         assert length is None or len(one.answer.body) == int(length)
-    if one.kind == NOT_RUN:
+    if one.seen == Seen.NOT_RUN:
         assert b"X-Not-Executed" in data and b"HTTP/1.1" in data
