Calls to servers go out side by side; an answer is tied to its call; the hard cases by name

Cause: releases to one server went out one after the other and held renewals up; the answer of a server that was gone counted for the one that got the keys next; any 200 passed for a release's answer, an older grant's too. KeyRanges.standing_still tells ranges that have had no holder for 10 s.

--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -163,13 +163,17 @@
         await self.serving
         await self.front.answered(LAST_WORDS / 2)
 
-    async def run(self) -> int:
-        stop = asyncio.Event()
+    def watch_signals(self, stop: asyncio.Event) -> None:
+        """SIGTERM and SIGINT set `stop`, SIGHUP changes nothing, SIGUSR1 prints what this member has counted."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         loop.add_signal_handler(signal.SIGUSR1, self.tell)
+
+    async def run(self) -> int:
+        stop = asyncio.Event()
+        self.watch_signals(stop)
         self.listen()
         self.meet()
         duties = Duties("Edge", stop)
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -5,18 +5,15 @@
 """
 
 import asyncio
-import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from kestrelplank.forwarding.resend import Seen
-from kestrelplank.http.call import Answer, Connection, NoAnswer, dial
+from kestrelplank.http.call import IDLE, Answer, Connection, NoAnswer, dial
 from kestrelplank.plan.pools import DIAL, USE, Pool, Terms
 
 NS = 1_000_000_000
 DIAL_WITHIN = 0.35  # s for a connection to come up
-IDLE = 8_500_000_000  # ns for which a connection is kept unused where its server does not say how long it keeps it
-EARLIER = 1_500_000_000  # ns before the server would: who ends it first must be us, as a request may be on its way
 HOP = {
     b"connection",
     b"keep-alive",
@@ -30,7 +27,6 @@
     b"expect",
     b"content-length",
 }
-TIMEOUT = re.compile(rb"\btimeout=(\d{1,9})\b")
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +117,7 @@
                 answer = await connection.ask(request.method, request.target, request.headers, request.body)
                 while not belongs(answer, request.attempt):  # to an older request, or to none: ours is still to come
                     answer = await connection.next_answer(request.method, request.target)
-            pool.keep_for(kept_for(answer))
+            pool.keep_for(answer.kept_for())
             return Outcome(judge(answer), answer), connection.keep
         except NoAnswer as err:
             return Outcome(err.seen), False
@@ -161,12 +157,6 @@
                 del self._pools[address], self._connections[address]
 
 
-def kept_for(answer: Answer) -> int:
-    """How long (ns) we keep a connection unused on which this came: less than its server says it does."""
-    told = TIMEOUT.search(answer.fields.get(b"keep-alive", b""))
-    return max(0, int(told[1]) * NS - EARLIER) if told else IDLE
-
-
 def belongs(answer: Answer, attempt: bytes) -> bool:
     """Whether it is the answer to the request with that id."""
     return answer.only(b"x-attempt-id") == attempt
--- a/kestrelplank/http/call.py
+++ b/kestrelplank/http/call.py
@@ -1,5 +1,6 @@
 """One request on one connection, and its whole answer: for calls of our own and for those that clients make."""
 
+import re
 from typing import NamedTuple
 
 import httpcore
@@ -7,7 +8,11 @@
 from kestrelplank.forwarding.resend import Seen
 from kestrelplank.http.stream import Stream, connect
 
+NS = 1_000_000_000
 MOST_ANSWER = 16 << 20
+IDLE = 8_500_000_000  # ns for which a connection is kept unused where its server does not say how long it keeps it
+EARLIER = 1_500_000_000  # ns before the server would: who ends it first must be us, as a request may be on its way
+TIMEOUT = re.compile(rb"\btimeout=(\d{1,9})\b")
 
 
 class Answer(NamedTuple):
@@ -23,6 +28,11 @@
         found = [value for key, value in self.headers if key.lower() == name]
         return found[0] if len(found) == 1 else None
 
+    def kept_for(self) -> int:
+        """How long (ns) a connection on which this came may be kept unused: less than its server says it does."""
+        told = TIMEOUT.search(self.fields.get(b"keep-alive", b""))
+        return max(0, int(told[1]) * NS - EARLIER) if told else IDLE
+
 
 class NoAnswer(OSError):
     """A call has ended without a whole answer. `seen`: what there was of it."""
--- a/kestrelplank/sharding/lines.py
+++ b/kestrelplank/sharding/lines.py
@@ -18,11 +18,14 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from kestrelplank.forwarding.resend import Call, Ran, Seen, verdict
+
 S = 1_000_000_000
 KEYS = 65536
 HOLD = 4 * S  # what a grant is for: it outlives a decider that is lost, by much more than a claim runs
 RENEW = S
 CALL = 800_000_000  # a grant that has no answer by then is reset
+AGAIN = S // 5  # until a call that did not do it is made again
 SETTLE = 300_000_000  # after a reset, bytes that had left may still arrive
 SLOW = 102, 100  # a server's clock may measure a hold so much longer
 MARGIN = 100_000_000
@@ -30,9 +33,21 @@
 BALLOT_FENCES = 1_000_000
 LEAPS = 24  # refusals, each answered with a higher fence, before a line is given to another server
 HELD, LEAVING, FREE = "held", "leaving", "free"
+STILL = 10 * S  # without a holder for so long, a line stands still: that is worth a line of the log
+GRANTED, FENCED = 200, 409  # a server's answers
 Effect = tuple[Any, ...]
 
 
+def seen_of(call: Call, sent: bool, status: int | None, handover: str | None) -> Seen:
+    """What the end of a grant or a release shows. A release is answered with a handover: a 200 without one is not its
+    answer, but may be an older grant's."""
+    if status is None:
+        return Seen.SILENT if sent else Seen.UNSENT
+    if status == GRANTED:
+        return Seen.UNREADABLE if call is Call.RELEASE and handover is None else Seen.ANSWERED
+    return Seen.NOT_RUN if 400 <= status < 500 else Seen.FAILED
+
+
 def runs_out(arrived: int) -> int:
     """When a hold that was granted at that time at the latest has surely ended (ns)."""
     return arrived + HOLD * SLOW[0] // SLOW[1] + MARGIN
@@ -51,8 +66,10 @@
 
 class Line:
     """Keys `first` to `last` (both included). `server` may hold them, `until` at the latest; `flying`: calls that have
-    not ended. `fence` is the grant's, `handover` what it carries. LEAVING: taken from `server`, for `heir` if one is
-    known. FREE: `server` surely holds nothing. `bare_at`: since when nobody serves its keys, as far as is known."""
+    not ended; `void`: the answer of the one that is out will be that of a server that is gone, and counts for nothing.
+    `fence` is the grant's, `handover` what it carries. LEAVING: taken from `server`, for `heir` if one is known. FREE:
+    `server` surely holds nothing. `bare_at`: since when nobody serves its keys, as far as is known; `still`: that it
+    stands still has been told."""
 
     __slots__ = (
         "first",
@@ -69,6 +86,8 @@
         "laid",
         "refused",
         "bare_at",
+        "void",
+        "still",
     )
 
     def __init__(
@@ -79,7 +98,7 @@
         self.state, self.until, self.flying, self.due, self.refused = HELD, 0, 0, 0, 0
         self.heir: str | None = None
         self.bare_at: int | None = None
-        self.laid = True
+        self.laid, self.void, self.still = True, False, False
 
     def record(self) -> list[Any]:
         return [self.first, self.last, self.server, self.address, self.fence, self.handover]
@@ -137,6 +156,7 @@
 
     def _ended(self, now: int, line: Line) -> None:
         line.state, line.until, line.handover = FREE, 0, None
+        line.void = line.flying > 0
         self._bared(now, line)
 
     @staticmethod
@@ -218,27 +238,59 @@
     def called(self, now: int, word: str, line: Line, sent: bool, status: int | None, handover: str | None) -> None:
         """A call has ended now: `sent`: something of it left us; `status`: the answer's, None where none came."""
         line.flying = 0
-        if word == "grant":
-            if status == 200:
-                line.until, line.handover, line.refused = max(line.until, runs_out(now)), None, 0
-                if line.bare_at is not None and line.state == HELD:
-                    spell, line.bare_at = now - line.bare_at, None
-                    self.bare += spell * (line.last - line.first + 1)
-                    self._news.append(("bare", line, spell))
-            elif status is None and sent:
-                line.until = max(line.until, runs_out(now + SETTLE))
-                line.due = now + S // 5
-            elif status == 409:  # a higher fence was seen there: ours must be higher yet
-                line.refused += 1
-                if line.refused > LEAPS and line.state == HELD:
-                    self.leave(now, line, None)
-                else:  # by leaps: it may have seen the fences of a system whose disks are all lost
-                    self.fence += 1 if line.refused == 1 else BALLOT_FENCES << line.refused
-                    line.fence, line.laid = self.fence, False
-            else:
-                line.due = now + S // 5
-        elif status == 200 and line.state == LEAVING:
+        if line.void:
+            line.void, line.due = False, now
+            return
+        call = Call.GRANT if word == "grant" else Call.RELEASE
+        seen = seen_of(call, sent, status, handover)
+        if call is Call.GRANT:
+            self._granted(now, line, seen, status)
+        elif line.state == LEAVING:
+            self._released(now, line, seen, handover)
+
+    def _granted(self, now: int, line: Line, seen: Seen, status: int | None) -> None:
+        """A grant has ended. Where it may have arrived, the hold may run from when it can have at the latest."""
+        if seen is Seen.ANSWERED:
+            line.until, line.handover, line.refused = max(line.until, runs_out(now)), None, 0
+            self._served(now, line)
+            return
+        if verdict(Call.GRANT, seen).ran is not Ran.NO:
+            line.until = max(line.until, runs_out(now + SETTLE))
+        if status == FENCED:  # a higher fence was seen there: ours must be higher yet
+            self._fenced(now, line)
+        else:
+            line.due = now + AGAIN
+
+    def _released(self, now: int, line: Line, seen: Seen, handover: str | None) -> None:
+        """A release has ended. Only its own answer shows that the work on these keys has."""
+        if verdict(Call.RELEASE, seen).ran is Ran.YES:
             line.state, line.until, line.handover = FREE, 0, handover
             self._bared(now, line)
-        elif line.state == LEAVING:
-            line.due = now + S // 5
+        else:
+            line.due = now + AGAIN
+
+    def _served(self, now: int, line: Line) -> None:
+        """Its keys have a holder."""
+        line.still = False
+        if line.bare_at is None or line.state != HELD:
+            return
+        spell, line.bare_at = now - line.bare_at, None
+        self.bare += spell * (line.last - line.first + 1)
+        self._news.append(("bare", line, spell))
+
+    def _fenced(self, now: int, line: Line) -> None:
+        line.refused += 1
+        if line.refused > LEAPS and line.state == HELD:
+            self.leave(now, line, None)
+        else:  # by leaps: it may have seen the fences of a system whose disks are all lost
+            self.fence += 1 if line.refused == 1 else BALLOT_FENCES << line.refused
+            line.fence, line.laid = self.fence, False
+
+    def standing_still(self, now: int) -> list[Line]:
+        """Lines that have had no holder for long, each told once until it has one again."""
+        found = [
+            line for line in self.lines if not line.still and line.bare_at is not None and now - line.bare_at >= STILL
+        ]
+        for line in found:
+            line.still = True
+        return found
--- /dev/null
+++ b/tests/control/test_server_calls.py
@@ -0,0 +1,210 @@
+"""Grants and releases on the wire: each goes out once, and its end is told once. On loopback, servers are scripts."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from edge.stage import IP, ScriptedServer
+
+from kestrelplank.control.server_calls import GRANTS, RELEASES, ServerCalls
+from kestrelplank.sharding.lines import Line
+
+S = 1_000_000_000
+
+
+def answered(status=200, more=""):
+    return f"HTTP/1.1 {status} X\r\n{more}Content-Length: 0\r\n\r\n".encode()
+
+
+RELEASED = answered(more="X-Handover: h\r\n")
+
+
+class Calls:
+    """The calls to one scripted server. `ended`: how each ended, by the first key of its line."""
+
+    def __init__(self, server):
+        self.server, self.ended, self.more = server, {}, asyncio.Event()
+        self.calls = ServerCalls(self.called, f"{IP}:{server.port}")
+
+    def called(self, service, action, line, sent, status, handover):
+        assert line.first not in self.ended
+        self.ended[line.first] = (action, sent, status, handover)
+        self.more.set()
+
+    def put(self, action, first, until=None):
+        line = Line(first, first, "s", "a", 7, "old" if action == "grant" else None)
+        until = time.monotonic_ns() + 9 * S if until is None else until
+        self.calls.queue.put_nowait(("call", action, "views", "s", "a", line, until))
+        return line
+
+    async def ends(self, count):
+        while len(self.ended) < count:
+            self.more.clear()
+            await self.more.wait()
+
+
+def played(play, script):
+    async def whole():
+        server = ScriptedServer("s", script)
+        await server.start()
+        calls = Calls(server)
+        try:
+            async with asyncio.timeout(20):
+                await play(calls)
+        finally:
+            calls.calls.close()
+            await server.stop()
+
+    asyncio.run(whole())
+
+
+def asked(data):
+    """The calls in these bytes: path and body."""
+    found, left = [], data
+    while left:
+        head, _, left = left.partition(b"\r\n\r\n")
+        size = int(next(line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length"))[16:])
+        found.append((head.split()[1].decode(), json.loads(left[:size])))
+        left = left[size:]
+    return found
+
+
+def test_releases_to_one_server_go_out_side_by_side_a_bounded_number_and_hold_no_grant_up():
+    let = asyncio.Event()
+
+    async def script(server, connection):
+        while True:
+            head, _ = await connection.head()
+            await connection._read(int(_["content-length"]))
+            if "release" in head:
+                server.waiting = getattr(server, "waiting", 0) + 1
+                server.more.set()
+                await let.wait()
+                connection.write(RELEASED)
+            else:
+                connection.write(answered())
+
+    async def play(calls):
+        calls.server.more = asyncio.Event()
+        for first in range(RELEASES + 3):
+            calls.put("release", first)
+        while getattr(calls.server, "waiting", 0) < RELEASES:
+            calls.server.more.clear()
+            await calls.server.more.wait()
+        for first in range(100, 100 + 3 * GRANTS):
+            calls.put("grant", first)
+        await calls.ends(3 * GRANTS)
+        assert calls.server.waiting == RELEASES and set(calls.ended.values()) == {("grant", True, 200, None)}
+        let.set()
+        await calls.ends(RELEASES + 3 + 3 * GRANTS)
+        assert [calls.ended[first] for first in range(RELEASES + 3)] == [("release", True, 200, "h")] * (RELEASES + 3)
+        assert len(calls.server.connections) <= RELEASES + 3 + GRANTS
+
+    played(play, script)
+
+
+@pytest.mark.parametrize("ends", ["reset", "close", "half", "garbage"])
+def test_a_call_whose_connection_ends_is_sent_once_and_told_as_sent(ends):
+    async def script(server, connection):
+        await connection.request()
+        connection.write({"half": b"HTTP/1.1 20", "garbage": b"\x00\x01\r\n\r\n"}.get(ends, b""))
+        if ends == "reset":
+            connection.reset()
+
+    async def play(calls):
+        calls.put("grant", 1)
+        await calls.ends(1)
+        assert calls.ended[1] == ("grant", True, None, None)
+        assert len(calls.server.connections) == 1 and len(asked(calls.server.connections[0].received)) == 1
+
+    played(play, script)
+
+
+def test_nobody_there_is_told_as_not_sent():
+    async def play(calls):
+        calls.server.listening.close()
+        await calls.server.listening.wait_closed()
+        calls.put("grant", 1)
+        await calls.ends(1)
+        assert calls.ended[1] == ("grant", False, None, None)
+
+    async def script(server, connection):
+        pass
+
+    played(play, script)
+
+
+def test_a_grant_is_not_sent_once_the_lease_is_over():
+    """As it waited in the queue, or for its connection."""
+
+    async def script(server, connection):
+        await connection.reader.read()
+
+    async def play(calls):
+        calls.put("grant", 1, until=time.monotonic_ns())
+        await calls.ends(1)
+        assert calls.ended[1] == ("grant", False, None, None)
+        assert all(not connection.received for connection in calls.server.connections)
+
+    played(play, script)
+
+
+def test_a_second_answer_to_a_release_is_not_taken_for_the_next_ones():
+    """It comes late, just as the next release has been sent: that one goes out on another connection."""
+    sent = asyncio.Event()
+
+    async def script(server, connection):
+        _, body = await connection.request()
+        if json.loads(body)["source"] == 1:
+            connection.write(RELEASED)
+            await sent.wait()
+            connection.write(RELEASED)  # again
+            await connection.reader.read()
+        sent.set()
+        await asyncio.Event().wait()  # work still runs on these keys
+
+    async def play(calls):
+        calls.put("release", 1)
+        await calls.ends(1)
+        calls.put("release", 2)
+        await sent.wait()
+        calls.put("grant", 3)
+        await asyncio.sleep(0)
+        assert 2 not in calls.ended and len(calls.server.connections) == 2
+
+    played(play, script)
+
+
+def test_an_answer_with_anything_behind_it_costs_the_connection():
+    async def script(server, connection):
+        while True:
+            await connection.request()
+            connection.write(answered() + answered(409))
+
+    async def play(calls):
+        for first in (1, 2):
+            calls.put("grant", first)
+            await calls.ends(first)
+        assert [calls.ended[first][2] for first in (1, 2)] == [200, 200] and len(calls.server.connections) == 2
+
+    played(play, script)
+
+
+def test_what_a_grant_says_and_that_renewals_share_a_connection():
+    async def script(server, connection):
+        while True:
+            await connection.request()
+            connection.write(answered(more="Keep-Alive: timeout=10\r\n"))
+
+    async def play(calls):
+        for first in (1, 2):
+            calls.put("grant", first)
+            await calls.ends(first)
+        assert len(calls.server.connections) == 1
+        wanted = {"target_version": 1, "fence": 7, "hold_s": 4.0, "handover": "old"}
+        assert asked(calls.server.connections[0].received) == [
+            ("/api/grant", {"source": first, **wanted, "target_version": first}) for first in (1, 2)
+        ]
+
+    played(play, script)
--- /dev/null
+++ b/tests/edge/stage.py
@@ -0,0 +1,230 @@
+"""A stage for tests of whole requests: the edge program on loopback, servers whose every byte is scripted and counted,
+and clients that send bytes. What the program knows of servers and configuration is put there directly."""
+
+import asyncio
+import socket
+import time
+from contextlib import asynccontextmanager
+
+from configuration.test_plan import encoded, route
+
+from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
+from kestrelplank.configuration.plan import read
+from kestrelplank.edge.program import EdgeProgram
+from kestrelplank.http.stream import resetting
+from kestrelplank.lab.yard import free_port
+from kestrelplank.transport.roster import Entry
+
+IP = "127.0.0.1"
+PATIENCE = 20  # s after which a test that hangs fails
+LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 8 << 20, "header_timeout_s": 3, "idle_timeout_s": 15}
+HOSTS = [
+    {
+        "host_name": "shop.example",
+        "host_routes": [
+            route("/safe/", "idempotent", "views"),
+            route("/once/", "non_idempotent", "views"),
+            route("/up/", "upload", "views"),
+        ],
+    }
+]
+SERVICES = [{"name": "views", "max_connections": 110}]
+
+
+class ServerConnection:
+    """One connection at a scripted server. `received`: all bytes that came."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer, self.received = reader, writer, b""
+
+    async def _read(self, size):
+        data = await self.reader.readexactly(size)
+        self.received += data
+        return data
+
+    async def head(self):
+        """The next request's head, and its fields by lower-case name."""
+        data = await self.reader.readuntil(b"\r\n\r\n")
+        self.received += data
+        lines = data.decode("latin-1").split("\r\n")
+        return lines[0], dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+
+    async def request(self):
+        """The next request whole: its fields and its body."""
+        _, fields = await self.head()
+        return fields, await self._read(int(fields.get("content-length", "0")))
+
+    def write(self, data):
+        self.writer.write(data)
+
+    def reset(self):
+        resetting(self.writer.get_extra_info("socket"))
+        self.writer.transport.abort()
+
+    def close(self):
+        self.writer.close()
+
+
+class ScriptedServer:
+    """A server of the stage: `script(server, connection)` plays each connection, and the connection is then closed."""
+
+    def __init__(self, name, script):
+        self.name, self.script, self.connections, self.tasks = name, script, [], []
+        self.port = 0
+
+    async def start(self, port=0):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)  # who does not read holds the writer up
+        sock.bind((IP, port))
+        self.listening = await asyncio.start_server(self._serve, sock=sock)
+        self.port = sock.getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        connection = ServerConnection(reader, writer)
+        self.connections.append(connection)
+        self.tasks.append(asyncio.current_task())
+        try:
+            await self.script(self, connection)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def sent(self):
+        """All requests' first lines that have come, one for each time that any byte of one was sent."""
+        lines = b"".join(connection.received for connection in self.connections).split(b"\r\n")
+        return [line for line in lines if line.endswith(b"HTTP/1.1")]
+
+    async def stop(self):
+        self.listening.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def answer(fields, body=b"whole", status=200, more=""):
+    """A server's whole answer to the request with these fields."""
+    head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {fields['x-attempt-id']}\r\nX-Server-Seal: s\r\n{more}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def serving(server, connection):
+    """The script of a sound server."""
+    while True:
+        fields, _ = await connection.request()
+        connection.write(answer(fields))
+
+
+class Stage:
+    """The edge program among scripted servers."""
+
+    def __init__(self, program, port, servers):
+        self.program, self.port, self.servers = program, port, servers
+        self.opened = []
+
+    def configure(self, version="00000007", **changes):
+        """A configuration comes into force."""
+        given = {"limits": LIMITS, "virtual_hosts": HOSTS, "service_table": SERVICES, **changes}
+        found = read(encoded(version=version, **given)).unwrap()
+        self.program.outlook.timetable = found
+        self.program.set_limits(found)
+
+    def listed(self, *servers):
+        """The platform's list of the servers of `views`."""
+        entries = [Entry(one.name, "views", f"{IP}:{one.port}", "hall", 4, "ready", 0) for one in servers]
+        now = time.monotonic_ns()
+        self.program.forwarder.endpoints.listed(now, now, entries)
+        self.program.requests.wake()
+
+    async def client(self):
+        client = Client(*await asyncio.open_connection(IP, self.port))
+        self.opened.append(client)
+        return client
+
+    async def ask(self, *given, **named):
+        """One request on a connection of its own, and its answer."""
+        client = await self.client()
+        client.send(*given, **named)
+        return await client.answer()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    def send(self, path="/safe/x", body=b"", attempt="me", within=2000, method="POST", *more):
+        self.writer.write(request_head(path, len(body), attempt, within, method, *more) + body)
+
+    async def answer(self):
+        """The next answer: status, fields, body; None where the connection has ended."""
+        try:
+            text = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        fields = dict(line.lower().split(": ", 1) for line in text.split("\r\n")[1:] if line)
+        return int(text.split()[1]), fields, await self.reader.readexactly(int(fields["content-length"]))
+
+    async def ended(self):
+        """Whether nothing more comes and the connection ends."""
+        try:
+            return await self.reader.read() == b""
+        except ConnectionError:
+            return True
+
+    def close(self):
+        self.writer.close()
+
+
+def request_head(path, size, attempt="me", within=2000, method="POST", *more):
+    fields = ["Host: shop.example", f"X-Attempt-Id: {attempt}", f"X-Deadline-Remaining: {within}", *more]
+    if size is not None:
+        fields.append(f"Content-Length: {size}")
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *fields, "", ""]).encode()
+
+
+@asynccontextmanager
+async def staged(*scripts, configured=True):
+    """A stage with a server of `views` for each script."""
+    servers = [ScriptedServer(f"views-{number}", script) for number, script in enumerate(scripts)]
+    for server in servers:
+        await server.start()
+    ports = [free_port([IP]) for _ in range(4)]
+    listens = {"frontend": f"{IP}:{ports[0]}", "readiness": f"{IP}:{ports[1]}"}
+    program = EdgeProgram(
+        Settings(
+            Local("edge-1", IP, "hall"),
+            Network([ports[2]], [f"{IP}:{ports[3]}"], listens),
+            CloudApi(f"{IP}:9"),
+            Bounds(),
+        )
+    )
+    program.listen()
+    while not program.front.started:
+        await asyncio.sleep(0)
+    stage = Stage(program, ports[0], servers)
+    if configured:
+        stage.configure()
+        stage.listed(*servers)
+    try:
+        yield stage
+    finally:
+        for client in stage.opened:
+            client.close()
+        program.connections.tidy(set())
+        program.front.should_exit = True
+        await program.serving
+        for server in servers:
+            await server.stop()
+
+
+def played(play, *scripts, **named):
+    """Runs `play(stage)` on a stage of its own, and fails if it hangs."""
+
+    async def whole():
+        async with asyncio.timeout(PATIENCE), staged(*scripts, **named) as stage:
+            return await play(stage)
+
+    return asyncio.run(whole())
--- a/tests/sharding/test_ranges.py
+++ b/tests/sharding/test_ranges.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kestrelplank.sharding.lines import FREE, HELD, HOLD, KEYS, LEAVING, KeyRanges, Server, runs_out
+from kestrelplank.sharding.lines import FREE, HELD, HOLD, KEYS, LEAVING, SETTLE, KeyRanges, Server, runs_out
 from kestrelplank.sharding.placing import Placing
 
 S = 1_000_000_000
@@ -106,3 +106,65 @@
     Placing(NOW, 1, lines, S).turn(NOW)
     names = [line.server for line in lines.lines]
     assert names.count("s") == 8 and names.count("t") == 16 and "s s" not in " ".join(names)
+
+
+def test_the_answer_of_a_server_that_is_gone_counts_for_nothing():
+    """Guards against a grant that is out when another life stands at the address: its answer would have been taken for
+    that of the server that gets the keys next."""
+    lines = interlocking(pieces=1)
+    line = lines.lines[0]
+    lines.give(line, lines.servers["s"])
+    effects = lines.tick(NOW)
+    lines.laid(NOW)
+    assert [effect[0] for effect in effects + lines.tick(NOW)] == ["lay", "grant"]
+    lines.listed(NOW, [server("u", address="s:80"), server("t")])
+    assert line.state == FREE
+    lines.give(line, lines.servers["t"])
+    lines.tick(NOW)
+    lines.laid(NOW)
+    assert not [effect for effect in lines.tick(NOW) if effect[0] == "grant"]  # one call at a time
+    lines.called(NOW + S, "grant", line, True, 200, None)
+    assert line.until == 0 and line.bare_at == NOW
+    assert [effect[1] for effect in lines.tick(NOW + S) if effect[0] == "grant"] == ["t"]
+    lines.called(NOW + S, "grant", line, True, 200, None)
+    assert line.until == runs_out(NOW + S) and line.bare_at is None
+
+
+@pytest.mark.parametrize("status, handover", [(200, None), (500, "h"), (409, "h"), (None, None)])
+def test_only_its_own_answer_ends_a_release(status, handover):
+    """Every release is answered with a handover: a 200 without one is an older grant's, come late."""
+    lines = interlocking(pieces=1)
+    line = lines.lines[0]
+    lines.give(line, lines.servers["s"])
+    settle(lines, NOW)
+    lines.leave(NOW, line, "t")
+    assert [effect[0] for effect in lines.tick(NOW)] == ["leaving", "release"]
+    lines.called(NOW + S, "release", line, True, status, handover)
+    assert line.state == LEAVING and line.due > NOW
+    assert [effect[0] for effect in lines.tick(line.due)] == ["release"]
+    lines.called(line.due, "release", line, True, 200, "h")
+    assert line.state == FREE and line.handover == "h"
+
+
+@pytest.mark.parametrize(
+    "sent, status, may_hold", [(True, None, True), (True, 500, True), (False, None, False), (True, 421, False)]
+)
+def test_a_grant_that_may_have_arrived_may_hold_the_keys(sent, status, may_hold):
+    lines = interlocking(pieces=1)
+    line = lines.lines[0]
+    lines.give(line, lines.servers["s"])
+    lines.tick(NOW)
+    lines.laid(NOW)
+    lines.tick(NOW)
+    lines.called(NOW, "grant", line, sent, status, None)
+    assert line.until == (runs_out(NOW + SETTLE) if may_hold else 0)
+
+
+def test_a_line_that_stands_still_is_told_once():
+    lines = interlocking(pieces=1)
+    line = lines.lines[0]
+    lines.give(line, lines.servers["s"])
+    settle(lines, NOW)
+    lines.listed(NOW, [server("t")])  # it is gone, and may hold its keys yet
+    assert lines.standing_still(NOW + 9 * S) == []
+    assert lines.standing_still(NOW + 11 * S) == [line] and lines.standing_still(NOW + 12 * S) == []
--- a/tests/transport/test_sessions.py
+++ b/tests/transport/test_sessions.py
@@ -44,3 +44,15 @@
 
 def test_what_never_said_who_it_is_ends_unseen():
     assert Sessions().ended(End()) is None
+
+
+def test_member_reconnects_while_frames_of_the_old_connection_are_still_read():
+    """Whatever the order in which both are read: once the new one has spoken, the old one never does again, and its end
+    ends nothing."""
+    sessions, old, new = Sessions(), End(), End()
+    counted = []
+    for now, wire in enumerate([old, old, new, old, new, old, new]):
+        if sessions.heard(now, wire, "a") is not None:
+            counted.append(wire)
+    assert counted == [old, old, new, new, new] and old.resets == 1 and new.resets == 0
+    assert sessions.ended(old) is None and sessions.by_name["a"].wire is new
