--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -18,7 +18,9 @@
 
 from kestrelplank.config import lean  # noqa: F401
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
+from kestrelplank.consensus.messages import ServerListNews
 from kestrelplank.http.serve import listener
+from kestrelplank.transport.messages import ConfigurationNews
 
 IP, CLIENTS = "127.0.0.1", 8
 BESIDE, OTHERS = 34, 179  # servers of the service that is asked, and the other services
@@ -89,8 +91,8 @@
     )
     found.listen()
     wire = type("FrameConnection", (), {"peer": "m"})()
-    found.on_frame(wire, {"t": "word", "key": (7, ""), "text": CONFIGURATION})
-    found.on_frame(wire, {"t": "roster", "age": 0, "list": listed(servers, behind)})
+    found.on_message(wire, ConfigurationNews(7, CONFIGURATION))
+    found.on_message(wire, ServerListNews(0, listed(servers, behind)))
     await asyncio.sleep(1)
     profiler, spent = cProfile.Profile(), time.process_time()
     if profile:
--- a/benchmarks/endpoints.py
+++ b/benchmarks/endpoints.py
@@ -8,9 +8,22 @@
 from server_list import entries
 from slopes import held, number, spent, table
 
-from kestrelplank.forwarding.passage import ANSWERED, Forwarder
+from kestrelplank.consensus.messages import ServerListNews
+from kestrelplank.forwarding.forwarder import Forwarder
+from kestrelplank.forwarding.resend import Seen
+from kestrelplank.forwarding.steps import Send
 from kestrelplank.sharding.lines import KEYS
-from kestrelplank.transport.outlook import EdgeView
+from kestrelplank.transport.edge_view import EdgeView
+from kestrelplank.transport.messages import (
+    ConfigurationNews,
+    LinesChanged,
+    LinesNews,
+    LoadReport,
+    RangeHolder,
+    RecordPlace,
+    decode_at_edge,
+    encode,
+)
 from kestrelplank.transport.wire import packed
 
 S, MS = 1_000_000_000, 1_000_000
@@ -46,13 +59,11 @@
         self.services = sorted({one[1] for one in listed})
         self.view = EdgeView("edge-1", MEMBERS)
         self.forwarder = Forwarder(self.random, self.view, "zone-0", 0.2, 144)
-        self.view.frame(
-            self.now, MEMBERS[0], {"t": "word", "key": (7, ""), "text": configuration(self.services, sharded)}
-        )
-        self.view.frame(self.now, MEMBERS[0], {"t": "roster", "age": 0, "list": listed})
-        self.forwarder.stands.listed(self.now, self.now, self.view.roster.entries.values())
+        self.view.receive(self.now, MEMBERS[0], ConfigurationNews(7, configuration(self.services, sharded)))
+        self.view.receive(self.now, MEMBERS[0], ServerListNews(0, listed))
+        self.forwarder.endpoints.listed(self.now, self.now, self.view.roster.entries.values())
         for name in self.services if sharded else ():
-            self.view.frame(self.now, MEMBERS[0], ranges(name, [one for one in listed if one[1] == name], 1))
+            self.view.receive(self.now, MEMBERS[0], ranges(name, [one for one in listed if one[1] == name], 1))
 
     def requests(self) -> None:
         """Requests one after the other, each answered at once, and told of every so often."""
@@ -61,29 +72,36 @@
             service = self.random.choice(self.services)
             key = str(self.random.randrange(KEYS))
             found, step = self.forwarder.begin(self.now, "shop.example", f"/{service}/x", key, S)
-            assert step[0] == "send", step
-            self.forwarder.ended(self.now + 100 * MS, found, ANSWERED, 200, (1, 0, 2))
+            assert isinstance(step, Send), step
+            self.forwarder.ended(self.now + 100 * MS, found, Seen.ANSWERED, (1, 0, 2))
 
     def report(self) -> bytes:
         """What it tells in half a second, as it goes over the wire."""
         for _ in range(PER_S * REPORT // S):
             service = self.random.choice(self.services)
             found, _ = self.forwarder.begin(self.now, "shop.example", f"/{service}/x", "4711", S)
-            self.forwarder.ended(self.now + 100 * MS, found, ANSWERED, 200, (1, 0, 2))
+            self.forwarder.ended(self.now + 100 * MS, found, Seen.ANSWERED, (1, 0, 2))
         found = self.forwarder.report().items()
         return b"".join(
-            packed({"t": "report", "service": name, **one}) for name, one in found if one["keys"] or one["servers"]
+            packed(LoadReport(name, one["keys"], one["servers"]))
+            for name, one in found
+            if one["keys"] or one["servers"]
         )
 
 
-def ranges(service: str, listed: list[tuple], seq: int) -> dict:
+def ranges(service: str, listed: list[tuple], seq: int) -> LinesNews:
     """All key ranges of a service, each server having some."""
     count = RANGES * len(listed)
     lines = [
-        (KEYS * at // count, KEYS * (at + 1) // count - 1, listed[at % len(listed)][0], listed[at % len(listed)][2])
+        RangeHolder(
+            KEYS * at // count,
+            KEYS * (at + 1) // count - 1,
+            listed[at % len(listed)][0],
+            listed[at % len(listed)][2],
+        )
         for at in range(count)
     ]
-    return {"t": "lines", "service": service, "at": ((1, "m"), seq), "lines": lines}
+    return LinesNews(service, RecordPlace(1, seq), lines)
 
 
 def figures(count: int, services: int) -> dict[str, float]:
@@ -94,21 +112,21 @@
         ranges(name, [one for one in keyed.view.roster.entries.values() if one.service == name], 2)
         for name in keyed.services
     ]
-    whole = [msgspec.msgpack.decode(msgspec.msgpack.encode(frame)) for frame in whole]
+    whole = [decode_at_edge(encode(news)) for news in whole]
     seq = 2
 
     def told_whole() -> None:
         nonlocal seq
         seq += 1
-        for frame in whole:
-            keyed.view.frame(keyed.now, MEMBERS[0], {**frame, "at": [[1, "m"], seq]})
+        for news in whole:
+            keyed.view.receive(keyed.now, MEMBERS[0], msgspec.structs.replace(news, place=RecordPlace(1, seq)))
 
     def told_one() -> None:
         nonlocal seq
         seq += 1
-        frame, at = whole[0], keyed.view.holders[keyed.services[0]].at
-        changed = {**frame, "t": "changed", "since": at, "at": [[1, "m"], seq], "lines": frame["lines"][3:4]}
-        keyed.view.frame(keyed.now, MEMBERS[0], changed)
+        news, since = whole[0], keyed.view.holders[keyed.services[0]].place
+        changed = LinesChanged(news.service, since, RecordPlace(1, seq), news.lines[3:4])
+        keyed.view.receive(keyed.now, MEMBERS[0], changed)
 
     return {
         "request, us": 1000 * spent(plain.requests) / REQUESTS,
@@ -118,7 +136,7 @@
         "half a second and its report, ms": spent(keyed.report),
         "reports, KB/s": 2 * len(keyed.report()) / 1000,
         "a beat, KB": len(packed(keyed.view.stand())) / 1000,
-        "ranges, KB": sum(len(packed(frame)) for frame in whole) / 1000,
+        "ranges, KB": sum(len(packed(news)) for news in whole) / 1000,
         "kept, KB": plain_kept,
         "kept with ranges, KB": keyed_kept,
     }
--- a/benchmarks/key_ranges.py
+++ b/benchmarks/key_ranges.py
@@ -11,9 +11,12 @@
 import msgspec
 from slopes import held, number, spent, table
 
+from kestrelplank.consensus.messages import PutRecord
+from kestrelplank.control.deciding import Record, holders
 from kestrelplank.sharding.lines import HELD, KEYS, KeyRanges
 from kestrelplank.sharding.lines import Server as Listed
 from kestrelplank.sharding.placing import Placing
+from kestrelplank.transport.messages import LinesNews, RecordPlace
 from kestrelplank.transport.wire import packed
 
 SIZES = (23, 230, 2300)
@@ -77,10 +80,10 @@
         renewed = time.process_time()
         for effect in effects:
             if effect[0] == "lay":
-                record = [effect[1], self.placing.learnt()]
-                frame = packed({"t": "record", "service": "views", "record": record})
+                record = Record(1, self.records, effect[1], self.placing.learnt())
+                command = PutRecord("views", msgspec.msgpack.encode(record))
                 self.records += 1
-                self.record_bytes += len(frame)
+                self.record_bytes += len(packed(command))
                 self.ranges.laid(self.now)
         self.spent["pass"] += passed - began
         self.spent["renewals"] += renewed - passed
@@ -116,9 +119,9 @@
     }
 
 
-def whole(service: Service) -> dict:
-    """All ranges of a service as an edge member is told them that missed a change."""
-    return {"t": "lines", "service": "views", "at": ((1, ""), 1), "lines": [r[:4] for r in service.ranges.record()]}
+def whole(service: Service) -> LinesNews:
+    """All ranges of a service as an edge machine is told them that missed a change."""
+    return LinesNews("views", RecordPlace(1, 1), holders(service.ranges.record()))
 
 
 def main() -> None:
--- a/benchmarks/server_list.py
+++ b/benchmarks/server_list.py
@@ -5,8 +5,9 @@
 import msgspec
 from slopes import held, spent, table
 
-from kestrelplank.forwarding.stands import Endpoints
-from kestrelplank.transport.roster import READY, Entry, ServerList
+from kestrelplank.forwarding.endpoints import Endpoints
+from kestrelplank.transport.messages import decode_at_edge
+from kestrelplank.transport.server_list import READY, Entry, ServerList
 from kestrelplank.transport.wire import packed, unpacked
 
 SIZES = (100, 1000, 6200)
@@ -50,7 +51,7 @@
         servers.take(now, 0, listed)
 
     page = msgspec.json.encode([Entry(*one)._asdict() for one in listed])
-    frame = packed(servers.frame(now))
+    frame = packed(servers.news(now))
     body, compressed = frame[4:], bool(int.from_bytes(frame[:4]) >> 31)
     endpoints = Endpoints(Random(1), "zone-0")
     endpoints.listed(now, now, servers.entries.values())
@@ -59,10 +60,10 @@
         "read from JSON, ms": spent(lambda: msgspec.json.decode(page)),
         "taken, the same, ms": spent(same),
         "taken, one changed, ms": spent(other),
-        "packed, ms": spent(lambda: packed(servers.frame(now))),
-        "read, ms": spent(lambda: unpacked(body, compressed)),
+        "packed, ms": spent(lambda: packed(servers.news(now))),
+        "read, ms": spent(lambda: decode_at_edge(unpacked(body, compressed))),
         "endpoints, ms": spent(lambda: endpoints.listed(now, now, servers.entries.values())),
-        "plain, KB": len(msgspec.msgpack.encode(servers.frame(now))) / 1000,
+        "plain, KB": len(msgspec.msgpack.encode(servers.news(now))) / 1000,
         "on the wire, KB": len(frame) / 1000,
         "kept, KB": kept,
         "kept as endpoints, KB": held(lambda: endpoints_of(now, servers))[1],
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -1,15 +1,22 @@
-"""What sessions cost a control member, by hand: beats, reports and lines of so many edge members, without sockets: each
-frame is packed, unpacked and answered as the program does it. `python benchmarks/sessions.py`."""
+"""What sessions cost a control member, by hand: beats, reports and lines of so many edge machines, without sockets.
+Each message is packed, unpacked and answered as the program does it: `PYTHONPATH=.:tests python` runs this file."""
 
 import time
 from random import Random
 
+from storage.memory import MemoryLog
+
 from kestrelplank.configuration.plan import read
-from kestrelplank.control.box import Box
+from kestrelplank.consensus.effects import Persist
+from kestrelplank.control.effects import CallServer
+from kestrelplank.control.member import Place
+from kestrelplank.control.start import started
 from kestrelplank.sharding.lines import KEYS
-from kestrelplank.transport.outlook import EdgeView
+from kestrelplank.transport.edge_view import EdgeView
+from kestrelplank.transport.messages import LoadReport, decode_at_edge, decode_at_member
+from kestrelplank.transport.server_list import Entry
 from kestrelplank.transport.sessions import Sessions
-from kestrelplank.transport.wire import packed, unpacked
+from kestrelplank.transport.wire import COMPRESSED, packed, unpacked
 
 S = 1_000_000_000
 ME, PER_S, SECONDS = "10.0.0.1:80", 125, 10
@@ -24,58 +31,70 @@
         pass
 
 
-def settled(box, now, effects):
+def settled(member, disk, now, effects):
     """The member alone: what it would write lasts at once, what it would call answers."""
     for effect in effects:
-        if effect[0] == "disk":
-            for then in effect[3]:
-                settled(box, now, box.stored(now, then[1]) if then[0] == "stored" else box.frame(now, ME, then[2]))
-        elif effect[0] == "call":
-            settled(box, now, box.called(now, effect[2], effect[1], effect[5], True, 200, "h"))
+        if isinstance(effect, Persist):
+            disk.write([effect])
+            settled(member, disk, now, member.persisted(now, effect.number))
+        elif isinstance(effect, CallServer):
+            done = member.called(now, effect.service, effect.action, effect.line, True, 200, "h")
+            settled(member, disk, now, done)
 
 
-def over(frame, tally):
-    data = packed(frame)
+def over(message, decode, tally):
+    """The message as it comes out at the other end; `tally`: bytes so far."""
+    data = packed(message)
     tally[0] += 66 + len(data)  # and the packet round it
     head = int.from_bytes(data[:4])
-    return unpacked(data[4:], bool(head >> 31))
+    return decode(unpacked(data[4:], bool(head & COMPRESSED)))
 
 
-def play(edges, servers=23):
-    """Milliseconds of processor and bytes, in and out, a second."""
-    random, now = Random(1), 100 * S
-    box = Box(now, random, ME, (ME,), True, True, None, {})
-    box.listed(
-        now, 0, [(f"i-{number}", "views", f"10.1.0.{number}:80", "z", 2, "ready", 0) for number in range(servers)]
-    )
-    settled(box, now, box.put(now, 1, read(TEXT).unwrap()))
+def alone(now, random, servers):
+    """A member that leads alone, with so many servers, and its disk."""
+    disk = MemoryLog()
+    member = started(now, random, ME, Place("z", True, (ME,), 0, 6 * S), disk, True)
+    for _ in range(20):
+        now += S // 20
+        settled(member, disk, now, member.tick(now))
+    entries = [Entry(f"i-{number}", "views", f"10.1.0.{number}:80", "z", 2, "ready", 0) for number in range(servers)]
+    settled(member, disk, now, member.fetched(now, entries))
+    settled(member, disk, now, member.put(now, 1, read(TEXT).unwrap()))
     for _ in range(80):
         now += S // 20
-        settled(box, now, box.tick(now))
-    sessions, outlooks, ends = Sessions(), [EdgeView(f"edge-{number}", (ME,)) for number in range(edges)], {}
+        settled(member, disk, now, member.tick(now))
+    return member, disk, now
+
+
+def play(edges, servers=23):
+    """Milliseconds of processor and bytes, in and out, a second."""
+    random = Random(1)
+    member, disk, now = alone(100 * S, random, servers)
+    sessions, views, ends = Sessions(), [EdgeView(f"edge-{number}", (ME,)) for number in range(edges)], {}
     into, out, spent = [0], [0], 0.0
     for step in range(20 * SECONDS):
         now += S // 20
-        for number, outlook in enumerate(outlooks):
+        for number, view in enumerate(views):
             if not (step + number) * S // 20 % BEAT:
-                frame = over(outlook.stand(), into)
+                beat = over(view.stand(), decode_at_member, into)
                 began = time.process_time()
-                session = sessions.heard(now, ends.setdefault(number, End()), frame["edge"])
-                session.said = frame["key"] and frame["key"][0]
-                answers = [over(answer, out) for answer in [box.beat_frame(edges), *box.lacking(now, frame)]]
+                session = sessions.heard(now, ends.setdefault(number, End()), beat.edge)
+                session.said = beat.version
+                answers = [over(answer, decode_at_edge, out) for answer in member.edge_beat(now, beat, edges)]
                 spent += time.process_time() - began
                 for answer in answers:
-                    outlook.frame(now, ME, answer)
+                    view.receive(now, ME, answer)
             if not (step + number) * S // 20 % REPORT:
                 keys = [random.randrange(KEYS) for _ in range(round(PER_S * REPORT / S / edges + random.random()))]
-                servers_met = {f"i-{random.randrange(servers)}": (1, 0, 1.0, 1) for _ in keys}
-                frame = over({"t": "report", "service": "views", "keys": keys, "servers": servers_met}, into)
+                servers_met = {f"i-{random.randrange(servers)}": (1, 0, 1.0, 1, 0.0, 0) for _ in keys}
+                report = over(LoadReport("views", keys, servers_met), decode_at_member, into)
                 began = time.process_time()
-                box.report(now, frame)
+                member.load_report(now, report)
                 spent += time.process_time() - began
         began = time.process_time()
-        settled(box, now, box.tick(now))
+        settled(member, disk, now, member.tick(now))
         spent += time.process_time() - began
+    assert all(view.ready() for view in views)
     return 1000 * spent / SECONDS, into[0] / SECONDS, out[0] / SECONDS
 
 
--- a/kestrelplank/config/platform.py
+++ b/kestrelplank/config/platform.py
@@ -33,6 +33,7 @@
     ip_address: str
     zone: str
     initial_boot: bool = False
+    quorum_member: bool = True
     data_directory: str | None = None
     limits: Limits = field(default_factory=Limits)
 
@@ -60,6 +61,14 @@
     retry_allowance: int | float = 30
 
 
+@deserialize(type_check=disabled)
+@dataclass
+class FaultTolerance:
+    """How many of the machines whose loss counts may be lost at once."""
+
+    machine_losses: int = 1
+
+
 class Settings(NamedTuple):
     """One process's settings, as the platform wrote them; each part is a table of the file."""
 
@@ -67,6 +76,7 @@
     network: Network
     cloud: CloudApi
     bounds: Bounds
+    fault_tolerance: FaultTolerance = FaultTolerance()
 
     def listen(self, name: str) -> tuple[str, int]:
         """Where this process listens for what it serves; Unusable where the file does not say."""
@@ -85,6 +95,7 @@
     ("network", Network),
     ("platform.cloud_api", CloudApi),
     ("policy_terms.bounds", Bounds),
+    ("policy_terms.fault_tolerance", FaultTolerance),
 )
 
 
--- a/kestrelplank/control/calls.py
+++ b/kestrelplank/control/calls.py
@@ -1,17 +1,27 @@
 """Calls of the operator: one handler object for each resource."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgspec
 
 from kestrelplank.configuration.plan import Configuration, read
+from kestrelplank.control.status import MemberStatus
 from kestrelplank.forwarding.errors import ANSWERS, Fault
 
-MOST_BODY = 64 << 20
+MOST_BODY = 8 << 20  # a configuration goes to the other members in one message
 Result = tuple[int, bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """What a read found. `known`: `text` is the newest configuration that was acknowledged, None if there is none."""
+
+    known: bool
+    text: bytes | None
+
+
 def refusal(fault: Fault, why: str) -> Result:
     """The answer for a call that failed."""
     return ANSWERS[fault].status, msgspec.json.encode({"error": fault.value, "why": why})
@@ -22,9 +32,9 @@
 
     async def put(self, timetable: Configuration) -> bool: ...
 
-    async def show(self) -> tuple[bool, Configuration | None]: ...
+    async def show(self) -> Shown: ...
 
-    def status(self) -> dict[str, Any]: ...
+    def status(self) -> MemberStatus: ...
 
 
 class Replace:
@@ -48,12 +58,12 @@
     method, path = "GET", "/api/configuration/show"
 
     async def answer(self, member: Member, body: bytes) -> Result:
-        known, timetable = await member.show()
-        if not known:
-            return refusal(Fault.NO_MAJORITY, "not enough members say what they have")
-        if timetable is None:
+        shown = await member.show()
+        if not shown.known:
+            return refusal(Fault.NO_MAJORITY, "no member that is in touch with a majority answered")
+        if shown.text is None:
             return refusal(Fault.NO_RESOURCE, "no configuration has come yet")
-        return 200, timetable.text
+        return 200, shown.text
 
 
 class Status:
--- /dev/null
+++ b/kestrelplank/control/effects.py
@@ -0,0 +1,83 @@
+"""What a control member wants done. An adapter carries effects out in order."""
+
+from dataclasses import dataclass
+
+from kestrelplank.consensus.effects import Persist
+from kestrelplank.consensus.messages import Message
+from kestrelplank.sharding.lines import Line
+from kestrelplank.transport.messages import ToEdge
+
+GRANT, RELEASE = "grant", "release"
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send `message` to the member of that identity; lost where no session stands."""
+
+    to: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class SendToAddress:
+    """Send `message` to whoever serves control at that address; lost where no session stands."""
+
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class PushToEdges:
+    """Send `message` to every edge machine in session."""
+
+    message: ToEdge
+
+
+@dataclass(frozen=True, slots=True)
+class CallServer:
+    """Call `server` at `address`: GRANT or RELEASE the keys of `line`; then `ControlMember.called`. A grant is not sent
+    any more at `until` (ns), when this member's lease runs out."""
+
+    action: str
+    service: str
+    server: str
+    address: str
+    line: Line
+    until: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOrder:
+    """The operator's order `ticket` is `acknowledged`; or nothing is known of it, and it may be sent again."""
+
+    ticket: int
+    acknowledged: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerRead:
+    """The operator's read `ticket`. `known`: `text` is the newest configuration acknowledged (None: there is none)."""
+
+    ticket: int
+    known: bool
+    text: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeepCopy:
+    """Keep a readable copy of the configuration in force beside the log; nothing waits for it."""
+
+    version: int
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """A line in the log."""
+
+    text: str
+
+
+Effect = (
+    SendMessage | SendToAddress | PushToEdges | CallServer | AnswerOrder | AnswerRead | KeepCopy | LogLine | Persist
+)
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -1,4 +1,4 @@
-"""The edge program on sockets, round `forwarding` and `transport.outlook`: it translates and sends, no more."""
+"""The edge program on sockets, round `forwarding` and `transport.edge_view`: it translates and sends, no more."""
 
 import asyncio
 import logging
@@ -13,8 +13,9 @@
 from kestrelplank.forwarding.forwarder import Forwarder
 from kestrelplank.http.serve import Duties, listener
 from kestrelplank.http.serve import server as http_server
-from kestrelplank.transport.outlook import SILENT, EdgeView
-from kestrelplank.transport.wire import Frame, FrameConnection
+from kestrelplank.transport.edge_view import SILENT, Change, EdgeView
+from kestrelplank.transport.messages import LoadReport, ToEdge, decode_at_edge
+from kestrelplank.transport.wire import FrameConnection
 
 S = 1_000_000_000
 DIAL = 0.6  # s for a session to come up
@@ -79,29 +80,37 @@
 
     # Sessions.
 
-    def on_frame(self, wire: FrameConnection, frame: Frame) -> None:
+    def on_message(self, wire: FrameConnection, message: ToEdge) -> None:
+        """A message of the member at the address `wire.peer`."""
         now = time.monotonic_ns()
         self.heard[wire] = now
-        what = self.outlook.frame(now, wire.peer, frame)
-        if what is None:
+        change = self.outlook.receive(now, wire.peer, message)
+        if change is None:
             return
-        if what == "word":
+        if change is Change.CONFIGURATION:
             timetable = self.outlook.timetable
             self.set_limits(timetable)
             log.info("Edge: configuration %08x", timetable.key.version)
-        elif what == "roster":
+        elif change is Change.SERVERS:
             self.forwarder.endpoints.listed(now, self.outlook.roster.fetched_at, self.outlook.roster.entries.values())
-        elif what == "members":
+        elif change is Change.MEMBERS:
             self.meet()
         self.forwarder.budget.edges = self.outlook.edges
         self.requests.wake()
 
+    async def meeting(self) -> None:
+        """Looks now and then whom a session is wanted with: seeds are asked again when all members are silent."""
+        while True:
+            await asyncio.sleep(AGAIN)
+            self.meet()
+
     def meet(self) -> None:
-        """Sessions with all members, and with nobody else."""
-        for member in self.outlook.members:
+        """Sessions with all members that count, or with those that may say who does, and with nobody else."""
+        wanted = self.outlook.to_dial(time.monotonic_ns())
+        for member in wanted:
             if member not in self.sessions:
                 self.sessions[member] = asyncio.create_task(self.session(member))
-        for member in [member for member in self.sessions if member not in self.outlook.members]:
+        for member in [member for member in self.sessions if member not in wanted]:
             self.sessions.pop(member).cancel()
 
     async def session(self, member: str) -> None:
@@ -113,7 +122,9 @@
             try:
                 async with asyncio.timeout(DIAL):
                     _, wire = await loop.create_connection(
-                        lambda: FrameConnection(self.on_frame, self.on_end), host, self.settings.telegraph_port()
+                        lambda: FrameConnection(decode_at_edge, self.on_message, self.on_end),
+                        host,
+                        self.settings.telegraph_port(),
                     )
                 wire.peer, self.wires[member] = member, wire
                 self.heard[wire] = time.monotonic_ns()
@@ -140,7 +151,7 @@
             for service, found in self.forwarder.report().items():
                 wire = self.wires.get(self.outlook.decider(service) or "")
                 if wire is not None and (found["keys"] or found["servers"]):
-                    wire.send({"t": "report", "service": service, **found})
+                    wire.send(LoadReport(service, found["keys"], found["servers"]))
             servers = self.forwarder.endpoints.by_name.values()
             for server in servers:
                 server.kept = self.connections.unused(server.address)
@@ -178,6 +189,7 @@
         self.meet()
         duties = Duties("Edge", stop)
         duties.add(self.reporting())
+        duties.add(self.meeting())
         log.info("Edge: started")
         await stop.wait()
         log.info("Edge: stopping")
--- a/kestrelplank/forwarding/endpoints.py
+++ b/kestrelplank/forwarding/endpoints.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from kestrelplank.plan.attempts import Avoidance
-from kestrelplank.transport.roster import READY, Entry
+from kestrelplank.transport.server_list import READY, Entry
 
 S = 1_000_000_000
 FADES = 300_000_000  # ns in which what a server told of its load loses half of its meaning
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -14,7 +14,7 @@
 from kestrelplank.forwarding.request import ForwardedRequest
 from kestrelplank.forwarding.resend import Again, Seen, Verdict, harmless, verdict
 from kestrelplank.forwarding.steps import Give, Refuse, Send, Step, Wait
-from kestrelplank.transport.outlook import EdgeView
+from kestrelplank.transport.edge_view import EdgeView
 
 S = 1_000_000_000
 MS = 1_000_000
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -14,7 +14,7 @@
   edge       Carry the traffic of clients on this edge machine.
   control    Serve control on this core machine.
   rehearse   Play a small gateway on loopback through losses, with stand-ins for all others.
-  status     What a control member sees: members, edges, versions, who decides, lines.
+  status     What a control member sees: who counts and leads, how far it is, edges, versions, lines.
   replace    Send a configuration to a control member, and wait until all that are in session have it.
   check      Say whether a file can be used.
   diff       What differs between two configurations, route by route.
@@ -31,11 +31,13 @@
 Exit codes: 0 done; 1 done and found wanting, or an address can't be listened at; 2 what was given can't be used.
 """
 
+from __future__ import annotations
+
 import asyncio
 import os
 import sys
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from docopt import DocoptExit, docopt
 
@@ -45,6 +47,9 @@
 from kestrelplank.config.ini import Unusable
 from kestrelplank.config.logs import set_up
 
+if TYPE_CHECKING:
+    from kestrelplank.control.status import MemberStatus, ServiceStatus
+
 
 def configuration(path: str) -> Any:
     """The configuration in that file; Unusable, in one line, where it is none."""
@@ -118,6 +123,26 @@
     return answer.status, answer.body
 
 
+async def seen_by(address: str) -> MemberStatus:
+    """What the control member at that address sees."""
+    import msgspec
+
+    from kestrelplank.control.status import MemberStatus
+
+    _, body = await call(address, b"GET", b"/api/status")
+    return msgspec.json.decode(body, type=MemberStatus)
+
+
+def behind_by(seen: MemberStatus, version: int) -> list[str]:
+    """Who in session with that member has not got this version yet: edge machines, and, if it leads, other members."""
+    edges = {name: edge.version for name, edge in seen.edges.items()}
+    found = [name for name, held in edges.items() if held is None or int(held, 16) < version]
+    found += [name for name, peer in seen.peers.items() if peer.heard_s is not None and peer.match < seen.commit]
+    if seen.in_force is None or int(seen.in_force, 16) < version:
+        found.append(seen.member)
+    return sorted(found)
+
+
 def replace(address: str, path: str, wait: str, as_json: bool) -> int:
     """Sends a configuration and waits until each edge and member in session has it; 1 where some have not by then."""
     import json
@@ -133,11 +158,7 @@
         answered, body = await call(address, b"POST", b"/api/configuration/replace", timetable.text)
         behind: list[str] = []
         while answered == 200:
-            seen = json.loads((await call(address, b"GET", b"/api/status"))[1])
-            told = {**{name: one["version"] for name, one in seen["edges"].items()}, **seen["held"]}
-            behind = sorted(
-                name for name, version in told.items() if version is None or int(version, 16) < timetable.key.version
-            )
+            behind = behind_by(await seen_by(address), timetable.key.version)
             if not behind or time.monotonic() >= until:
                 break
             await asyncio.sleep(0.1)
@@ -157,29 +178,42 @@
 
 
 def status(address: str, as_json: bool) -> int:
-    """What the control member at that address sees."""
+    """Prints what the control member at that address sees."""
     import msgspec
 
-    _, body = asyncio.run(call(address, b"GET", b"/api/status"))
+    seen = asyncio.run(seen_by(address))
     if as_json:
-        print(body.decode())
+        print(msgspec.json.encode(seen).decode())
         return 0
-    found = msgspec.json.decode(body)
-    services, edges = found.pop("services", {}), found.pop("edges", {})
-    for name, value in found.items():
-        print(f"{name.replace('_', ' ')}: {value}")
-    for name, edge in edges.items():
-        print(f"edge {name}: version {edge['version']}, last word {edge['heard_s']} s ago")
-    for service, one in services.items():
-        print(f"{service}: decided by {one['holder']}, ballot {one['ballot']}, record {one['record']}")
-        for line in one["lines"]:
-            print(
-                f"  {line['first']:5}-{line['last']:5} {line['state']:8} {line['server']} fence {line['fence']}"
-                f" runs out in {line['runs_out_s']} s"
-            )
+    print(f"member {seen.member}: {seen.state}{', stopping' if seen.stopping else ''}")
+    print(f"term {seen.term}: led by {seen.leader or 'nobody known'}{', this member' if seen.leads else ''}")
+    print(f"epoch {seen.epoch}: {', '.join(seen.voters) or 'nobody known'} count")
+    if seen.standbys:
+        print(f"standing by: {', '.join(seen.standbys)}")
+    print(f"log: {seen.last} entries, {seen.commit} committed, {seen.applied} applied")
+    print(f"in force: {seen.in_force}")
+    print(f"servers: {seen.servers}, list {seen.list_age_s} s old")
+    for name, peer in seen.peers.items():
+        print(f"peer {name}: has {peer.match}, last word {peer.heard_s} s ago{'' if peer.caught_up else ', behind'}")
+    for name, edge in seen.edges.items():
+        print(f"edge {name}: version {edge.version}, last word {edge.heard_s} s ago")
+    for name, service in seen.services.items():
+        print_service(name, service)
     return 0
 
 
+def print_service(name: str, service: ServiceStatus) -> None:
+    """A sharded service as that member sees it."""
+    print(f"{name}: record {service.record} of term {service.term}{', decided here' if service.decides else ''}")
+    for line in service.lines:
+        print(
+            f"  {line.first:5}-{line.last:5} {line.state:8} {line.server} fence {line.fence}"
+            f" runs out in {line.runs_out_s} s"
+        )
+    for server, parts in service.learnt.items():
+        print(f"  learnt of {server}: {', '.join(map(str, parts))}")
+
+
 def main(argv: list[str] | None = None) -> int:
     """Runs a program until it is told to stop. Returns the exit code."""
     try:
--- /dev/null
+++ b/tests/control/simulation.py
@@ -0,0 +1,424 @@
+"""Control members, their disks, servers, an edge machine and an operator on one clock that the test turns.
+
+After each step the rules are checked: no key is held by two servers, an acknowledged configuration is never gone, and a
+number has one text, whoever is asked or told.
+"""
+
+from random import Random
+
+from configuration.test_plan import encoded
+from storage.memory import MemoryLog
+
+from kestrelplank.configuration.plan import read
+from kestrelplank.consensus.effects import Persist
+from kestrelplank.consensus.messages import address_of
+from kestrelplank.control.effects import (
+    GRANT,
+    RELEASE,
+    AnswerOrder,
+    AnswerRead,
+    CallServer,
+    KeepCopy,
+    LogLine,
+    PushToEdges,
+    SendMessage,
+    SendToAddress,
+)
+from kestrelplank.control.member import Place
+from kestrelplank.control.start import started
+from kestrelplank.sharding.lines import HELD, HOLD, KEYS
+from kestrelplank.transport.edge_view import EdgeView
+from kestrelplank.transport.messages import ConfigurationNews, LoadReport
+from kestrelplank.transport.server_list import Entry
+
+NAMES = ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
+FOURTH, FIFTH = "10.0.0.4:80", "10.0.0.5:80"
+EDGE = "edge"
+MS, S = 1_000_000, 1_000_000_000
+PROBES = range(0, KEYS, 1024)  # keys that are watched
+BEAT, REPORT = 400 * MS, 500 * MS  # of the edge machine
+
+
+class Holding:
+    """A server's fences and holds, on a clock 2% slow."""
+
+    def __init__(self):
+        self.fences, self.until, self.up = dict.fromkeys(PROBES, -1), dict.fromkeys(PROBES, 0), True
+
+    def take(self, now, action, body):
+        keys = [key for key in PROBES if body["first"] <= key <= body["last"]]
+        if action == GRANT:
+            if any(self.fences[key] > body["fence"] for key in keys):
+                return 409
+            for key in keys:
+                self.fences[key], self.until[key] = body["fence"], now + HOLD * 102 // 100
+        else:
+            for key in keys:
+                self.fences[key], self.until[key] = max(self.fences[key], body["fence"]), 0
+        return 200
+
+
+class Order:
+    """What became of an order: `acknowledged` None while it is under way."""
+
+    def __init__(self, version, text, sent_at):
+        self.version, self.text, self.sent_at = version, text, sent_at
+        self.acknowledged, self.answered_at = None, None
+
+
+class Read:
+    """What became of a read; `least`: the newest version acknowledged when it began."""
+
+    def __init__(self, least, sent_at):
+        self.least, self.sent_at = least, sent_at
+        self.known, self.text, self.answered_at = None, None, None
+
+
+class Simulation:
+    """`names`: machines of the first start, by control address; `losses`: how many the platform lets be lost."""
+
+    def __init__(self, seed, servers=4, names=NAMES, losses=1):
+        self.random, self.now = Random(seed), 1000 * S
+        self.seeds, self.losses = names[:3], losses
+        self.disks, self.lives = {}, {}
+        self.members, self.stopping = {}, {}
+        self.zones, self.ineligible = {}, set()
+        self.waiting, self.writing = {}, {}  # writes of each member
+        self.events, self.count = [], 0
+        self.cut, self.one_way, self.frozen = set(), set(), {}
+        self.stalled = set()  # members whose disks hang
+        self.refuses = 0.0  # part of all writes that a disk refuses
+        self.ticket, self.orders, self.reads = 0, {}, {}
+        self.acknowledged, self.texts = -1, {}  # newest version acknowledged; by version its one text
+        self.logged = []
+        self.servers = {f"i-{number}": Holding() for number in range(servers)}
+        self.state, self.addresses = dict.fromkeys(self.servers, "ready"), {}
+        self.bare = 0
+        self.edge, self.hot = EdgeView(EDGE, self.seeds), None  # the edge machine, and where it sends most
+        self.edge_loses_news = False
+        for name in names:
+            self.start(name, first=True)
+
+    # The machines.
+
+    def place(self, name, seeds=None):
+        zone = self.zones.get(name, f"zone-{name.split('.')[3].split(':')[0]}")
+        return Place(zone, name not in self.ineligible, tuple(seeds or self.seeds), self.losses, 6 * S)
+
+    def start(self, name, first=False, seeds=None):
+        """`seeds`: what the platform names, where it is not what it was at first."""
+        disk = self.disks.setdefault(name, MemoryLog())
+        self.lives[name] = self.lives.get(name, 0) + 1
+        self.waiting[name], self.writing[name] = [], False
+        self.members[name] = started(self.now, Random(self.random.random()), name, self.place(name, seeds), disk, first)
+
+    def kill(self, name, wipe=False):
+        del self.members[name]
+        self.stopping.pop(name, None)
+        self.lives[name] += 1
+        if wipe:
+            self.disks[name] = MemoryLog()
+
+    def stop(self, name):
+        """SIGTERM: it ends when it may."""
+        self.run(name, self.members[name].stop(self.now))
+        self.stopping[name] = self.now
+
+    def later(self, delay, what, *given):
+        self.count += 1
+        self.events.append((self.now + delay, self.count, what, given))
+
+    def reaches(self, one, other):
+        return one == other or frozenset((one, other)) not in self.cut and (one, other) not in self.one_way
+
+    def in_session(self, one, other):
+        """Whether one of the two dials the other."""
+        return other in self.members[one].addresses_to_dial(self.now) or (
+            other in self.members and one in self.members[other].addresses_to_dial(self.now)
+        )
+
+    def run(self, name, effects):
+        """Does what the member wants done."""
+        life = self.lives[name]
+        for effect in effects:
+            if isinstance(effect, SendMessage | SendToAddress):
+                to = effect.to if isinstance(effect, SendMessage) else effect.address
+                self.post(name, to, effect.message)
+            elif isinstance(effect, Persist):
+                self.waiting[name].append(effect)
+                self.write(name, life)
+            elif isinstance(effect, CallServer):
+                body = {"first": effect.line.first, "last": effect.line.last, "fence": effect.line.fence}
+                self.later(self.random.choice((1, 3)) * MS, self.called, name, life, effect, body)
+            elif isinstance(effect, PushToEdges):
+                self.push(name, effect.message)
+            elif isinstance(effect, AnswerOrder):
+                self.order_answered(effect)
+            elif isinstance(effect, AnswerRead):
+                self.read_answered(effect)
+            elif isinstance(effect, LogLine):
+                self.logged.append((self.now, name, effect.text))
+            else:
+                assert isinstance(effect, KeepCopy)
+                self.one_text(effect.version, effect.text)
+
+    # Messages.
+
+    def post(self, name, to, message):
+        address = address_of(to)
+        if self.in_session(name, address):
+            sender = self.members[name].identity
+            self.later(self.random.choice((1, 2, 9)) * MS, self.arrive, name, sender, address, to, message)
+
+    def arrive(self, origin, sender, name, to, message):
+        if name not in self.members or not self.reaches(origin, name):
+            return
+        if name in self.frozen:
+            self.later(10 * MS, self.arrive, origin, sender, name, to, message)
+        elif to in (name, self.members[name].identity):
+            self.run(name, self.members[name].receive(self.now, sender, message))
+
+    def push(self, name, message):
+        if name in self.edge.to_dial(self.now) and self.reaches(name, EDGE) and not self.edge_loses_news:
+            self.tell_edge(name, message)
+
+    def tell_edge(self, name, message):
+        if isinstance(message, ConfigurationNews):
+            self.one_text(message.version, message.text)
+        before = self.edge.timetable.key.version if self.edge.timetable else -1
+        self.edge.receive(self.now, name, message)
+        assert (self.edge.timetable.key.version if self.edge.timetable else -1) >= before
+
+    def beat(self):
+        """The edge machine's beat to each member."""
+        for name in self.edge_sessions():
+            for message in self.members[name].edge_beat(self.now, self.edge.stand(), 1):
+                self.tell_edge(name, message)
+
+    def report(self):
+        """The edge machine's report: 40 requests, most of them for the keys from `hot` on."""
+        for name in self.edge_sessions():
+            keys = [
+                self.hot + self.random.randrange(300) if self.random.random() < 0.8 else self.random.randrange(KEYS)
+                for _ in range(40)
+            ]
+            self.members[name].load_report(self.now, LoadReport("views", keys, {}))
+
+    def edge_sessions(self):
+        """Members that the edge machine is in session with."""
+        return [
+            name
+            for name in self.edge.to_dial(self.now)
+            if name in self.members
+            and name not in self.frozen
+            and self.reaches(name, EDGE)
+            and self.reaches(EDGE, name)
+        ]
+
+    # The disks.
+
+    def write(self, name, life):
+        """All that waits in one write, after the one under way."""
+        if self.writing[name] or not self.waiting[name]:
+            return
+        self.writing[name] = True
+        batch, self.waiting[name] = self.waiting[name], []
+        self.later(self.random.choice((3, 5, 40)) * MS, self.written, name, life, batch)
+
+    def written(self, name, life, batch):
+        if self.lives[name] != life:
+            return
+        if name in self.stalled:
+            self.later(10 * MS, self.written, name, life, batch)
+            return
+        if self.random.random() < self.refuses:
+            self.later(300 * MS, self.written, name, life, batch)
+            return
+        self.disks[name].write(batch)
+        self.durable(name, life, batch)
+
+    def durable(self, name, life, batch):
+        """The member hears of it, if it runs."""
+        if self.lives[name] != life:
+            return
+        if name in self.frozen:
+            self.later(10 * MS, self.durable, name, life, batch)
+            return
+        self.writing[name] = False
+        for persist in batch:
+            self.run(name, self.members[name].persisted(self.now, persist.number))
+        self.write(name, life)
+
+    # The servers.
+
+    def called(self, name, life, call, body):
+        if self.lives[name] != life:
+            return
+        if name in self.frozen:  # it looks at its lease when it is thawed, as the adapter does
+            self.later(10 * MS, self.called, name, life, call, body)
+            return
+        holding = self.servers[call.server]
+        sent = (call.action == RELEASE or self.now < call.until) and holding.up  # one that is down answers no dial
+        status = None
+        if sent and frozenset((name, call.server)) not in self.cut:
+            status = holding.take(self.now, call.action, body)
+            if self.random.random() < 0.05:
+                status = None  # it arrived, and its answer is lost
+        handover = "h" if status == 200 and call.action == RELEASE else None
+        self.later((5 if status else 800) * MS, self.call_ended, name, life, call, sent, status, handover)
+
+    def call_ended(self, name, life, call, sent, status, handover):
+        if self.lives[name] == life and name in self.members:
+            effects = self.members[name].called(self.now, call.service, call.action, call.line, sent, status, handover)
+            self.run(name, effects)
+
+    def listed(self):
+        return [
+            Entry(server, "views", self.addresses.get(server, f"{server}:80"), "z", 2, state, 0)
+            for server, state in self.state.items()
+        ]
+
+    # Time.
+
+    def step(self):
+        self.now += 10 * MS
+        for name in [name for name, until in self.frozen.items() if until <= self.now]:
+            del self.frozen[name]
+        while True:
+            due = [event for event in self.events if event[0] <= self.now]
+            if not due:
+                break
+            event = min(due, key=lambda event: event[:2])
+            self.events.remove(event)
+            event[2](*event[3])
+        if self.now % (50 * MS) == 0:
+            for name in list(self.members):
+                if name not in self.frozen:
+                    self.tick(name)
+        if self.now % BEAT == 0:
+            self.beat()
+        if self.now % REPORT == 0 and self.hot is not None:
+            self.report()
+        self.check()
+
+    def tick(self, name):
+        member = self.members[name]
+        self.run(name, member.tick(self.now, self.disks[name].size))
+        if member.list_due(self.now) == 0:
+            self.run(name, member.fetched(self.now, self.listed()))
+        if name in self.stopping and member.may_stop(self.now):
+            self.kill(name)
+
+    def turn(self, seconds):
+        for _ in range(round(seconds * 100)):
+            self.step()
+
+    # The rules.
+
+    def check(self):
+        for key in PROBES:
+            holders = [
+                server for server, holding in self.servers.items() if holding.up and holding.until[key] > self.now
+            ]
+            assert len(holders) <= 1, (key, holders, self.now)
+            self.bare += not holders
+        leading = [name for name, member in self.members.items() if member.node.leads(self.now)]
+        assert len(leading) <= 1, (leading, self.now)
+
+    def one_text(self, version, text):
+        assert self.texts.setdefault(version, text) == text
+
+    def order_answered(self, answer):
+        order = self.orders[answer.ticket]
+        assert order.acknowledged is None
+        order.acknowledged, order.answered_at = answer.acknowledged, self.now
+        if answer.acknowledged:
+            self.acknowledged = max(self.acknowledged, order.version)
+
+    def read_answered(self, answer):
+        found = self.reads[answer.ticket]
+        assert found.known is None
+        found.known, found.text, found.answered_at = answer.known, answer.text, self.now
+        if answer.known:
+            version = read(answer.text).unwrap().key.version if answer.text else -1
+            assert version >= found.least
+            if answer.text:
+                self.one_text(version, answer.text)
+
+    # The operator.
+
+    def put(self, name, version, **changes):
+        """Sends an order to that member; returns what becomes of it."""
+        text = encoded(version=f"{version:08x}", **changes)
+        self.ticket += 1
+        order = self.orders[self.ticket] = Order(version, text, self.now)
+        self.run(name, self.members[name].put(self.now, self.ticket, read(text).unwrap()))
+        return order
+
+    def show(self, name):
+        self.ticket += 1
+        found = self.reads[self.ticket] = Read(self.acknowledged, self.now)
+        self.run(name, self.members[name].show(self.now, self.ticket))
+        return found
+
+    def settled(self, version):
+        return any(order.acknowledged for order in self.orders.values() if order.version == version)
+
+    # What can be seen.
+
+    def versions(self):
+        """The versions in force at the members."""
+        found = [member.state.configuration for member in self.members.values()]
+        return {force.version if force else None for force in found}
+
+    def leader(self):
+        return next((name for name, member in self.members.items() if member.node.leads(self.now)), None)
+
+    def decider(self):
+        name = self.leader()
+        return name if name is not None and self.members[name].deciders else None
+
+    def followers(self):
+        return [name for name in self.members if name != self.leader()]
+
+    def voters(self):
+        """Addresses of all that count, as the leader has it."""
+        return [address_of(one) for one in self.members[self.leader()].committed.everybody()]
+
+    def decided(self):
+        """The lines of whoever decides."""
+        name = self.decider()
+        return self.members[name].deciders["views"].lines.lines if name else []
+
+    def lines(self):
+        return [(line.first, line.last, line.server) for line in self.decided()]
+
+    def moving(self):
+        """Whether some line is on its way from one server to another."""
+        return any(line.state != HELD for line in self.decided())
+
+    def all_held(self):
+        return all(
+            any(holding.up and holding.until[key] > self.now for holding in self.servers.values()) for key in PROBES
+        )
+
+    def all_current(self):
+        return all(member.node.current(self.now) for member in self.members.values())
+
+    def all_count(self):
+        """Whether every member that runs is a voter of a membership that each of them knows to be committed, with no
+        change under way: who lost a disk is whole again."""
+        known = [member.committed for member in self.members.values()]
+        return all(
+            counts is not None and not counts.joint and member.identity in counts.voters
+            for member in self.members.values()
+            for counts in known
+        )
+
+    def begin(self):
+        """Until the first keys are held by the first configuration."""
+        self.turn(0.5)
+        first = self.put(NAMES[0], 1)
+        self.turn(4)
+        assert first.acknowledged and self.all_held()
+        self.bare = 0
--- a/tests/edge/stage.py
+++ b/tests/edge/stage.py
@@ -13,7 +13,7 @@
 from kestrelplank.edge.program import EdgeProgram
 from kestrelplank.http.stream import resetting
 from kestrelplank.lab.yard import free_port
-from kestrelplank.transport.roster import Entry
+from kestrelplank.transport.server_list import Entry
 
 IP = "127.0.0.1"
 PATIENCE = 20  # s after which a test that hangs fails
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -10,6 +10,7 @@
 from kestrelplank.config.platform import Bounds, CloudApi, Local, Network, Settings
 from kestrelplank.edge.program import EdgeProgram
 from kestrelplank.lab.yard import StandIn, Tally, free_port
+from kestrelplank.transport.messages import ConfigurationNews, ServerListNews
 
 IP = "127.0.0.1"
 LIMITS = {"max_body_bytes": 100_000}
@@ -43,13 +44,10 @@
     await behind.start()
     found = EdgeProgram(settings)
     found.listen()
-    found.on_frame(
-        type("FrameConnection", (), {"peer": "m"})(), {"t": "word", "key": (7, ""), "text": encoded(limits=LIMITS)}
-    )
-    found.on_frame(
-        type("FrameConnection", (), {"peer": "m"})(),
-        {"t": "roster", "age": 0, "list": [("orders-0", "orders", f"{IP}:{behind.address[1]}", "hall", 4, "ready", 0)]},
-    )
+    wire = type("Connection", (), {"peer": "m"})()
+    found.on_message(wire, ConfigurationNews(7, encoded(limits=LIMITS)))
+    entry = ("orders-0", "orders", f"{IP}:{behind.address[1]}", "hall", 4, "ready", 0)
+    found.on_message(wire, ServerListNews(0, [entry]))
     while not found.front.started:
         await asyncio.sleep(0)
     try:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -10,7 +10,8 @@
 from kestrelplank.forwarding.forwarder import Forwarder
 from kestrelplank.forwarding.resend import Seen
 from kestrelplank.forwarding.steps import Give, Refuse, Send, Wait
-from kestrelplank.transport.outlook import EdgeView
+from kestrelplank.transport.edge_view import EdgeView
+from kestrelplank.transport.messages import ConfigurationNews, LinesNews, RangeHolder, RecordPlace, ServerListNews
 
 MS, S = 1_000_000, 1_000_000_000
 NOW = 100 * S
@@ -18,22 +19,24 @@
 
 def forwarder(servers=3, keys=True, state="ready", **changes):
     view = EdgeView("edge-1", ("10.0.0.1:80",))
-    view.frame(NOW, "m", {"t": "word", "key": (7, ""), "text": encoded(**changes)})
+    view.receive(NOW, "m", ConfigurationNews(7, encoded(**changes)))
     entries = [
         (f"{service}-{number}", service, f"10.1.0.{number}:80", "z", 2, state, 0)
         for service in ("views", "orders")
         for number in range(servers)
     ]
-    view.frame(NOW, "m", {"t": "roster", "age": 0, "list": entries})
+    view.receive(NOW, "m", ServerListNews(0, entries))
     if keys:
-        view.frame(NOW, "m", lines(1, [[0, 32767, "views-0", "10.1.0.0:80"], [32768, 65535, "views-1", "10.1.0.1:80"]]))
+        view.receive(
+            NOW, "m", lines(1, [[0, 32767, "views-0", "10.1.0.0:80"], [32768, 65535, "views-1", "10.1.0.1:80"]])
+        )
     found = Forwarder(Random(1), view, "z", 0.2, 64)
     found.endpoints.listed(NOW, NOW, view.roster.entries.values())
     return found
 
 
 def lines(seq, parts):
-    return {"t": "lines", "service": "views", "at": [[1, "m"], seq], "lines": parts}
+    return LinesNews("views", RecordPlace(1, seq), [RangeHolder(*part) for part in parts])
 
 
 def begin(found, path="/a/x", key="5", within=2 * S, host="shop.example"):
@@ -106,7 +109,7 @@
     step = found.ended(NOW + MS, request, Seen.NOT_RUN)
     assert step == Wait(NOW + 300 * MS)
     assert isinstance(found.again(NOW + 2 * MS, request), Wait)
-    found.view.frame(NOW, "m", lines(2, [[0, 65535, "views-2", "10.1.0.2:80"]]))
+    found.view.receive(NOW, "m", lines(2, [[0, 65535, "views-2", "10.1.0.2:80"]]))
     assert found.again(NOW + 3 * MS, request).endpoint.server == "views-2"
 
 
@@ -150,9 +153,7 @@
     found = forwarder()
     request, step = begin(found)
     changed = [{"host_name": "shop.example", "host_routes": [route("/a/", "non_idempotent", "orders")]}]
-    found.view.frame(
-        NOW, "m", {"t": "word", "key": (9, ""), "text": encoded(version="00000009", virtual_hosts=changed)}
-    )
+    found.view.receive(NOW, "m", ConfigurationNews(9, encoded(version="00000009", virtual_hosts=changed)))
     assert found.ended(NOW + MS, request, Seen.RESET).endpoint.service == "views"
     assert begin(found, key=None)[1].endpoint.service == "orders"
     assert configuration()["config_version"] == "00000007"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,46 +6,62 @@
 import pytest
 from configuration.test_plan import configuration, route
 
-from kestrelplank.control.calls import application
+from kestrelplank.control.calls import Shown, application
+from kestrelplank.control.status import EdgeStatus, LineStatus, MemberStatus, PeerStatus, ServiceStatus
 from kestrelplank.gateway import main
 from kestrelplank.http.serve import listener, server
 
 
 class Member:
-    """A control member that keeps what it is told; `edges`: by name the version that it goes by, and how many times it is
-    asked before it has the newest."""
+    """A control member that keeps what it is told. `lag`: how many times it is asked before an edge machine has the
+    newest; `log_lag`: entries that the other member lacks."""
 
-    def __init__(self, lag=0, majority=True):
-        self.timetable, self.lag, self.majority = None, lag, majority
+    def __init__(self, lag=0, majority=True, log_lag=0):
+        self.timetable, self.lag, self.majority, self.log_lag = None, lag, majority, log_lag
 
     async def put(self, timetable):
         self.timetable = timetable if self.majority else None
         return self.majority
 
     async def show(self):
-        return True, self.timetable
+        return Shown(True, self.timetable.text if self.timetable else None)
 
     def status(self):
         version = f"{self.timetable.key.version:08x}" if self.timetable else None
         self.lag -= 1
-        return {
-            "member": "a:1",
-            "edges": {
-                "edge-1": {"version": version, "heard_s": 0.1},
-                "edge-2": {"version": None if self.lag >= 0 else version, "heard_s": 0.2},
+        return MemberStatus(
+            member="a:1/first",
+            state="current",
+            term=3,
+            leader="a:1/first",
+            leads=True,
+            current=True,
+            epoch=2,
+            voters=["a:1/first", "b:1/first"],
+            standbys=["c:1/5f2c09d1"],
+            stopping=False,
+            commit=8,
+            applied=8,
+            last=9,
+            in_force=version,
+            peers={"b:1/first": PeerStatus(match=8 - self.log_lag, heard_s=0.1, caught_up=True)},
+            servers=4,
+            list_age_s=0.2,
+            services={
+                "views": ServiceStatus(
+                    decides=True,
+                    term=3,
+                    record=7,
+                    bare_s=0.0,
+                    lines=[LineStatus(0, 65535, "s", 3000001, "held", 3.1)],
+                    learnt={"s": [1.5, 2.0, 0.0, 0.0]},
+                )
             },
-            "held": {"a:1": version},
-            "services": {
-                "views": {
-                    "holder": "a:1",
-                    "ballot": 3,
-                    "record": 7,
-                    "lines": [
-                        {"first": 0, "last": 65535, "server": "s", "fence": 3000001, "state": "held", "runs_out_s": 3.1}
-                    ],
-                }
+            edges={
+                "edge-1": EdgeStatus(version, 0.1),
+                "edge-2": EdgeStatus(None if self.lag >= 0 else version, 0.2),
             },
-        }
+        )
 
 
 def run(member, *words):
@@ -87,6 +103,11 @@
     assert json.loads(capsys.readouterr().out)["behind"] == ["edge-2"]
 
 
+def test_replace_names_the_member_that_lacks_it(file, capsys):
+    assert run(Member(log_lag=1), "replace", "ADDRESS", file(), "--wait=0", "--json") == 1
+    assert json.loads(capsys.readouterr().out)["behind"] == ["b:1/first"]
+
+
 def test_replace_tells_why_it_was_refused(file, capsys):
     assert run(Member(majority=False), "replace", "ADDRESS", file()) == 1
     assert "refused, 503: not enough members can keep it" in capsys.readouterr().out
@@ -105,13 +126,26 @@
     assert capsys.readouterr().err.count("\n") == 1
 
 
-def test_status_shows_edges_and_lines(capsys):
+def test_status_shows_who_counts_edges_and_lines(capsys):
     assert run(Member(), "status", "ADDRESS") == 0
-    out = capsys.readouterr().out
-    assert (
-        "edge edge-2: version None, last word 0.2 s ago" in out and "views: decided by a:1, ballot 3, record 7" in out
-    )
-    assert "0-65535 held     s fence 3000001 runs out in 3.1 s" in out
+    out = capsys.readouterr().out.splitlines()
+    assert out[:4] == [
+        "member a:1/first: current",
+        "term 3: led by a:1/first, this member",
+        "epoch 2: a:1/first, b:1/first count",
+        "standing by: c:1/5f2c09d1",
+    ]
+    assert "log: 9 entries, 8 committed, 8 applied" in out and "servers: 4, list 0.2 s old" in out
+    assert "peer b:1/first: has 8, last word 0.1 s ago" in out
+    assert "edge edge-2: version None, last word 0.2 s ago" in out
+    assert "views: record 7 of term 3, decided here" in out
+    assert "      0-65535 held     s fence 3000001 runs out in 3.1 s" in out
+    assert "  learnt of s: 1.5, 2.0, 0.0, 0.0" in out
+
+
+def test_status_as_json_is_what_the_member_said(capsys):
+    assert run(Member(), "status", "ADDRESS", "--json") == 0
+    assert json.loads(capsys.readouterr().out)["services"]["views"]["lines"][0]["server"] == "s"
 
 
 def test_a_difference_is_told_route_by_route_and_field_by_field(file, capsys):
--- a/tests/transport/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -1,13 +1,27 @@
-"""What every way between our processes does with frames: within a process and over TCP."""
+"""What every way between our processes does with messages: within a process and over TCP."""
 
 import asyncio
 import zlib
 from random import Random
 
+import msgspec
 import pytest
 
 from kestrelplank.transport import wire as module
-from kestrelplank.transport.wire import COMPRESSED, MOST_FRAME, FrameConnection, encoder, packed
+from kestrelplank.transport.messages import (
+    ConfigurationNews,
+    EdgeBeat,
+    LinesNews,
+    MemberBeat,
+    RangeHolder,
+    RecordPlace,
+    decode_at_edge,
+    encode,
+)
+from kestrelplank.transport.wire import COMPRESSED, MOST_FRAME, FrameConnection, packed
+
+GOOD = MemberBeat(1, 2, "10.0.0.1:80", True, 7, ("10.0.0.1:80",), 12)
+LAST = ConfigurationNews(0, b"last")
 
 
 class Pipe:
@@ -65,12 +79,12 @@
 
     async def run():
         met, ends = [], []
-        one = FrameConnection(lambda *_: None, lambda _: None)
-        close = await way(one, FrameConnection(lambda _, frame: met.append(frame), ends.append))
+        one = FrameConnection(decode_at_edge, lambda *_: None, lambda _: None)
+        close = await way(one, FrameConnection(decode_at_edge, lambda _, message: met.append(message), ends.append))
         play(one)
-        one.send({"t": "last"})
+        one.send(LAST)
         async with asyncio.timeout(10):
-            while not ends and (not met or met[-1] != {"t": "last"}):
+            while not ends and (not met or met[-1] != LAST):
                 await asyncio.sleep(0)
         close()
         one.reset()
@@ -80,18 +94,19 @@
 
 
 @WAYS
-def test_frames_come_whole_and_in_order_small_and_large(way):
-    frames = [{"t": str(size), "text": b"ab" * size} for size in (0, 1, 700, 800, 90_000, 3)]
-    met, _ = carried(way, lambda wire: [wire.send(frame) for frame in frames])
-    assert met == [*frames, {"t": "last"}]
+def test_messages_come_whole_and_in_order_small_and_large(way):
+    messages = [ConfigurationNews(size, b"ab" * size) for size in (0, 1, 700, 800, 90_000, 3)]
+    met, _ = carried(way, lambda wire: [wire.send(message) for message in messages])
+    assert met == [*messages, LAST]
 
 
 @WAYS
-def test_a_frame_packed_once_for_many_comes_like_any_other(way):
-    frame = {"t": "lines", "lines": [[number, number, "server", "10.0.0.1:80"] for number in range(2000)]}
-    assert len(packed(frame)) < len(encoder.encode(frame)) / 4
-    met, _ = carried(way, lambda wire: wire.send(packed(frame)))
-    assert met[0] == frame
+def test_a_message_packed_once_for_many_comes_like_any_other(way):
+    lines = [RangeHolder(number, number, "server", "10.0.0.1:80") for number in range(2000)]
+    message = LinesNews("views", RecordPlace(1, 2, 3), lines)
+    assert len(packed(message)) < len(encode(message)) / 4
+    met, _ = carried(way, lambda wire: wire.send(packed(message)))
+    assert met[0] == message
 
 
 def of(body, mark=0):
@@ -103,16 +118,19 @@
     "data",
     [
         b"\x00\x00\x00\x01\xc1",  # no msgpack
-        of(encoder.encode([1])),  # no table
+        of(msgspec.msgpack.encode([1])),  # no message
+        of(msgspec.msgpack.encode({"t": "x"})),
+        of(msgspec.msgpack.encode(["configuration", "7", b""])),  # a field of another type
+        of(encode(EdgeBeat("edge", None, {}, None))),  # a message that goes the other way only
         of(b"no such thing", COMPRESSED),
-        of(zlib.compress(encoder.encode({"t": "x"}))[:-2], COMPRESSED),  # torn
+        of(zlib.compress(encode(GOOD))[:-2], COMPRESSED),  # torn
         of(zlib.compress(bytes(MOST_FRAME + 1)), COMPRESSED),  # swells beyond what is held
         (MOST_FRAME + 1).to_bytes(4),
     ],
 )
 def test_what_cannot_be_read_ends_it_once_and_nothing_behind_it_counts(way, data):
-    met, ends = carried(way, lambda wire: (wire.send({"t": "good"}), wire.transport.write(data)))
-    assert met == [{"t": "good"}] and ends == 1
+    met, ends = carried(way, lambda wire: (wire.send(GOOD), wire.transport.write(data)))
+    assert met == [GOOD] and ends == 1
 
 
 def test_a_peer_that_reads_nothing_is_let_go(monkeypatch):
@@ -129,15 +147,17 @@
 
         server = await loop.create_server(Deaf, "127.0.0.1", 0)
         _, wire = await loop.create_connection(
-            lambda: FrameConnection(lambda *_: None, ended.set_result), "127.0.0.1", server.sockets[0].getsockname()[1]
+            lambda: FrameConnection(decode_at_edge, lambda *_: None, ended.set_result),
+            "127.0.0.1",
+            server.sockets[0].getsockname()[1],
         )
         noise = Random(1).randbytes(1 << 20)
         async with asyncio.timeout(10):
             while wire.open:
-                wire.send({"t": "x", "noise": noise})
+                wire.send(ConfigurationNews(1, noise))
                 await asyncio.sleep(0)
             await ended
-        wire.send({"t": "after its end"})
+        wire.send(LAST)
         held[0].abort()
         server.close()
 
