--- a/kestrelplank/storage/__init__.py
+++ b/kestrelplank/storage/__init__.py
@@ -1,1 +1,1 @@
-"""What a member keeps on disk: the operator's word as plain files, promises in lmdb."""
+"""What a control member keeps on disk: its part of the replicated log, and readable copies of configurations."""
--- a/tests/sharding/test_model.py
+++ b/tests/sharding/test_model.py
@@ -5,7 +5,7 @@
 comes with a shortest trace. Worlds that differ only in which member or server is which count as one. In CI 20,000 of the
 sound protocol are met; `python tests/sharding/test_model.py` meets all there are, by the table at its end. What the
 model takes for granted: a message to a majority arrives there at once or not at all (what is lost or late between members
-is the histories' part, `test_claims`), a late grant comes at most a tick after its sender gave it up, as the connection is
+is the part of the histories in tests/consensus), a late grant comes at most a tick after its sender gave it up, as the connection is
 reset then. The invariant: no two servers hold the key.
 
     claim m Q     m asks the members in Q, a majority: each promises unless it is bound to another; m learns the newest
