An acknowledgement says whether the order's text is in force

Two operators with two texts under one number are both acknowledged, as a version that is not above the one in force is by the protocol; the second could not know that its text changed nothing. The answer now has in_force, passed on by members too; the replace command says so and exits with 1. Tests: see the suite; the two operators' test asks for it.

--- a/kestrelplank/consensus/messages.py
+++ b/kestrelplank/consensus/messages.py
@@ -228,10 +228,12 @@
 
 
 class OrderResult(msgspec.Struct, frozen=True, array_like=True, tag="submitted"):
-    """`acknowledged`: it is in force, or is overtaken; else nothing is known and the caller may try again."""
+    """`acknowledged`: it is in force, or is not above what is; else nothing is known and the caller may try again.
+    `in_force`: this very text is."""
 
     call: CallId
     acknowledged: bool
+    in_force: bool = False
 
 
 class ReadResult(msgspec.Struct, frozen=True, array_like=True, tag="found"):
--- a/kestrelplank/control/calls.py
+++ b/kestrelplank/control/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kestrelplank.configuration.plan import Configuration, read
+from kestrelplank.control.effects import AnswerOrder
 from kestrelplank.control.status import MemberStatus
 from kestrelplank.forwarding.errors import ANSWERS, Fault
 
@@ -22,6 +23,13 @@
     text: bytes | None
 
 
+class Acknowledged(msgspec.Struct, frozen=True):
+    """The body that acknowledges an order."""
+
+    config_version: str
+    in_force: bool
+
+
 def refusal(fault: Fault, why: str) -> Result:
     """The answer for a call that failed."""
     return ANSWERS[fault].status, msgspec.json.encode({"error": fault.value, "why": why})
@@ -30,7 +38,7 @@
 class Member(Protocol):
     """What a handler may ask of the program."""
 
-    async def put(self, timetable: Configuration) -> bool: ...
+    async def put(self, configuration: Configuration) -> AnswerOrder: ...
 
     async def show(self) -> Shown: ...
 
@@ -38,18 +46,20 @@
 
 
 class Replace:
-    """`POST /api/configuration/replace`: a whole configuration."""
+    """`POST /api/configuration/replace`: a whole configuration. One that is not above the one in force is acknowledged
+    and changes nothing; `in_force` in the answer tells it from one that prevailed."""
 
     method, path = "POST", "/api/configuration/replace"
 
     async def answer(self, member: Member, body: bytes) -> Result:
         found = read(body)
-        timetable = found.value_or(None)
-        if timetable is None:
+        configuration = found.value_or(None)
+        if configuration is None:
             return refusal(Fault.INVALID, str(found.failure()))
-        if not await member.put(timetable):
+        result = await member.put(configuration)
+        if not result.acknowledged:
             return refusal(Fault.NO_MAJORITY, "not enough members can keep it")
-        return 200, msgspec.json.encode({"config_version": f"{timetable.key.version:08x}"})
+        return 200, msgspec.json.encode(Acknowledged(f"{configuration.key.version:08x}", result.in_force))
 
 
 class Show:
--- a/kestrelplank/control/effects.py
+++ b/kestrelplank/control/effects.py
@@ -48,10 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerOrder:
-    """The operator's order `ticket` is `acknowledged`; or nothing is known of it, and it may be sent again."""
+    """The operator's order `ticket` is `acknowledged`; or nothing is known of it, and it may be sent again. `in_force`:
+    this very text is; else a higher version is, or another text of the same."""
 
     ticket: int
     acknowledged: bool
+    in_force: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -311,7 +311,7 @@
         if not self.node.leads(now):
             self._answer_order(caller, False)
         elif self.state.acknowledges(order):
-            self._answer_order(caller, True)
+            self._answer_order(caller, True, self.state.holds(order))
         elif self._orders.full():
             self._answer_order(caller, False)
         elif not self._orders.attach(now, caller, order):
@@ -331,16 +331,16 @@
         else:
             self._send(caller.sender, ReadResult(caller.call, known, text))
 
-    def _answer_order(self, caller: Caller, acknowledged: bool) -> None:
+    def _answer_order(self, caller: Caller, acknowledged: bool, in_force: bool = False) -> None:
         if isinstance(caller, Ticket):
-            self._effects.append(AnswerOrder(caller.number, acknowledged))
+            self._effects.append(AnswerOrder(caller.number, acknowledged, in_force))
         else:
-            self._send(caller.sender, OrderResult(caller.call, acknowledged))
+            self._send(caller.sender, OrderResult(caller.call, acknowledged, in_force))
 
     def _on_order_result(self, sender: str, result: OrderResult) -> None:
         passed = self._answered(sender, result.call, reads=False)
         if passed is not None:
-            self._effects.append(AnswerOrder(passed.ticket, result.acknowledged))
+            self._effects.append(AnswerOrder(passed.ticket, result.acknowledged, result.in_force))
 
     def _on_read_result(self, sender: str, result: ReadResult) -> None:
         passed = self._answered(sender, result.call, reads=True)
@@ -399,7 +399,7 @@
             self._recorded(now, entry)
         acknowledged, unknown = self._orders.applied(entry)
         for caller in acknowledged:
-            self._answer_order(caller, True)
+            self._answer_order(caller, True, result.in_force is not None)
         for caller in unknown:
             self._answer_order(caller, False)
 
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -128,12 +128,12 @@
 
     # Calls of the operator.
 
-    async def put(self, configuration: Configuration) -> bool:
-        """Whether the configuration is acknowledged."""
+    async def put(self, configuration: Configuration) -> AnswerOrder:
+        """What became of an order."""
         answer = await self._wait_for(
             lambda now, ticket: self.member.put(now, ticket, configuration), AnswerOrder(0, False)
         )
-        return isinstance(answer, AnswerOrder) and answer.acknowledged
+        return answer if isinstance(answer, AnswerOrder) else AnswerOrder(0, False)
 
     async def show(self) -> Shown:
         """The newest configuration."""
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -169,6 +169,9 @@
         print(json.dumps({"status": answered, "answer": json.loads(body), "behind": behind}))
     elif answered != 200:
         print(f"{address}: refused, {answered}: {json.loads(body).get('why')}")
+    elif not json.loads(body)["in_force"]:
+        print(f"{address}: version {timetable.key.version:08x} changed nothing: it is not above the one in force")
+        return 1
     else:
         print(
             f"{address}: version {timetable.key.version:08x} is acknowledged; "
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -91,6 +91,11 @@
         """The record of each sharded service that has one."""
         return MappingProxyType(self._records)
 
+    def holds(self, order: PutConfiguration) -> bool:
+        """Whether the order's very text is in force."""
+        held = self.configuration
+        return held is not None and (held.version, held.digest) == (order.version, order.digest)
+
     def acknowledges(self, order: PutConfiguration) -> bool:
         """Whether its operator may be told 200: it is in force, or overtaken, or its number is taken."""
         return order.version <= self.version
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -63,7 +63,7 @@
 
     def __init__(self, version, text, sent_at):
         self.version, self.text, self.sent_at = version, text, sent_at
-        self.acknowledged, self.answered_at = None, None
+        self.acknowledged, self.in_force, self.answered_at = None, False, None
 
 
 class Read:
@@ -331,7 +331,7 @@
     def order_answered(self, answer):
         order = self.orders[answer.ticket]
         assert order.acknowledged is None
-        order.acknowledged, order.answered_at = answer.acknowledged, self.now
+        order.acknowledged, order.in_force, order.answered_at = answer.acknowledged, answer.in_force, self.now
         if answer.acknowledged:
             self.acknowledged = max(self.acknowledged, order.version)
 
--- a/tests/control/test_operator_wire.py
+++ b/tests/control/test_operator_wire.py
@@ -6,6 +6,7 @@
 from configuration.test_plan import encoded
 
 from kestrelplank.control.calls import application
+from kestrelplank.control.effects import AnswerOrder
 from kestrelplank.http.serve import listener, server
 from kestrelplank.http.stream import resetting
 
@@ -25,7 +26,7 @@
         await self.majority.wait()
         if configuration.text not in self.kept:
             self.kept.append(configuration.text)
-        return True
+        return AnswerOrder(0, True, in_force=True)
 
 
 def request(text):
--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -128,6 +128,7 @@
         first, second = system.put(one, 5), system.put(other, 5, **OTHER)
         system.turn(1)
         assert first.acknowledged and second.acknowledged  # the later one as a version not above the one in force
+        assert sorted((first.in_force, second.in_force)) == [False, True]  # and told that it is not
         assert len(in_force(system)) == 1 and in_force(system) <= {first.text, second.text}
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 from configuration.test_plan import configuration, route
 
 from kestrelplank.control.calls import Shown, application
+from kestrelplank.control.effects import AnswerOrder
 from kestrelplank.control.status import EdgeStatus, LineStatus, MemberStatus, PeerStatus, ServiceStatus
 from kestrelplank.gateway import main
 from kestrelplank.http.serve import listener, server
@@ -16,12 +17,13 @@
     """A control member that keeps what it is told. `lag`: how many times it is asked before an edge machine has the
     newest; `log_lag`: entries that the other member lacks."""
 
-    def __init__(self, lag=0, majority=True, log_lag=0):
+    def __init__(self, lag=0, majority=True, log_lag=0, in_force=True):
         self.timetable, self.lag, self.majority, self.log_lag = None, lag, majority, log_lag
+        self.in_force = in_force
 
     async def put(self, timetable):
         self.timetable = timetable if self.majority else None
-        return self.majority
+        return AnswerOrder(1, self.majority, self.majority and self.in_force)
 
     async def show(self):
         return Shown(True, self.timetable.text if self.timetable else None)
@@ -113,6 +115,11 @@
     assert "refused, 503: not enough members can keep it" in capsys.readouterr().out
 
 
+def test_replace_tells_that_another_text_or_a_higher_version_is_in_force(file, capsys):
+    assert run(Member(in_force=False), "replace", "ADDRESS", file()) == 1
+    assert "version 00000007 changed nothing: it is not above the one in force" in capsys.readouterr().out
+
+
 def test_a_file_that_is_no_configuration_is_never_sent(file, capsys):
     member = Member()
     path = file(virtual_hosts=[{"host_name": "", "host_routes": []}])
