--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -31,9 +31,14 @@
 Exit codes: 0 done; 1 done and found wanting, or an address can't be listened at; 2 what was given can't be used.
 """
 
+import signal
+import sys
+
+if __name__ == "__main__" and sys.argv[1:2] in (["edge"], ["control"]):
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # settings may change while we start: no reason to end
+
 import asyncio
 import os
-import sys
 from pathlib import Path
 from typing import Any
 
--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -19,6 +19,7 @@
 
 LOOK = 5.0  # s until a connection that rests without a limit is looked at again
 SOON = 0.05  # s in which the loop has read what lies in the kernel
+LINGER = 1.0  # s for which who is refused may go on sending: a close with unread bytes would destroy the answer
 TOO_LARGE, TOO_SLOW = 431, 408
 
 
@@ -41,6 +42,7 @@
         self._in_head = False  # a request has begun, and its head is not whole
         self._head_bytes = 0
         self._begun = 0  # requests so far
+        self._deaf = False  # it has its last answer, and what it still sends is thrown away
         self._last = False  # the next answer ends the connection
         self._timer: asyncio.TimerHandle | None = None
         self._rest_began = 0.0
@@ -76,6 +78,8 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        if self._deaf:
+            return
         begun = self._begun
         super().data_received(data)
         if self.transport.is_closing():
@@ -93,7 +97,7 @@
         self._last = True
         if self._in_hand:
             self.cycle.keep_alive = False
-        elif not self._in_head and not readable(self.transport):
+        elif self._deaf or not self._in_head and not readable(self.transport):
             self.transport.close()
 
     # The parser's side.
@@ -155,7 +159,9 @@
             self.flow.pause_reading()
             return
         self.transport.write(STATUS_LINE[status] + b"content-length: 0\r\nconnection: close\r\n\r\n")
-        self.transport.close()
+        self._deaf = True
+        self.transport.write_eof()
+        self._arm(self.loop.time() + LINGER, self.transport.close)
 
     def _rest(self) -> None:
         """Nothing of a request is here."""
--- a/tests/edge/stage.py
+++ b/tests/edge/stage.py
@@ -174,6 +174,10 @@
         except ConnectionError:
             return True
 
+    def reset(self):
+        resetting(self.writer.get_extra_info("socket"))
+        self.writer.transport.abort()
+
     def close(self):
         self.writer.close()
 
