--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -33,9 +33,14 @@
 
 from __future__ import annotations
 
+import signal
+import sys
+
+if __name__ == "__main__" and sys.argv[1:2] in (["edge"], ["control"]):
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # settings may change while we start: no reason to end
+
 import asyncio
 import os
-import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
