Edge machines believe only answers to a beat that they sent lately

An edge machine frozen at its very start could believe a word from before the freeze. Its beat now bears its own time, the answer gives it back, and a word vouches only within a second of it.

--- a/benchmarks/endpoints.py
+++ b/benchmarks/endpoints.py
@@ -135,7 +135,7 @@
         "one range changed, ms": spent(told_one),
         "half a second and its report, ms": spent(keyed.report),
         "reports, KB/s": 2 * len(keyed.report()) / 1000,
-        "a beat, KB": len(packed(keyed.view.stand())) / 1000,
+        "a beat, KB": len(packed(keyed.view.stand(0))) / 1000,
         "ranges, KB": sum(len(packed(news)) for news in whole) / 1000,
         "kept, KB": plain_kept,
         "kept with ranges, KB": keyed_kept,
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -76,7 +76,7 @@
         now += S // 20
         for number, view in enumerate(views):
             if not (step + number) * S // 20 % BEAT:
-                beat = over(view.stand(), decode_at_member, into)
+                beat = over(view.stand(now), decode_at_member, into)
                 began = time.process_time()
                 session = sessions.heard(now, ends.setdefault(number, End()), beat.edge)
                 session.said = beat.version
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -240,7 +240,7 @@
     def edge_beat(self, now: int, beat: EdgeBeat, edges: int) -> list[ToEdge]:
         """An edge machine says where it stands; `edges`: how many are in session. Returns what it is told: our own
         beat, and all that it lacks."""
-        answers: list[ToEdge] = [self._member_beat(now, edges)]
+        answers: list[ToEdge] = [self._member_beat(now, beat, edges)]
         force = self.state.configuration
         if force is not None and (beat.version is None or beat.version < force.version):
             answers.append(ConfigurationNews(force.version, force.text))
@@ -260,7 +260,7 @@
         if decider is not None:
             decider.placing.report(now, report.keys, report.servers)
 
-    def _member_beat(self, now: int, edges: int) -> MemberBeat:
+    def _member_beat(self, now: int, beat: EdgeBeat, edges: int) -> MemberBeat:
         counts = self._committed()
         force = self.state.configuration
         return MemberBeat(
@@ -271,6 +271,7 @@
             force.version if force else None,
             tuple(map(address_of, counts.everybody())) if counts else (),
             edges,
+            beat.sent_at,
         )
 
     # The platform's list.
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -129,7 +129,7 @@
                 wire.peer, self.wires[member] = member, wire
                 self.heard[wire] = time.monotonic_ns()
                 while wire.open and time.monotonic_ns() - self.heard[wire] < SILENT:
-                    wire.send(self.outlook.stand())
+                    wire.send(self.outlook.stand(time.monotonic_ns()))
                     await asyncio.sleep(BEAT)
             except (OSError, TimeoutError):
                 pass
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -20,6 +20,7 @@
 
 S = 1_000_000_000
 SILENT = 3 * S // 2  # a session that says nothing for so long is ended and begun anew
+VOUCHED_WITHIN = S  # a member's word is believed if it answers a beat that was sent no longer ago (ns)
 FALLBACK = S  # so long after the last word of any member, seeds are asked again besides the members
 
 
@@ -104,7 +105,7 @@
             self.epoch, self.members = beat.epoch, beat.voters
         if member in self.members:
             self._heard_at = now
-            if beat.current and self._holds(beat.version):
+            if beat.current and now - beat.answers <= VOUCHED_WITHIN and self._holds(beat.version):
                 self._vouched = True
         return Change.MEMBERS if changed else None
 
@@ -140,13 +141,14 @@
     def _told_servers(self, now: int, news: ServerListNews) -> Change | None:
         return Change.SERVERS if self.roster.take(now, news.age, news.entries) else None
 
-    def stand(self) -> EdgeBeat:
+    def stand(self, now: int) -> EdgeBeat:
         """Where this machine stands, as it says in each beat; what it lacks is sent in return."""
         return EdgeBeat(
             self.name,
             self.timetable.key.version if self.timetable else None,
             {service: held.place for service, held in self.holders.items()},
             self.roster.digest() if self.roster.fetched_at is not None else None,
+            now,
         )
 
     def ready(self) -> bool:
--- a/kestrelplank/transport/messages.py
+++ b/kestrelplank/transport/messages.py
@@ -31,12 +31,14 @@
 
 class EdgeBeat(msgspec.Struct, frozen=True, array_like=True, tag="edge"):
     """Where an edge machine stands: the version that it goes by (None: none yet), the place of the lines that it has by
-    service, and the digest of its list of servers (None: none yet). What it lacks is sent in return."""
+    service, and the digest of its list of servers (None: none yet). What it lacks is sent in return. `sent_at`: ns on
+    its own steady clock, which the answer gives back."""
 
     edge: str
     version: int | None
     lines: dict[str, RecordPlace]
     servers: int | None
+    sent_at: int = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
@@ -54,7 +56,8 @@
 class MemberBeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Told in answer to each `EdgeBeat`. `epoch`, `voters`: the newest membership that is committed here, control
     addresses; `term`, `leader`: who leads as far as is known here ("": nobody). `current`: the sender may vouch that
-    `version` (None: no configuration yet) is in force. `edges`: edge machines in session with it."""
+    `version` (None: no configuration yet) is in force. `edges`: edge machines in session with it. `answers`: `sent_at`
+    of the beat that this answers, so that the edge machine knows how old this word is at most."""
 
     epoch: int
     term: int
@@ -63,6 +66,7 @@
     version: int | None
     voters: tuple[str, ...]
     edges: int
+    answers: int = 0
 
 
 class ConfigurationNews(msgspec.Struct, frozen=True, array_like=True, tag="configuration"):
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -192,7 +192,7 @@
     def beat(self):
         """The edge machine's beat to each member."""
         for name in self.edge_sessions():
-            for message in self.members[name].edge_beat(self.now, self.edge.stand(), 1):
+            for message in self.members[name].edge_beat(self.now, self.edge.stand(self.now), 1):
                 self.tell_edge(name, message)
 
     def report(self):
--- a/tests/transport/test_edge_view.py
+++ b/tests/transport/test_edge_view.py
@@ -5,7 +5,7 @@
 from configuration.test_plan import encoded
 
 from kestrelplank.consensus.messages import ServerListNews
-from kestrelplank.transport.edge_view import FALLBACK, Change, EdgeView, Holders
+from kestrelplank.transport.edge_view import FALLBACK, VOUCHED_WITHIN, Change, EdgeView, Holders
 from kestrelplank.transport.messages import (
     ConfigurationNews,
     LinesChanged,
@@ -20,8 +20,8 @@
 MEMBERS = ("a:1", "b:1", "c:1")
 
 
-def beat(version=None, voters=MEMBERS, epoch=0, term=1, leader="a:1", current=True):
-    return MemberBeat(epoch, term, leader, current, version, voters, 12)
+def beat(version=None, voters=MEMBERS, epoch=0, term=1, leader="a:1", current=True, answers=0):
+    return MemberBeat(epoch, term, leader, current, version, voters, 12, answers)
 
 
 def configuration(version):
@@ -78,6 +78,15 @@
     assert view.ready()
 
 
+def test_a_word_that_a_freeze_or_a_cut_has_held_up_vouches_for_nothing():
+    view = holding(5)
+    asked_at = view.stand(7 * S).sent_at
+    view.receive(asked_at + VOUCHED_WITHIN + 1, "a:1", beat(5, answers=asked_at))
+    assert not view.ready()
+    view.receive(asked_at + VOUCHED_WITHIN, "a:1", beat(5, answers=asked_at))
+    assert view.ready()
+
+
 def test_without_a_configuration_nobody_is_ready():
     view = EdgeView("edge-1", MEMBERS)
     view.receive(0, "a:1", ServerListNews(0, [entry("s")]))
@@ -157,7 +166,7 @@
     assert view.receive(0, "a:1", changed) is Change.LINES and view.holders["views"].of(50).server == "t"
     assert view.receive(0, "b:1", changed) is None  # it comes twice
     late = LinesChanged("views", RecordPlace(2, 3), RecordPlace(2, 4), [RangeHolder(0, 9, "u", "u:80")])
-    assert view.receive(0, "a:1", late) is None and view.stand().lines["views"] == RecordPlace(2, 2)
+    assert view.receive(0, "a:1", late) is None and view.stand(0).lines["views"] == RecordPlace(2, 2)
 
 
 def test_who_missed_a_notice_of_leaving_ranges_takes_nothing_that_builds_on_it_until_it_is_told_all():
@@ -165,7 +174,7 @@
     lines = [RangeHolder(0, 99, "s", "s:80"), RangeHolder(100, 65535, "t", "t:80")]
     view.receive(0, "a:1", LinesNews("views", RecordPlace(2, 1), lines))
     second = LinesChanged("views", RecordPlace(2, 1, 1), RecordPlace(2, 1, 2), [RangeHolder(100, 199, "", "")])
-    assert view.receive(0, "a:1", second) is None and view.stand().lines["views"] == RecordPlace(2, 1)
+    assert view.receive(0, "a:1", second) is None and view.stand(0).lines["views"] == RecordPlace(2, 1)
     leaving = [RangeHolder(50, 99, "", ""), RangeHolder(100, 199, "", "")]
     assert view.receive(0, "a:1", LinesNews("views", RecordPlace(2, 1, 2), lines, leaving)) is Change.LINES
     held = view.holders["views"]
