The control member in small modules; its adapters tested; a replaced member in the rehearsal

Cause: control/member.py held 730 lines of five jobs, the disk's and the sessions' adapters had no tests, and the small gateway on loopback never replaced a control member. Change: replica.py (the log, what it adds up to, effects), operator_calls.py and pending_calls.py, key_deciders.py, voters.py (the leader's care for who counts), participation.py (finding the others, asking to count, stopping), place.py; member.py has what joins them. A start whose disk refuses is tried again. lab/yard: a control member is lost for good and an empty one comes at another address; `gateway rehearse` fails where it does not count in the end. machine_losses below 0 is refused with its place. Tests: test_disk (joined writes, the same batch again), test_member_sessions (on loopback: identities, former incarnations, answers over the session that came in), test_start, test_pending_calls; test_yard asks for the replacement.

--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -9,7 +9,7 @@
 from kestrelplank.configuration.plan import read
 from kestrelplank.consensus.effects import Persist
 from kestrelplank.control.effects import CallServer
-from kestrelplank.control.member import Place
+from kestrelplank.control.place import Place
 from kestrelplank.control.start import started
 from kestrelplank.sharding.lines import KEYS
 from kestrelplank.transport.edge_view import EdgeView
--- a/kestrelplank/config/platform.py
+++ b/kestrelplank/config/platform.py
@@ -196,6 +196,10 @@
         found = Settings(*(checked(kind, table(data, path), path) for path, kind in TABLES))
         if not found.network.internal_port_range or not found.network.seed_nodes:
             raise Unusable("network: internal_port_range and seed_nodes must not be empty")
+        if found.fault_tolerance.machine_losses < 0:
+            raise Unusable(
+                f"policy_terms.fault_tolerance.machine_losses: {found.fault_tolerance.machine_losses} is below 0"
+            )
         for place, address in enumerate(found.network.seed_nodes):
             endpoint(address, f"network.seed_nodes[{place}]")
         endpoint(found.cloud.address, "platform.cloud_api.address")
--- a/kestrelplank/consensus/messages.py
+++ b/kestrelplank/consensus/messages.py
@@ -181,8 +181,8 @@
 
 
 class RequestMembership(msgspec.Struct, frozen=True, array_like=True, tag="join"):
-    """Sent again and again by whoever runs and is no voter, and by a voter that is about to stop. `eligible`: it may
-    become a voter (the platform counts its machine's loss). `leaving`: it is about to stop."""
+    """Sent again and again to the leader by whoever runs: in the hope to count, or, if it does, so that its zone is
+    known. `eligible`: it may count (the platform counts its machine's loss). `leaving`: it is about to stop."""
 
     term: int
     epoch: int
--- a/kestrelplank/control/deciding.py
+++ b/kestrelplank/control/deciding.py
@@ -107,6 +107,10 @@
     line: Line
     spell: int
 
+    def told(self) -> str:
+        """As it is logged."""
+        return f"keys {self.line.first}-{self.line.last} had no holder for {self.spell / S:.3f} s"
+
 
 @dataclass(frozen=True, slots=True)
 class Still:
@@ -114,6 +118,10 @@
 
     line: Line
 
+    def told(self) -> str:
+        """As it is logged."""
+        return f"keys {self.line.first}-{self.line.last} still have no holder, last was {self.line.server or 'nobody'}"
+
 
 Step = Lay | Call | Tell | Bare | Still
 
--- a/kestrelplank/control/operator_calls.py
+++ b/kestrelplank/control/operator_calls.py
@@ -1,133 +1,128 @@
-"""Orders and reads of the operator that have not been answered yet, at the leader and at a member that passed them on.
-No I/O.
-
-An order is answered once its own entry of the log is applied: the same index and the same term. If another entry is
-applied at that index, or the member leads no longer, or it takes too long, nothing is known of it: the operator sends
-it again, and whoever then leads finds it in force, or proposes it anew.
-"""
-
-from dataclasses import dataclass, field
-
-from kestrelplank.consensus.messages import CallId, Entry, PutConfiguration
-
-S = 1_000_000_000
-PATIENCE = 800_000_000  # ns that a call waits: the operator goes elsewhere after a second
-MOST = 64  # calls under way, beyond which new ones are turned away
-
-
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A call that the operator made to this member."""
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PassedOn:
-    """A call that another member passed on to us; `sender`: its identity."""
-
-    sender: str
-    call: CallId
-
-
-Caller = Ticket | PassedOn
-
-
-@dataclass(slots=True)
-class PendingOrder:
-    """An order in the log that is not committed as far as is known here."""
-
-    order: PutConfiguration
-    index: int
-    term: int
-    waiting: list[tuple[Caller, int]] = field(default_factory=list)  # and until when
-
-
-class PendingOrders:
-    """Orders that this member proposed as the leader."""
-
-    def __init__(self) -> None:
-        self._orders: list[PendingOrder] = []
-
-    def full(self) -> bool:
-        return sum(len(order.waiting) for order in self._orders) >= MOST
-
-    def attach(self, now: int, caller: Caller, order: PutConfiguration) -> bool:
-        """Lets the caller wait for the very same order, if that is under way already."""
-        for pending in self._orders:
-            if (pending.order.version, pending.order.digest) == (order.version, order.digest):
-                pending.waiting.append((caller, now + PATIENCE))
-                return True
-        return False
-
-    def add(self, now: int, caller: Caller, order: PutConfiguration, index: int, term: int) -> None:
-        self._orders.append(PendingOrder(order, index, term, [(caller, now + PATIENCE)]))
-
-    def applied(self, entry: Entry) -> tuple[list[Caller], list[Caller]]:
-        """Who is acknowledged by this entry, and whose order has not become the entry at its index."""
-        acknowledged: list[Caller] = []
-        unknown: list[Caller] = []
-        left = []
-        for order in self._orders:
-            if order.index > entry.index:
-                left.append(order)
-                continue
-            same = (order.index, order.term) == (entry.index, entry.term)
-            (acknowledged if same else unknown).extend(caller for caller, _ in order.waiting)
-        self._orders = left
-        return acknowledged, unknown
-
-    def expired(self, now: int) -> list[Caller]:
-        """Who has waited too long. The order itself stays, for who sends it again."""
-        found = []
-        for order in self._orders:
-            found += [caller for caller, until in order.waiting if now >= until]
-            order.waiting = [(caller, until) for caller, until in order.waiting if now < until]
-        return found
-
-    def drop(self) -> list[Caller]:
-        """This member leads no longer: nothing is known of any."""
-        found = [caller for order in self._orders for caller, _ in order.waiting]
-        self._orders = []
-        return found
-
-
-@dataclass(frozen=True, slots=True)
-class Passed:
-    """A call that we passed on to `leader` and that is not answered."""
-
-    ticket: int
-    leader: str
-    until: int
-    reads: bool
-
-
-class PassedCalls:
-    """Calls of the operator to this member, passed on to the leader. `life` is drawn anew at each start of a member, so
-    that an answer to a former life's call matches none of ours."""
-
-    def __init__(self, member: str, life: int) -> None:
-        self._member, self._life, self._number = member, life, 0
-        self._calls: dict[int, Passed] = {}
-
-    def full(self) -> bool:
-        return len(self._calls) >= MOST
-
-    def add(self, now: int, ticket: int, leader: str, reads: bool) -> CallId:
-        self._number += 1
-        self._calls[self._number] = Passed(ticket, leader, now + PATIENCE, reads)
-        return CallId(self._member, self._life, self._number)
-
-    def answered(self, sender: str, call: CallId, reads: bool) -> Passed | None:
-        """The call that this answers, if it is one of ours, of this kind, and waits for that sender."""
-        passed = self._calls.get(call.number)
-        if passed is None or (call.member, call.life) != (self._member, self._life):
-            return None
-        if passed.leader != sender or passed.reads != reads:
-            return None
-        return self._calls.pop(call.number)
-
-    def expired(self, now: int, leader: str) -> list[Passed]:
-        """Calls that have waited too long, or whose leader leads no longer."""
-        ended = [number for number, call in self._calls.items() if now >= call.until or call.leader != leader]
-        return [self._calls.pop(number) for number in ended]
+"""Operators' orders and reads: confirmed and answered by the leader, passed on to it by a member that is current,
+refused at once by any other. No I/O."""
+
+from kestrelplank.configuration.plan import Configuration
+from kestrelplank.consensus.messages import (
+    Entry,
+    OrderResult,
+    PutConfiguration,
+    ReadConfiguration,
+    ReadResult,
+    SubmitOrder,
+)
+from kestrelplank.control.effects import AnswerOrder, AnswerRead
+from kestrelplank.control.pending_calls import Caller, PassedCalls, PassedOn, PendingOrders, Ticket
+from kestrelplank.control.replica import Replica
+
+
+class OperatorCalls:
+    """Calls that this member has been asked, by an operator or by a member that passed one on. `life`: drawn anew at
+    each start."""
+
+    def __init__(self, replica: Replica, life: int) -> None:
+        self._replica, self._node = replica, replica.node
+        self._orders = PendingOrders()
+        self._passed = PassedCalls(replica.node.identity, life)
+
+    # What the operator asks this member.
+
+    def put(self, now: int, ticket: int, configuration: Configuration) -> None:
+        """`AnswerOrder` follows."""
+        order = PutConfiguration(configuration.key.version, configuration.key.digest, configuration.text)
+        if self._node.leads(now):
+            self._confirm(now, Ticket(ticket), order)
+        elif self._can_pass_on(now):
+            call = self._passed.add(now, ticket, self._node.leader, reads=False)
+            self._replica.send(self._node.leader, SubmitOrder(call, order))
+        else:
+            self._answer_order(Ticket(ticket), False)
+
+    def show(self, now: int, ticket: int) -> None:
+        """`AnswerRead` follows."""
+        if self._node.leads(now):
+            self._read(now, Ticket(ticket))
+        elif self._can_pass_on(now):
+            call = self._passed.add(now, ticket, self._node.leader, reads=True)
+            self._replica.send(self._node.leader, ReadConfiguration(call))
+        else:
+            self._answer_read(Ticket(ticket), False, None)
+
+    # What other members ask, and what they answer.
+
+    def on_submit(self, now: int, sender: str, message: SubmitOrder) -> None:
+        self._confirm(now, PassedOn(sender, message.call), message.order)
+
+    def on_read(self, now: int, sender: str, message: ReadConfiguration) -> None:
+        self._read(now, PassedOn(sender, message.call))
+
+    def on_order_result(self, sender: str, result: OrderResult) -> None:
+        passed = self._passed.answered(sender, result.call, reads=False)
+        if passed is not None:
+            self._answer_order(Ticket(passed.ticket), result.acknowledged, result.in_force)
+
+    def on_read_result(self, sender: str, result: ReadResult) -> None:
+        passed = self._passed.answered(sender, result.call, reads=True)
+        if passed is not None:
+            self._answer_read(Ticket(passed.ticket), result.known, result.text)
+
+    # What happens meanwhile.
+
+    def applied(self, entry: Entry, took_force: bool) -> None:
+        """That entry is committed and applied; `took_force`: it was an order that is in force now."""
+        acknowledged, unknown = self._orders.applied(entry)
+        for caller in acknowledged:
+            self._answer_order(caller, True, took_force)
+        for caller in unknown:
+            self._answer_order(caller, False)
+
+    def deposed(self) -> None:
+        """This member leads no longer."""
+        for caller in self._orders.drop():
+            self._answer_order(caller, False)
+
+    def expire(self, now: int) -> None:
+        """Ends calls that have waited too long."""
+        for caller in self._orders.expired(now):
+            self._answer_order(caller, False)
+        for passed in self._passed.expired(now, self._node.leader):
+            if passed.reads:
+                self._answer_read(Ticket(passed.ticket), False, None)
+            else:
+                self._answer_order(Ticket(passed.ticket), False)
+
+    def _can_pass_on(self, now: int) -> bool:
+        known = self._node.leader not in ("", self._node.identity)
+        return known and self._node.current(now) and not self._passed.full()
+
+    def _confirm(self, now: int, caller: Caller, order: PutConfiguration) -> None:
+        """An order that we are to put in force, if we lead."""
+        if not self._node.leads(now):
+            self._answer_order(caller, False)
+        elif self._replica.state.acknowledges(order):
+            self._answer_order(caller, True, self._replica.state.holds(order))
+        elif self._orders.full():
+            self._answer_order(caller, False)
+        elif not self._orders.attach(now, caller, order):
+            index = self._replica.propose(now, order)
+            if index is None:
+                self._answer_order(caller, False)
+            else:
+                self._orders.add(now, caller, order, index, self._node.term)
+
+    def _read(self, now: int, caller: Caller) -> None:
+        """A read that we are to answer, if we lead: then all that was ever acknowledged is applied here."""
+        known = self._node.leads(now)
+        force = self._replica.state.configuration if known else None
+        self._answer_read(caller, known, force.text if force else None)
+
+    def _answer_order(self, caller: Caller, acknowledged: bool, in_force: bool = False) -> None:
+        if isinstance(caller, Ticket):
+            self._replica.emit(AnswerOrder(caller.number, acknowledged, in_force))
+        else:
+            self._replica.send(caller.sender, OrderResult(caller.call, acknowledged, in_force))
+
+    def _answer_read(self, caller: Caller, known: bool, text: bytes | None) -> None:
+        if isinstance(caller, Ticket):
+            self._replica.emit(AnswerRead(caller.number, known, text))
+        else:
+            self._replica.send(caller.sender, ReadResult(caller.call, known, text))
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -26,8 +26,9 @@
     SendMessage,
     SendToAddress,
 )
-from kestrelplank.control.member import ControlMember, Place
+from kestrelplank.control.member import ControlMember
 from kestrelplank.control.member_sessions import MemberSessions
+from kestrelplank.control.place import Place
 from kestrelplank.control.platform_list import PlatformList
 from kestrelplank.control.server_calls import ServerCalls
 from kestrelplank.control.start import started
--- a/kestrelplank/control/status.py
+++ b/kestrelplank/control/status.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from kestrelplank.consensus.progress import Progress
+from kestrelplank.control.deciding import Record, ServiceDecider
+from kestrelplank.sharding.lines import Line
+
+S = 1_000_000_000
+
 
 class PeerStatus(msgspec.Struct, frozen=True):
     """Another member as the leader sees it: the last entry of the log that it surely has, and when it was heard."""
@@ -65,3 +71,27 @@
     list_age_s: float | None
     services: dict[str, ServiceStatus]
     edges: dict[str, EdgeStatus] = {}
+
+
+def peer_status(now: int, peer: Progress, commit: int) -> PeerStatus:
+    """Another member, of whose log the leader knows this; `commit`: the last entry that is committed."""
+    heard_s = round((now - peer.heard_at) / S, 3) if peer.heard_at else None
+    return PeerStatus(peer.match, heard_s, peer.caught_up(commit))
+
+
+def service_status(now: int, decider: ServiceDecider | None, record: Record) -> ServiceStatus:
+    """A service, of which `record` is the newest in the log; `decider`: where this member decides for it."""
+    return ServiceStatus(
+        decides=decider is not None,
+        term=record.term,
+        record=record.number,
+        bare_s=round(decider.bare(), 3) if decider else None,
+        lines=[line_status(now, line) for line in decider.lines.lines] if decider else [],
+        learnt=decider.placing.learnt() if decider else record.learnt,
+    )
+
+
+def line_status(now: int, line: Line) -> LineStatus:
+    """A line of the decider's."""
+    runs_out_s = round((line.until - now) / S, 3)
+    return LineStatus(line.first, line.last, line.server, line.fence, line.state, runs_out_s)
--- a/kestrelplank/gateway.py
+++ b/kestrelplank/gateway.py
@@ -106,7 +106,9 @@
     else:
         for name, value in seen.items():
             print(f"{name.replace('_', ' ')}: {', '.join(value) if isinstance(value, list) else value}")
-    broken = not seen["ready"] or any(seen[rule] for rule in ("run_twice", "promised_and_ran", "held_twice"))
+    broken = not (seen["ready"] and seen["replaced"]) or any(
+        seen[rule] for rule in ("run_twice", "promised_and_ran", "held_twice")
+    )
     return 1 if broken else 0
 
 
--- a/kestrelplank/lab/yard.py
+++ b/kestrelplank/lab/yard.py
@@ -12,10 +12,12 @@
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import msgspec
 
+from kestrelplank.control.status import MemberStatus
 from kestrelplank.http.call import dial
 from kestrelplank.http.serve import Server, listener, server
 
@@ -164,12 +166,13 @@
 
 
 class Yard:
-    """The whole. `base`: machines are 127.0.BASE.x."""
+    """The whole: `cores` control members, `edges` edge machines, and a control member more that takes the place of one
+    that is lost."""
 
     def __init__(self, folder: str, seed: int = 1, cores: int = 3, edges: int = 2, log: str = "WARNING") -> None:
         base = random.SystemRandom().randrange(1, 250)
         self.random, self.log = random.Random(seed), log
-        ips = [f"127.0.{base}.{number}" for number in range(1, 1 + cores + edges)]
+        ips = [f"127.0.{base}.{number}" for number in range(1, 2 + cores + edges)]
         self.port, self.telegraph, self.ready_port = (free_port(ips) for _ in range(3))
         self.tally = Tally()
         self.servers: list[StandIn] = []
@@ -180,7 +183,9 @@
                 self.servers.append(StandIn(f"{service}-{number}", service, address, self.tally, self.servers))
         self.cloud = (f"127.0.{base}.99", free_port([f"127.0.{base}.99"]))
         self.seeds = [f"{ip}:{self.port}" for ip in ips[:cores]]
-        self.machines = [self.machine(folder, "control" if at < cores else "edge", ip, at) for at, ip in enumerate(ips)]
+        roles = ["control"] * cores + ["edge"] * edges
+        self.machines = [self.machine(folder, role, ip, at) for at, (role, ip) in enumerate(zip(roles, ips))]
+        self.spare = self.machine(folder, "control", ips[-1], len(roles))
         self.processes: dict[Machine, asyncio.subprocess.Process] = {}
 
     def machine(self, folder: str, role: str, ip: str, number: int) -> Machine:
@@ -336,13 +341,13 @@
         await asyncio.gather(*tasks)
 
     async def losses(self) -> list[str]:
-        """The script: the core member that decides is killed and comes back, a server drains, one is lost, an edge is
-        told to stop."""
+        """The script: the control member that decides is killed and comes back, a server drains, one is lost, an edge
+        machine is told to stop, and a control member is lost for good and replaced by an empty one."""
         told = []
-        boxes = [machine for machine in self.machines if machine.role == "control"]
+        members = [machine for machine in self.machines if machine.role == "control"]
         edges = [machine for machine in self.machines if machine.role == "edge"]
-        deciders = [machine for machine in boxes if await self.decides(machine)]
-        lost = (deciders or boxes)[0]
+        deciders = [machine for machine in members if await self.decides(machine)]
+        lost = (deciders or members)[0]
         self.end(lost)
         told.append(f"killed {lost.ip}, which decided")
         await asyncio.sleep(0.5)
@@ -356,12 +361,39 @@
         self.servers[1].state = "gone"
         await self.servers[1].stop()
         told.append(f"{self.servers[1].name} is lost")
+        await self.until(lambda: self.current(lost))
+        gone = next(machine for machine in members if machine is not lost)
+        self.end(gone)
+        await self.start(self.spare, again=True)
+        told.append(f"{gone.ip} is lost for good, {self.spare.ip} comes empty")
         return told
 
-    async def decides(self, machine: Machine) -> bool:
+    async def until(self, condition: Callable[[], Awaitable[bool]]) -> bool:
+        """Whether that comes true within what is waited for."""
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until:
+            if await condition():
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def status(self, machine: Machine) -> MemberStatus | None:
+        """What that control member sees, if it answers."""
         answer = await self.call(machine.ip, self.port, "GET", "/api/status")
-        services = msgspec.json.decode(answer.body).get("services", {}) if answer else {}
-        return any(one["decides"] for one in services.values())
+        return msgspec.json.decode(answer.body, type=MemberStatus) if answer and answer.status == 200 else None
+
+    async def decides(self, machine: Machine) -> bool:
+        seen = await self.status(machine)
+        return seen is not None and any(service.decides for service in seen.services.values())
+
+    async def current(self, machine: Machine) -> bool:
+        seen = await self.status(machine)
+        return seen is not None and seen.current
+
+    async def replaced(self) -> bool:
+        """Whether the member that came empty counts, and has all that is agreed."""
+        seen = await self.status(self.spare)
+        return seen is not None and seen.current and seen.member in seen.voters
 
     async def run(self, requests: int, per_s: float) -> dict[str, Any]:
         """Plays the script. Returns what was seen."""
@@ -374,16 +406,18 @@
             for machine in self.machines:
                 await self.start(machine)
             if not await self.configure(1) or not await self.ready():
-                return {"ready": False}
+                return {"ready": False, "replaced": False}
             ready_s = time.monotonic() - began
             loading = asyncio.create_task(self.load(requests, per_s))
             told = await self.losses()
             await loading
+            replaced = await self.until(self.replaced)
             twice = [attempt for attempt in self.tally.once if self.tally.runs.get(attempt, 0) > 1]
             return {
                 "ready": True,
                 "ready_s": round(ready_s, 2),
                 "losses": told,
+                "replaced": replaced,
                 "asked": self.tally.asked,
                 "served": self.tally.good,
                 "answers": dict(sorted(self.tally.answered.items())),
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -23,6 +23,9 @@
 [platform.cloud_api]
 address = "10.9.0.1:80"
 rate_per_s = 54.0
+[policy_terms.fault_tolerance]
+machine_losses = 2
+zones = 0
 [policy_terms.bounds]
 grace_s = 7
 """
@@ -33,6 +36,7 @@
     found = read(str(tmp_path / "node.toml"))
     assert found.listen("frontend") == ("10.0.0.1", 8080) and found.telegraph_port() == 7540
     assert found.bounds.grace_s == 7 and found.bounds.retry_budget_ratio == 0.2
+    assert found.fault_tolerance.machine_losses == 2 and found.local_system.quorum_member
     with pytest.raises(Unusable, match="listen_addresses.readiness: missing"):
         found.listen("readiness")
 
@@ -43,6 +47,7 @@
         ('zone = "hall"\n', "", "local_system.zone: missing"),
         ('zone = "hall"', "zone = 3", "local_system.zone: 3 is no str"),
         ("grace_s = 7", 'grace_s = "7"', "policy_terms.bounds.grace_s"),
+        ("losses = 2", "losses = -1", "policy_terms.fault_tolerance.machine_losses: -1 is below 0"),
         ('"10.0.0.9:80"', '"10.0.0.9"', "network.seed_nodes[0]"),
         ("[7540, 7555]", "[]", "internal_port_range"),
         ("[7540, 7555]", '["a"]', "internal_port_range[0]"),
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -24,7 +24,7 @@
     SendMessage,
     SendToAddress,
 )
-from kestrelplank.control.member import Place
+from kestrelplank.control.place import Place
 from kestrelplank.control.start import started
 from kestrelplank.sharding.lines import HELD, HOLD, KEYS
 from kestrelplank.transport.edge_view import EdgeView
--- /dev/null
+++ b/tests/control/test_member_sessions.py
@@ -0,0 +1,139 @@
+"""Sessions between control members on loopback: whose message is whose, and which way it goes."""
+
+import asyncio
+
+from kestrelplank.consensus.messages import Membership, MembershipNews, WhoCounts
+from kestrelplank.control.member_sessions import MemberSessions
+from kestrelplank.lab.yard import free_port
+from kestrelplank.transport.messages import EdgeBeat, Envelope, decode_at_member
+from kestrelplank.transport.wire import FrameConnection
+
+ONE, TWO = "127.0.0.1", "127.0.0.2"
+NEWS = MembershipNews(Membership(0, ("a:1/first",)), "", ())
+
+
+class Member:
+    """One member's sessions, listening; `met`: what it received, by sender."""
+
+    def __init__(self, ip, port, incarnation):
+        self.ip, self.identity, self.port, self.met = ip, f"{ip}:80/{incarnation}", port, []
+        self.sessions = MemberSessions(self.identity, port, lambda sender, message: self.met.append((sender, message)))
+        self.server = None
+
+    async def listen(self):
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: FrameConnection(decode_at_member, self.on_message, self.sessions.on_inbound_end),
+            self.ip,
+            self.port,
+        )
+
+    def on_message(self, wire, message):
+        if isinstance(message, Envelope):
+            self.sessions.on_inbound(wire, message)
+
+
+def played(play):
+    async def whole():
+        port = free_port([ONE, TWO])
+        one, two = Member(ONE, port, "x"), Member(TWO, port, "y")
+        try:
+            async with asyncio.timeout(10):
+                await one.listen()
+                await two.listen()
+                await play(one, two)
+        finally:
+            for member in (one, two):
+                member.sessions.close()
+                member.server.close()
+
+    asyncio.run(whole())
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0)
+
+
+async def told(sender, send, receiver, count=1):
+    """Sends until so many messages more have arrived: what is sent before a session stands is lost."""
+    before = len(receiver.met)
+    while len(receiver.met) < before + count:
+        send()
+        await asyncio.sleep(0)
+
+
+def test_a_message_goes_over_the_session_that_was_dialled_and_its_answer_back_over_it():
+    async def play(one, two):
+        one.sessions.dial([f"{TWO}:80"])  # the other dials nobody
+        await told(one, lambda: one.sessions.send_to_address(f"{TWO}:80", WhoCounts()), two)
+        assert two.met[0] == (one.identity, WhoCounts())
+        two.sessions.send(one.identity, NEWS)
+        await until(lambda: one.met)
+        assert one.met == [(two.identity, NEWS)]
+
+    played(play)
+
+
+def test_what_is_meant_for_a_former_incarnation_reaches_nobody():
+    async def play(one, two):
+        one.sessions.dial([f"{TWO}:80"])
+        await told(one, lambda: one.sessions.send_to_address(f"{TWO}:80", WhoCounts()), two)
+        seen = len(two.met)
+        one.sessions.send(f"{TWO}:80/former", NEWS)
+        one.sessions.send(two.identity, NEWS)
+        await until(lambda: (one.identity, NEWS) in two.met)
+        assert [message for _, message in two.met[seen:]].count(NEWS) == 1
+
+    played(play)
+
+
+def test_a_connection_speaks_for_one_member_only_whoever_dialled_it():
+    async def play(one, two):
+        loop = asyncio.get_running_loop()
+        _, wire = await loop.create_connection(
+            lambda: FrameConnection(decode_at_member, lambda *_: None, lambda _: None), TWO, two.port
+        )
+        wire.send(Envelope("127.0.0.9:80/a", "", WhoCounts()))
+        wire.send(Envelope("127.0.0.9:80/b", "", NEWS))
+        wire.send(Envelope("127.0.0.9:80/a", "", NEWS))
+        await until(lambda: len(two.met) == 2)
+        assert two.met == [("127.0.0.9:80/a", WhoCounts()), ("127.0.0.9:80/a", NEWS)]
+        wire.reset()
+        one.sessions.dial([f"{TWO}:80"])
+        await told(one, lambda: one.sessions.send_to_address(f"{TWO}:80", WhoCounts()), two)
+        (session,) = two.sessions._inbound.by_name.values()
+        for sender in ("127.0.0.2:80/y", "127.0.0.2:80/z", "127.0.0.2:80/y"):
+            session.wire.send(Envelope(sender, one.identity, NEWS))
+        await until(lambda: len(one.met) == 2)
+        assert one.met == [(two.identity, NEWS)] * 2
+
+    played(play)
+
+
+def test_words_of_edge_machines_on_a_connection_that_we_dialled_are_nobodys():
+    async def play(one, two):
+        one.sessions.dial([f"{TWO}:80"])
+        await told(one, lambda: one.sessions.send_to_address(f"{TWO}:80", WhoCounts()), two)
+        (session,) = two.sessions._inbound.by_name.values()
+        session.wire.send(EdgeBeat("edge-1", None, {}, None))
+        session.wire.send(Envelope(two.identity, one.identity, NEWS))
+        await until(lambda: one.met)
+        assert one.met == [(two.identity, NEWS)]
+
+    played(play)
+
+
+def test_who_is_no_longer_wanted_is_let_go_of_and_who_ended_is_dialled_anew():
+    async def play(one, two):
+        one.sessions.dial([f"{TWO}:80"])
+        send = lambda: one.sessions.send_to_address(f"{TWO}:80", WhoCounts())  # noqa: E731
+        await told(one, send, two)
+        (session,) = two.sessions._inbound.by_name.values()
+        session.wire.reset()
+        await told(one, send, two)
+        await until(lambda: two.sessions._inbound.by_name)
+        one.sessions.dial([])
+        await until(lambda: not two.sessions._inbound.by_name)
+
+    played(play)
--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -14,7 +14,7 @@
     ReadResult,
     SubmitOrder,
 )
-from kestrelplank.control.operator_calls import MOST, PATIENCE
+from kestrelplank.control.pending_calls import MOST, PATIENCE
 from kestrelplank.transport.messages import EdgeBeat
 
 OTHER = {"service_table": [{"name": "views", "sharded": True}, {"name": "orders"}, {"name": "more"}]}
--- a/tests/control/test_operator_calls.py
+++ b/tests/control/test_pending_calls.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kestrelplank.consensus.messages import CallId, Entry, Noop, PutConfiguration
-from kestrelplank.control.operator_calls import MOST, PATIENCE, PassedCalls, PassedOn, PendingOrders, Ticket
+from kestrelplank.control.pending_calls import MOST, PATIENCE, PassedCalls, PassedOn, PendingOrders, Ticket
 
 NOW = 100
 ORDER = PutConfiguration(5, "digest", b"text")
