--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -24,7 +24,7 @@
 SPREAD = 0.5  # of a time to come back: so that those who come back do not come together
 LOOK = 60 * MS  # how often a request looks again whether a server has room
 CONNECTIONS = 0.8  # of what a server accepts from all callers, shared by all edge members
-FEWEST_CONNECTIONS = 2  # one in use and one that comes up
+WANTED_CONNECTIONS = 2  # one in use and one that comes up, where a server accepts as many from each edge member
 HUSH = 4, 0.6  # a repeatable request is silent after so many times what is usual there, and so much of its aim
 LAST = 30 * MS  # before the client's time is over, we answer it ourselves
 LEAST_OFFER = 10  # a send that has less than this part of the aim as its deadline is no offer
@@ -94,7 +94,9 @@
 
     def connections(self, request: ForwardedRequest) -> int:
         """How many connections to one server of its service this member may have, with all edge members alike."""
-        return max(FEWEST_CONNECTIONS, int(CONNECTIONS * request.connections / self.view.edges))
+        share = int(CONNECTIONS * request.connections / self.view.edges)
+        least = WANTED_CONNECTIONS if WANTED_CONNECTIONS * self.view.edges <= request.connections else 1
+        return max(least, share)
 
     @staticmethod
     def may_abandon(request: ForwardedRequest) -> bool:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -164,7 +164,7 @@
         **{"service_table": [{"name": "views", "max_connections": 110, "sharded": True}, {"name": "orders"}]}
     )
     request, _ = begin(found)
-    for edges, most in ((1, 88), (12, 7), (52, 2)):  # two at least: one in use and one that comes up
+    for edges, most in ((1, 88), (12, 7), (52, 2), (55, 2), (56, 1), (200, 1)):  # two, if they fit: one comes up
         found.view.edges = edges
         assert found.connections(request) == most
 
