Configuration: tenants, their keys, and routes with public access

Callers saw: a configuration in which two tenants share a key was acknowledged and came into force. The field `tenants` was unknown to the document, so nothing compared the keys; nor could anything look up a key.

Change: the document has `tenants` and `public_access`. A key of two tenants, a name given twice, an empty or unprintable name, and an empty key are rejected; the error names both places and never the key, also where a key has the wrong type. `Configuration.tenants` finds the tenant of a key; it holds keyed digests only, and an unchanged list reuses the former index. `diff` names tenants added, dropped and changed. Without `tenants` nothing changes.

--- a/kestrelplank/configuration/differences.py
+++ b/kestrelplank/configuration/differences.py
@@ -1,15 +1,17 @@
-"""The differences between two configurations: limits, services, and routes field by field.
+"""The differences between two configurations: limits, services, tenants, and routes field by field.
 
 Fields of routes have the names and units of the document. Limits have shorter names and are in ns or bytes; a service
-that differs is reported with all its fields. The command line prints these names and values, so they must not change.
+that differs is reported with all its fields; of a tenant, never its keys. The command line prints these names and
+values, so they must not change.
 """
 
 from typing import NamedTuple
 
 from kestrelplank.configuration.route_table import Configuration, Route, Service
+from kestrelplank.configuration.tenants import Tenant, TenantIndex
 from kestrelplank.time_units import SECOND
 
-ADDED, DROPPED = "added", "dropped"
+ADDED, DROPPED, KEYS_CHANGED = "added", "dropped", "api_keys changed"
 DOCUMENT_FIELD_NAMES = {
     "route_type": "route_type",
     "timeout_ns": "timeout_s",
@@ -17,6 +19,7 @@
     "priority": "priority",
     "max_attempts": "max_attempts",
     "traffic_split": "traffic_split",
+    "public_access": "public_access",
 }
 LIMIT_NAMES = {
     "max_body_bytes": "max_body",
@@ -32,8 +35,8 @@
 class Difference(NamedTuple):
     """One difference, as the command line prints it.
 
-    `host` and `prefix` are empty for limits and services. For a route that only one configuration has, `field` is
-    `added` or `dropped` and both values are None.
+    `host` and `prefix` are empty for limits, services and tenants. For a route that only one configuration has, `field`
+    is `added` or `dropped` and both values are None; for a tenant, its name comes before.
     """
 
     host: str
@@ -50,10 +53,11 @@
 
 
 def differences(old: Configuration, new: Configuration) -> list[Difference]:
-    """Return all differences: limits, then services by name, then routes by host and prefix."""
+    """Return all differences: limits, services by name, tenants by name, then routes by host and prefix."""
     changes = _limit_differences(old, new)
     for name in sorted(old.services.keys() | new.services.keys()):
         changes += _service_differences(name, old.services.get(name), new.services.get(name))
+    changes += _tenant_differences(old.tenants, new.tenants)
     for host in sorted(old.routes_by_host.keys() | new.routes_by_host.keys()):
         old_routes, new_routes = old.routes_by_host.get(host, {}), new.routes_by_host.get(host, {})
         for prefix in sorted(old_routes.keys() | new_routes.keys()):
@@ -77,6 +81,29 @@
     return [Difference("", "", f"service {name}", old and tuple(old[1:]), new and tuple(new[1:]))]
 
 
+def _tenant_differences(old: TenantIndex | None, new: TenantIndex | None) -> list[Difference]:
+    """Return whether requests need a key, if that differs, then the differences of each tenant by name."""
+    changes: list[Difference] = []
+    if (old is None) != (new is None):
+        changes.append(Difference("", "", "api_key_required", old is not None, new is not None))
+    old_tenants, new_tenants = ({} if index is None else index.tenants for index in (old, new))
+    old_keys, new_keys = ({} if index is None else index.key_digests() for index in (old, new))
+    for name in sorted(old_tenants.keys() | new_tenants.keys()):
+        changes += _one_tenant_differences(name, old_tenants.get(name), new_tenants.get(name))
+        if name in old_keys and name in new_keys and old_keys[name] != new_keys[name]:
+            changes.append(Difference("", "", f"tenant {name} {KEYS_CHANGED}", None, None))
+    return changes
+
+
+def _one_tenant_differences(name: str, old: Tenant | None, new: Tenant | None) -> list[Difference]:
+    """Return the differences of the tenant with that name, except those of its keys."""
+    if old is None or new is None:
+        return [Difference("", "", f"tenant {name} {ADDED if old is None else DROPPED}", None, None)]
+    if old.priority == new.priority:
+        return []
+    return [Difference("", "", f"tenant {name} priority", old.priority, new.priority)]
+
+
 def _route_differences(host: str, prefix: str, old: Route | None, new: Route | None) -> list[Difference]:
     """Return the differences of the route with that host and prefix."""
     if old is None or new is None:
--- a/kestrelplank/configuration/document.py
+++ b/kestrelplank/configuration/document.py
@@ -32,6 +32,7 @@
     target_service: str | None = None
     traffic_split: list[TrafficSplitDocument] | None = None
     max_attempts: int = 1
+    public_access: bool = False
 
 
 @checked_dataclass
@@ -53,6 +54,15 @@
     prewarm_s: Seconds = 0.0
 
 
+@checked_dataclass
+class TenantDocument:
+    """A tenant with the keys that its requests carry. The keys are secret: they belong in no log line or error text."""
+
+    name: str
+    api_keys: list[str] = field(repr=False)
+    priority: int | None = None
+
+
 @checked_dataclass
 class LimitsDocument:
     """Limits on the size of clients' requests and on the time that clients may take."""
@@ -65,9 +75,13 @@
 
 @checked_dataclass
 class ConfigurationDocument:
-    """The top level of the document; `config_version` is a hexadecimal number."""
+    """The top level of the document; `config_version` is a hexadecimal number.
+
+    Without `tenants`, no request needs a key; with an empty list, no key is known.
+    """
 
     config_version: str
     service_table: list[ServiceDocument]
     virtual_hosts: list[HostDocument]
     limits: LimitsDocument = field(default_factory=LimitsDocument)
+    tenants: list[TenantDocument] | None = None
--- a/kestrelplank/configuration/route_table.py
+++ b/kestrelplank/configuration/route_table.py
@@ -9,6 +9,7 @@
     RouteDocument,
     ServiceDocument,
 )
+from kestrelplank.configuration.tenants import TenantIndex, tenant_index
 from kestrelplank.time_units import seconds_to_ns
 
 
@@ -43,7 +44,10 @@
 
 
 class Route(NamedTuple):
-    """A route of a host. `traffic_split` names services with weights, which add up to more than 0."""
+    """A route of a host. `traffic_split` names services with weights, which add up to more than 0.
+
+    With tenants in force, only requests of routes with `public_access` are served without a key.
+    """
 
     host: str
     path_prefix: str
@@ -53,6 +57,7 @@
     priority: int
     max_attempts: int
     traffic_split: tuple[tuple[str, float], ...]
+    public_access: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -76,10 +81,14 @@
     :param key: by which it is compared with other configurations.
     :param text: the document, byte for byte as it was sent.
     :param document: the parsed and validated text.
+    :param former: a configuration whose index of tenants is used again if the list of tenants is unchanged.
     """
 
-    def __init__(self, key: VersionKey, text: bytes, document: ConfigurationDocument) -> None:
+    def __init__(
+        self, key: VersionKey, text: bytes, document: ConfigurationDocument, former: "Configuration | None" = None
+    ) -> None:
         self.key, self.text = key, text
+        self.tenants: TenantIndex | None = tenant_index(document.tenants, None if former is None else former.tenants)
         limits = document.limits
         self.max_body_bytes, self.max_header_bytes = limits.max_body_bytes, limits.max_header_bytes
         self.idle_timeout_ns = seconds_to_ns(limits.idle_timeout_s)
@@ -126,6 +135,7 @@
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         traffic_split=_traffic_split(route),
+        public_access=route.public_access,
     )
 
 
--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -1,17 +1,20 @@
-"""Validation of a document's values: known services, distinct routes, time-outs and weights within bounds.
+"""Validation of a document's values: known services, distinct routes and keys, time-outs and weights within bounds.
 
 Each function raises InvalidFieldError for the first invalid field, in this order: version, services, then hosts and
-routes in the order of the document. Other fields, such as `limits` and `max_attempts`, are not checked here.
+routes in the order of the document, then tenants. No reason contains a tenant's key. Other fields, such as `limits` and
+`max_attempts`, are not checked here.
 """
 
 import math
 import re
+from typing import NamedTuple
 
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
     RouteDocument,
     ServiceDocument,
+    TenantDocument,
     TrafficSplitDocument,
 )
 from kestrelplank.configuration.errors import InvalidFieldError
@@ -22,6 +25,16 @@
 VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
+class _KeyPath(NamedTuple):
+    """The place of a key in the document: the index of its tenant, and its own among the tenant's keys."""
+
+    tenant: int
+    key: int
+
+    def __str__(self) -> str:
+        return f"tenants[{self.tenant}].api_keys[{self.key}]"
+
+
 def validate(document: ConfigurationDocument) -> None:
     """Check a document whose fields have the right types.
 
@@ -36,6 +49,8 @@
     for index, host in enumerate(document.virtual_hosts):
         prefixes = prefixes_by_host.setdefault(host.host_name.lower(), set())
         _validate_host(host, f"virtual_hosts[{index}]", service_names, prefixes)
+    if document.tenants is not None:
+        _validate_tenants(document.tenants)
 
 
 def _validated_service_names(service_table: list[ServiceDocument]) -> set[str]:
@@ -91,3 +106,34 @@
             raise InvalidFieldError(f"{path}[{index}].weight", f"{target.weight} is not a finite number of at least 0")
     if not sum(target.weight for target in split) > 0:
         raise InvalidFieldError(path, "the weights add up to 0; at least one must be above 0")
+
+
+def _validate_tenants(tenants: list[TenantDocument]) -> None:
+    """Check that names are distinct and fit for a header, and that no two tenants share a key."""
+    name_paths: dict[str, str] = {}
+    key_paths: dict[str, _KeyPath] = {}
+    for index, tenant in enumerate(tenants):
+        path = f"tenants[{index}]"
+        _validate_tenant_name(tenant.name, f"{path}.name", name_paths)
+        for key_index, api_key in enumerate(tenant.api_keys):
+            _validate_api_key(api_key, _KeyPath(index, key_index), key_paths)
+
+
+def _validate_tenant_name(name: str, path: str, paths: dict[str, str]) -> None:
+    """Check a tenant's name, and add it to the `paths` of earlier names."""
+    if not name.strip():
+        raise InvalidFieldError(path, "must not be empty")
+    if not name.isprintable():
+        raise InvalidFieldError(path, "must consist of printable characters")
+    if name in paths:
+        raise InvalidFieldError(path, f"{name!r} is the name of {paths[name]} too; names must be distinct")
+    paths[name] = path
+
+
+def _validate_api_key(api_key: str, path: _KeyPath, paths: dict[str, _KeyPath]) -> None:
+    """Check a key, and add it to the `paths` of earlier keys; one tenant may have a key twice."""
+    if not api_key:
+        raise InvalidFieldError(str(path), "must not be empty")
+    earlier = paths.setdefault(api_key, path)
+    if earlier.tenant != path.tenant:
+        raise InvalidFieldError(str(path), f"is the key of {earlier} too; tenants must not share a key")
--- a/kestrelplank/settings/checked_dataclasses.py
+++ b/kestrelplank/settings/checked_dataclasses.py
@@ -58,7 +58,10 @@
         return
     origin, arguments = typing.get_origin(expected), typing.get_args(expected)
     if origin in (types.UnionType, typing.Union):
-        if not any(_fits(member, value, path) for member in arguments):
+        types_but_none = [member for member in arguments if member is not type(None)]
+        if len(types_but_none) == 1 and value is not None:
+            _check(types_but_none[0], value, path)
+        elif not any(_fits(member, value, path) for member in arguments):
             raise InvalidSettingsError(f"{value!r} is not of an accepted type", field=path)
     elif origin in (list, dict):
         _check_collection(origin, arguments[-1], value, path)
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -103,7 +103,7 @@
         """
         if self._parse_pending and self._configuration is not None:
             self._parse_pending = False
-            self._parsed = parse_configuration(self._configuration.text).value_or(None)
+            self._parsed = parse_configuration(self._configuration.text, self._parsed).value_or(None)
         return self._parsed
 
     @property
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -112,7 +112,7 @@
     def _handle_configuration(self, update: ConfigurationUpdate) -> Change | None:
         if self.configuration is not None and update.version <= self.configuration.key.version:
             return None
-        configuration = parse_configuration(update.text).value_or(None)
+        configuration = parse_configuration(update.text, self.configuration).value_or(None)
         if configuration is None:
             return None
         self.configuration = configuration
