Configuration: text that is not UTF-8 is answered with 400, not 500

Callers saw: a configuration with a byte that is no UTF-8 within a string was answered with 500, so an operator goes on to other members and never gets the 4xx that an invalid configuration wants. Cause: msgspec raises UnicodeDecodeError there, which is no DecodeError, and parse_document caught only the latter.

--- a/kestrelplank/configuration/parsing.py
+++ b/kestrelplank/configuration/parsing.py
@@ -41,7 +41,7 @@
     try:
         data: object = msgspec.json.decode(text)
         return decode_checked(ConfigurationDocument, data)
-    except msgspec.DecodeError as err:
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
         raise MalformedDocumentError(f"invalid JSON: {err}") from err
     except RecursionError as err:
         raise MalformedDocumentError(str(err)) from err
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -175,7 +175,7 @@
     """Return the services that a configuration shards, without parsing the rest; None if the text can't be decoded."""
     try:
         outline = msgspec.json.decode(text, type=ConfigurationOutline)
-    except (msgspec.DecodeError, RecursionError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return frozenset(service.name for service in outline.service_table if service.sharded)
 
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -154,5 +154,7 @@
     assert isinstance(error, InvalidFieldError) and error.field == field
 
 
-def test_invalid_json_gives_a_malformed_document_error():
-    assert isinstance(parse_configuration(b"{").failure(), MalformedDocumentError)
+# Guards against text that is not UTF-8 being answered with 500, so that the operator sends it again and again.
+@pytest.mark.parametrize("text", [b"{", b'{"config_version": "\xff"}', b"\xff\xfe{", b"[" * 100_000])
+def test_invalid_json_gives_a_malformed_document_error(text):
+    assert isinstance(parse_configuration(text).failure(), MalformedDocumentError)
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -1,9 +1,11 @@
 """Operator calls over HTTP whose connections are lost: an order is either stored once or not at all."""
 
 import asyncio
+import json
 
 import pytest
 from configuration.test_parsing import encoded
+from configuration.test_tenants import FIRST_KEY, SECOND_KEY, tenant
 
 from kestrelplank.control.effects import AnswerOrder
 from kestrelplank.control.operator_api import application
@@ -101,3 +103,34 @@
         assert member.submitted == []
 
     run_scenario(scenario)
+
+
+SHARED_KEY = [tenant("acme", FIRST_KEY), tenant("globex", SECOND_KEY, FIRST_KEY)]
+
+
+# Guards against an invalid configuration that is acknowledged because its version is old, or that is sent again and
+# again because the answer is not a 4xx.
+@pytest.mark.parametrize("version", ["00000000", "00000007", "ffffffff"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        lambda version: encoded(version=version, tenants=SHARED_KEY),
+        lambda version: encoded(version=version, tenants=[tenant("\udcff", FIRST_KEY)]),
+        lambda version: encoded(version=version, tenants=[tenant("acme", FIRST_KEY)]).replace(b"acme", b"\xff"),
+        lambda version: encoded(version=version, tenants=[tenant("acme", FIRST_KEY)])[:-9],
+    ],
+    ids=["key of two tenants", "lone surrogate", "not UTF-8", "cut short"],
+)
+def test_an_invalid_configuration_of_any_version_is_answered_with_400_and_does_not_reach_the_member(version, body):
+    async def scenario(member, port, server):
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.write(encode_request(body(version)))
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        answer = await reader.readexactly(length)
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 400") and json.loads(answer)["why"]
+        assert not any(key.encode() in answer for key in (FIRST_KEY, SECOND_KEY))
+        assert member.submitted == []
+
+    run_scenario(scenario)
