Storage: only the owner may read the copies of a configuration

A configuration contains the API keys of tenants. Its readable copies got the permissions of the umask (0644 usually), so every user of the machine could read the keys. Now they are 0600, whatever the umask; the log was so already (mkstemp).

Evidence: the new test failed before (0666 with umask 0) and passes now.

--- a/kestrelplank/file_discovery/atomic_write.py
+++ b/kestrelplank/file_discovery/atomic_write.py
@@ -7,12 +7,13 @@
 PERMISSION_BITS = 0o7777
 
 
-def write_atomically(path: str, data: bytes) -> None:
-    """Replace or create the file at `path`; a replaced file's permissions are kept.
+def write_atomically(path: str, data: bytes, mode: int | None = None) -> None:
+    """Replace or create the file at `path`.
 
     Writes and syncs a temporary file in the same directory, renames it, and syncs the directory, as a rename that is
     not synced may be lost in a power failure.
 
+    :param mode: the file's permissions; by default those of the file that is replaced.
     :raises OSError: the file could not be written; the old file is unchanged and the temporary file removed.
     """
     target = Path(path).absolute()
@@ -21,7 +22,7 @@
         with os.fdopen(descriptor, "wb") as file:
             file.write(data)
             file.flush()
-            os.fchmod(descriptor, permissions(target))
+            os.fchmod(descriptor, permissions(target) if mode is None else mode)
             os.fsync(descriptor)
         Path(temporary).replace(target)
     except OSError:
--- a/kestrelplank/storage/log_file.py
+++ b/kestrelplank/storage/log_file.py
@@ -3,6 +3,8 @@
     log                             the member's incarnation, hard state, snapshot and entries
     configuration-<version>.json    plain copies for operators (`readable_copies`), never read here
 
+Both contain the API keys of tenants, so only the owner may read them.
+
 `log` is a sequence of frames (`frames`). The first, the head, contains the member's incarnation, hard state, snapshot
 and entries at the time when the file was created; each later one contains one batch: a hard state, entries, or both
 (`records`). `recovery` describes how a start reads the file, also if it is torn or damaged. A missing `log` means that
--- a/kestrelplank/storage/readable_copies.py
+++ b/kestrelplank/storage/readable_copies.py
@@ -8,13 +8,14 @@
 PREFIX, SUFFIX = "configuration-", ".json"
 TEMPORARY_PREFIX = f".{PREFIX}"  # names of copies that are being written
 MAX_COPIES = 2
+OWNER_ONLY = 0o600  # a configuration contains the tenants' API keys
 log = logging.getLogger("storage")
 
 
 def write_readable_copy(folder: Path, version: int, text: bytes) -> None:
     """Write a configuration as a plain file, and remove all but the newest copies; errors are only logged."""
     try:
-        write_atomically(str(folder / copy_name(version)), text)
+        write_atomically(str(folder / copy_name(version)), text, mode=OWNER_ONLY)
         for path in readable_copies(folder)[:-MAX_COPIES]:
             path.unlink()
     except OSError as err:
--- a/tests/storage/test_log_folder.py
+++ b/tests/storage/test_log_folder.py
@@ -80,6 +80,21 @@
         assert file.read() == b"text of 300"
 
 
+# Guards against API keys in a file that other users of the machine may read.
+def test_only_the_owner_may_read_the_log_and_the_configuration_copies(folder):
+    umask = os.umask(0)
+    try:
+        log = create_log(folder, *WRITES_BEFORE)
+        log.write([persist(snapshot=snapshot(4))])
+        log.write_configuration_copy(5, b"text")
+    finally:
+        os.umask(umask)
+    assert {name: os.stat(os.path.join(folder, name)).st_mode & 0o777 for name in os.listdir(folder)} == {
+        "configuration-0000000000000005.json": 0o600,
+        "log": 0o600,
+    }
+
+
 @pytest.mark.parametrize("at", range(5))
 def test_failed_configuration_copy_is_logged_and_does_not_affect_the_log(tmp_path, monkeypatch, caplog, at):
     scenario = Scenario(tmp_path, monkeypatch, *WRITES_BEFORE)
