Edge: a member that is cut off does not keep an edge from the seeds

What callers would see: an edge keeps an older configuration (dropped keys and routes go on, new ones get 401 and 404) for as long as a member that is cut off from the others still reaches it. The edge dials the seeds only if no member sends anything; that member sends heartbeats, but knows only voters that have been replaced, so the edge never finds those that lead now. Now only heartbeats of current members count: without one for 1 s the seeds are dialled too.

Evidence: the new test failed before (the seed was missing from addresses_to_dial) and passes now.

--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -20,7 +20,7 @@
 
 SESSION_TIMEOUT_NS = 1500 * MILLISECOND  # without a message; the session is then ended and reopened
 CONFIRMATION_MAX_AGE_NS = SECOND  # since this edge sent the heartbeat that the confirmation answers
-SEED_FALLBACK_DELAY_NS = SECOND  # without a message from any member; the seeds are then dialled too
+SEED_FALLBACK_DELAY_NS = SECOND  # without a heartbeat of a current member; the seeds are then dialled too
 
 
 class Change(Enum):
@@ -52,8 +52,8 @@
       (`test_a_key_range_delta_is_applied_only_to_its_base_version`).
 
     :param name: this machine's name.
-    :param seeds: control addresses, dialled until a member has sent the membership, and again while no member sends
-        messages.
+    :param seeds: control addresses, dialled until a current member has sent the membership, and again while no current
+        member sends heartbeats.
     """
 
     def __init__(self, name: str, seeds: tuple[str, ...]) -> None:
@@ -64,13 +64,11 @@
         self.key_ranges: dict[str, KeyRangeTable] = {}  # by service
         self.servers = ServerList()
         self.edge_count = 1  # edge machines that share the servers, including this one
-        self._member_heard_at: int | None = None
+        self._current_member_heard_at: int | None = None
         self._confirmed = False  # whether a current member has ever confirmed the configuration
 
     def receive(self, now: int, member: str, message: ToEdge) -> Change | None:
         """Update the view from a message of the member at that address; return the part that changed, if any."""
-        if member in self.members:
-            self._member_heard_at = now
         match message:
             case MemberHeartbeat():
                 return self._handle_heartbeat(now, member, message)
@@ -96,7 +94,8 @@
         if changed:
             self.epoch, self.members = heartbeat.epoch, heartbeat.voters
         if member in self.members:
-            self._member_heard_at = now  # `receive` did not if this heartbeat added the member
+            if heartbeat.is_current:
+                self._current_member_heard_at = now
             if self._confirms_configuration(now, heartbeat):
                 self._confirmed = True
         return Change.MEMBERS if changed else None
@@ -156,8 +155,12 @@
         return self._confirmed and self.servers.fetched_at is not None
 
     def addresses_to_dial(self, now: int) -> tuple[str, ...]:
-        """Return the control addresses to connect to: the members, and also the seeds if no member sends messages."""
-        if self._member_heard_at is not None and now - self._member_heard_at < SEED_FALLBACK_DELAY_NS:
+        """Return the control addresses to connect to: the members, and also the seeds if no current member is heard.
+
+        A member that is cut off from the others may know only voters that have been replaced.
+        """
+        heard_at = self._current_member_heard_at
+        if heard_at is not None and now - heard_at < SEED_FALLBACK_DELAY_NS:
             return self.members
         return tuple(dict.fromkeys((*self.members, *self.seeds)))
 
--- a/tests/transport/test_edge_view.py
+++ b/tests/transport/test_edge_view.py
@@ -112,6 +112,18 @@
     assert view.addresses_to_dial(SEED_FALLBACK_DELAY_NS) == ("d:1", "c:1")
 
 
+# Guards against an edge that keeps an older configuration: the only member that it talks to is cut off from the others,
+# and it never dials the seeds, which know the voters that have replaced them.
+def test_a_member_that_is_not_current_does_not_keep_an_edge_from_the_seeds():
+    view, cut_off, replaced = EdgeView("edge-1", ("a:1", "d:1")), "a:1", ("b:1", "c:1")
+    for now in range(0, 4 * SEED_FALLBACK_DELAY_NS, SEED_FALLBACK_DELAY_NS // 4):
+        view.receive(now, cut_off, heartbeat(5, is_current=False, heartbeat_sent_at=now))
+        view.receive(now, cut_off, configuration(5))
+        assert view.addresses_to_dial(now) == (cut_off, *replaced, "d:1")
+    view.receive(now, "d:1", heartbeat(9, voters=("d:1", "e:1"), epoch=3))
+    assert view.addresses_to_dial(now) == ("d:1", "e:1")
+
+
 def test_reports_are_sent_to_the_leader_of_the_newest_term():
     view = EdgeView("edge-1", MEMBERS)
     assert view.assigner_address("views") is None
