The edge authenticates requests by API key, and servers get the tenant's name

What callers saw: with `tenants` in the configuration a server got the client's key in `Authorization`, and as X-Tenant-Name whatever the client sent there; requests with an unknown key, or none, were run. Cause: the edge knew nothing of tenants; it forwarded every header that is not hop-by-hop and that it doesn't set itself. Change: `forwarding/authentication` finds the tenant, by the version of the configuration that routes the request; 401 otherwise, after 404 and before all else. With tenants in force neither `Authorization` nor the client's X-Tenant-Name goes on, however spelled or repeated, and the tenant's name is set once for all attempts. Headers that the client's `Connection` names are dropped. Where the settings have `revocation_closed`, keys are refused with 503 once the configuration has been unconfirmed for `revoke_s`. 401 counts by reason; the trace names the tenant, the log line of a version how many there are. Without `tenants` keys and names pass as before.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -18,6 +18,7 @@
     HOP_BY_HOP_HEADERS,
     SHARD_KEY,
     attempt_headers,
+    authorizations,
     client_timeout_ns,
     is_ambiguous,
     server_headers,
@@ -32,6 +33,7 @@
     OutcomeUnknownError,
     RequestError,
     ShuttingDownError,
+    UnauthorizedError,
 )
 from kestrelplank.forwarding.request import ForwardedRequest
 from kestrelplank.forwarding.retry_policy import CallOutcome
@@ -102,7 +104,7 @@
         step = self._context.forwarder.next_step(now, request)
         disconnected = asyncio.ensure_future(self._wait_for_disconnect())
         try:
-            await self._execute_steps(request, step, self._server_request(body), disconnected)
+            await self._execute_steps(request, step, self._server_request(request, body), disconnected)
         finally:
             disconnected.cancel()
             self._trace(request)
@@ -162,15 +164,16 @@
             shard_key=fields.get(SHARD_KEY, b"").decode("latin-1") or None,
             client_timeout_ns=self._client_timeout_ns - (now - self._received_at),
             body_bytes=len(body),
+            authorizations=authorizations(self._headers),
         )
 
-    def _server_request(self, body: bytes) -> ServerRequest:
+    def _server_request(self, request: ForwardedRequest, body: bytes) -> ServerRequest:
         """Return the request for servers, without the headers that differ between attempts."""
         query = self._scope["query_string"]
         return ServerRequest(
             self._scope["method"].encode(),
             self._scope["raw_path"] + (b"?" + query if query else b""),
-            server_headers(self._headers, self._fields, body),
+            server_headers(self._headers, self._fields, body, request),
             body,
             self._fields[ATTEMPT_ID],
         )
@@ -288,6 +291,8 @@
             headers.append((b"retry-after", f"{error.retry_after_ns / SECOND:.3f}".encode()))
         if isinstance(error, BodyTimeoutError):
             headers.append((b"connection", b"close"))  # the rest of the body may still arrive
+        if isinstance(error, UnauthorizedError):
+            headers.append((b"www-authenticate", b"Bearer"))  # RFC 9110, section 15.5.2
         await self.answer(error.status, headers, error.reason.encode())
 
     async def answer(self, status: int, headers: Headers, body: bytes, length: bytes | None = None) -> None:
@@ -315,6 +320,7 @@
                 "attempt": attempt_id.decode("latin-1"),
                 "path": self._scope["path"],
                 "service": request.service,
+                "tenant": request.tenant.name if request.tenant else None,
                 "key": request.key,
                 "attempts": self._attempts,
                 "ms": (time.monotonic_ns() - self._received_at) // MILLISECOND,
--- a/kestrelplank/edge/counters.py
+++ b/kestrelplank/edge/counters.py
@@ -1,10 +1,17 @@
 """The counters of an edge. docs/oncall.md explains for each what an increase means and what to do.
 
 `downstream_rq_...` counts client requests and `upstream_rq_...` attempts at servers, by outcome. The exceptions are
-`upstream_rq_retry`, which counts retries, and `upstream_rq_pending`, which counts waits before an attempt.
+`upstream_rq_retry`, which counts retries, and `upstream_rq_pending`, which counts waits before an attempt. A request
+that is refused with 401 also counts under `downstream_rq_unauthorized_...`, by the reason.
 """
 
-from kestrelplank.forwarding.errors import ERRORS, OperatorCallError, RequestError
+from kestrelplank.forwarding.errors import (
+    ERRORS,
+    AuthenticationFailure,
+    OperatorCallError,
+    RequestError,
+    UnauthorizedError,
+)
 from kestrelplank.forwarding.retry_policy import CallOutcome
 
 UPSTREAM_RQ_RETRY = "upstream_rq_retry"  # attempts after the first of a request
@@ -15,6 +22,9 @@
     for error in ERRORS
     if not issubclass(error, OperatorCallError)
 }
+DOWNSTREAM_RQ_UNAUTHORIZED = {
+    failure: f"downstream_rq_unauthorized_{failure.value}" for failure in AuthenticationFailure
+}
 
 
 class Counters:
@@ -34,3 +44,5 @@
     def refused(self, error: RequestError) -> None:
         """Count a request that the edge answers with that error."""
         self.add(DOWNSTREAM_RQ_REFUSED[type(error)])
+        if isinstance(error, UnauthorizedError):
+            self.add(DOWNSTREAM_RQ_UNAUTHORIZED[error.failure])
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -51,6 +51,7 @@
             bounds.retry_budget_ratio,
             bounds.retry_allowance,
             seconds_to_ns(bounds.drain_s),
+            seconds_to_ns(bounds.revoke_s) if bounds.revocation_closed else None,
         )
         self.connections = ServerConnections(time.monotonic_ns)
         self.readiness = Readiness(self.view)
@@ -129,7 +130,12 @@
             return
         if change is Change.CONFIGURATION and self.view.configuration is not None:
             self.set_limits(self.view.configuration)
-            log.info("Edge: configuration %08x is in force", self.view.configuration.key.version)
+            tenants = self.view.configuration.tenants
+            log.info(
+                "Edge: configuration %08x is in force",
+                self.view.configuration.key.version,
+                extra={"tenants": None if tenants is None else len(tenants.tenants)},
+            )
         elif change is Change.SERVERS and self.view.servers.fetched_at is not None:
             self.forwarder.endpoints.update(self.view.servers.fetched_at, self.view.servers.entries.values())
         elif change is Change.MEMBERS:
--- a/kestrelplank/edge/request_head.py
+++ b/kestrelplank/edge/request_head.py
@@ -1,10 +1,15 @@
 """The request headers that the gateway interprets, and the headers that it sends to servers."""
 
+from collections.abc import Iterator
+
+from kestrelplank.forwarding.request import ForwardedRequest
 from kestrelplank.http.asgi import Headers
 from kestrelplank.time_units import MILLISECOND, SECOND
 
 ATTEMPT_ID, DEADLINE, SHARD_KEY = b"x-attempt-id", b"x-deadline-remaining", b"x-shard-key"
 TARGET_INSTANCE = b"x-target-instance"
+CONNECTION, HOST = b"connection", b"host"
+AUTHORIZATION, TENANT_NAME = b"authorization", b"x-tenant-name"
 # May occur at most once: with two values, the gateway and the server might use different ones.
 SINGLE_HEADERS = (ATTEMPT_ID, DEADLINE, SHARD_KEY)
 # RFC 9110, section 7.6.1, and the headers that state the length of a body: each hop sets its own.
@@ -22,6 +27,10 @@
     b"content-length",
 }
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | {DEADLINE, TARGET_INSTANCE}  # the latter two are set for each attempt
+# With tenants in force: the key concerns the gateway alone, and the tenant's name is set from the key.
+NOT_FORWARDED_WITH_TENANTS = {AUTHORIZATION, TENANT_NAME}
+# A client can't have these dropped by naming them in `Connection`: servers identify and route the request by them.
+ALWAYS_FORWARDED = {HOST, ATTEMPT_ID, SHARD_KEY}
 DEFAULT_CLIENT_TIMEOUT_NS = 30 * SECOND  # for a client that sends no valid `X-Deadline-Remaining`
 MAX_CLIENT_TIMEOUT_NS = 600 * SECOND  # the longest route time-out: `configuration.validation.MAX_ROUTE_TIMEOUT_S`
 
@@ -43,14 +52,37 @@
     return min(MAX_CLIENT_TIMEOUT_NS, max(0, remaining_ns))
 
 
-def server_headers(headers: Headers, fields: Fields, body: bytes) -> Headers:
+def authorizations(headers: Headers) -> list[bytes]:
+    """Return the values of all `Authorization` headers."""
+    return [value for name, value in headers if name == AUTHORIZATION]
+
+
+def server_headers(headers: Headers, fields: Fields, body: bytes, request: ForwardedRequest) -> Headers:
     """Return the headers to forward to every server, without those that differ between attempts."""
-    forwarded = [(name, value) for name, value in headers if name not in NOT_FORWARDED]
+    dropped = NOT_FORWARDED.union(connection_options(headers))
+    forwarded = [(name, value) for name, value in headers if name not in dropped]
+    if request.has_tenants:
+        forwarded = [(name, value) for name, value in forwarded if _canonical(name) not in NOT_FORWARDED_WITH_TENANTS]
+    if request.tenant is not None:
+        forwarded.append((TENANT_NAME, request.tenant.name.encode()))
     if body or b"content-length" in fields or b"transfer-encoding" in fields:
         forwarded.append((b"content-length", str(len(body)).encode()))
     return forwarded
 
 
+def connection_options(headers: Headers) -> Iterator[bytes]:
+    """Yield the names of headers that concern the client's connection only, as its `Connection` headers list them."""
+    for name, value in headers:
+        if name == CONNECTION:
+            options = (option.strip(b" \t").lower() for option in value.split(b","))
+            yield from (option for option in options if option not in ALWAYS_FORWARDED)
+
+
+def _canonical(name: bytes) -> bytes:
+    """Return the name by which a server may read the header: many frameworks take an underscore for a hyphen."""
+    return name.replace(b"_", b"-")
+
+
 def attempt_headers(server: str, timeout_ns: int) -> Headers:
     """Return the headers of one attempt: the remaining deadline (ms) and the name of the intended server.
 
--- a/kestrelplank/forwarding/errors.py
+++ b/kestrelplank/forwarding/errors.py
@@ -5,6 +5,7 @@
 `UnprovenRequestError` guarantee nothing. `ERRORS` lists every class (`tests/forwarding/test_errors.py`).
 """
 
+from enum import Enum
 from typing import ClassVar
 
 
@@ -53,6 +54,24 @@
     status, reason = 404, "no route"
 
 
+class AuthenticationFailure(Enum):
+    """Why a request was not authenticated. The client is not told; counters are."""
+
+    MISSING = "missing"  # no `Authorization`
+    MALFORMED = "malformed"  # another scheme than `Bearer`, an empty key, or more than one `Authorization`
+    UNKNOWN_KEY = "unknown_key"  # no tenant has the key
+
+
+class UnauthorizedError(UnacceptableRequestError):
+    """The request carries no API key of a tenant."""
+
+    status, reason = 401, "unauthorized"
+
+    def __init__(self, retry_after_ns: int = 0, failure: AuthenticationFailure = AuthenticationFailure.MISSING) -> None:
+        super().__init__(retry_after_ns)
+        self.failure = failure
+
+
 class BadRequestError(UnacceptableRequestError):
     """The request is ambiguous, lacks its shard key, or can't be encoded for the server."""
 
@@ -80,6 +99,12 @@
     status, reason = 503, "not ready"
 
 
+class ConfigurationUnconfirmedError(NotExecutedError):
+    """No current member has confirmed the configuration for too long: a key may have been taken away since."""
+
+    status, reason = 503, "configuration not confirmed"
+
+
 class BodyMemoryError(NotExecutedError):
     """The memory limit for the bodies of pending requests is reached."""
 
@@ -160,10 +185,12 @@
 
 ERRORS: tuple[type[RequestError], ...] = (
     RouteNotFoundError,
+    UnauthorizedError,
     BadRequestError,
     BodyTooLargeError,
     BodyTimeoutError,
     NotReadyError,
+    ConfigurationUnconfirmedError,
     BodyMemoryError,
     NoServerError,
     NoKeyHolderError,
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -12,14 +12,17 @@
 request may be retried; attempts, deadline and retry budget limit that further.
 """
 
+from collections.abc import Sequence
 from random import Random
 
-from kestrelplank.configuration.route_table import Configuration, Route, Service
+from kestrelplank.configuration.route_table import Configuration, Service
+from kestrelplank.forwarding.authentication import authenticate
 from kestrelplank.forwarding.endpoint import Endpoint, EndpointStats, ServerLoad
 from kestrelplank.forwarding.endpoints import Endpoints
 from kestrelplank.forwarding.errors import (
     AttemptTimeoutError,
     BadRequestError,
+    ConfigurationUnconfirmedError,
     DeadlineTooNearError,
     NoKeyHolderError,
     NoServerError,
@@ -29,7 +32,7 @@
     RouteNotFoundError,
     ServersFullError,
 )
-from kestrelplank.forwarding.request import ForwardedRequest
+from kestrelplank.forwarding.request import Admission, ForwardedRequest
 from kestrelplank.forwarding.retry_budget import RetryBudget
 from kestrelplank.forwarding.retry_policy import CallOutcome, RetryTarget, Verdict, is_idempotent, verdict
 from kestrelplank.forwarding.steps import ForwardAnswer, Refuse, Send, Step, Wait
@@ -75,6 +78,8 @@
       (`test_a_non_idempotent_request_that_may_have_run_is_neither_retried_nor_refused_as_not_run`).
     - A request keeps the route that it was admitted with
       (`test_a_request_keeps_its_route_when_the_configuration_changes`).
+    - Route and key of a request are judged by the same version of the configuration
+      (`test_route_and_key_are_judged_by_the_same_version`).
     - States follow `TRANSITIONS` (`test_request_states_follow_the_transition_table`).
     - Every attempt that is started is ended or discarded
       (`test_a_request_without_a_free_connection_waits_and_is_not_counted_as_an_attempt`), also after
@@ -84,6 +89,8 @@
     :param retry_ratio: retries per request that the operator allows all edges together.
     :param retry_allowance: retries beyond that ratio, also for all edges together.
     :param drain_ns: time from the platform listing a server as draining until no request may reach it.
+    :param max_unconfirmed_ns: how long keys are accepted without a current member's confirmation of the configuration;
+        None: without limit.
     """
 
     def __init__(
@@ -94,38 +101,61 @@
         retry_ratio: float,
         retry_allowance: float,
         drain_ns: int = 5 * SECOND // 2,
+        max_unconfirmed_ns: int | None = None,
     ) -> None:
         self._random, self.view, self._drain_ns = random, view, drain_ns
+        self._max_unconfirmed_ns = max_unconfirmed_ns
         self.endpoints = Endpoints(random, zone)
         self.retry_budget = RetryBudget(retry_ratio, retry_allowance)
         self._splitter = TrafficSplitter(random)
         self.requested_keys: dict[str, list[int]] = {}  # by service, since the last report
 
-    # 1. Admission: configuration, route, service, shard key, deadline.
+    # 1. Admission: configuration, route, tenant, service, shard key, deadline.
 
     def admit(
-        self, now: int, host: str, path: str, shard_key: str | None, client_timeout_ns: int, body_bytes: int = 0
+        self,
+        now: int,
+        host: str,
+        path: str,
+        shard_key: str | None,
+        client_timeout_ns: int,
+        body_bytes: int = 0,
+        authorizations: Sequence[bytes] = (),
     ) -> ForwardedRequest:
         """Admit a request that was received in full.
 
         :param client_timeout_ns: the time that its client still waits.
+        :param authorizations: the values of all its `Authorization` headers.
         :raises RequestError: the request is refused; no state is kept for it.
         """
-        configuration, route = self._route(host, path)
-        service = configuration.services[self._splitter.choose(configuration, route)]
-        key = self._shard_key(service, shard_key)
-        self.retry_budget.deposit(service.name)
-        deadline_at = now + min(client_timeout_ns, route.timeout_ns)
-        return ForwardedRequest(route, service.name, service.max_connections, key, now, deadline_at, body_bytes)
-
-    def _route(self, host: str, path: str) -> tuple[Configuration, Route]:
-        configuration = self.view.configuration
+        configuration = self.view.configuration  # one version judges the whole request
         if configuration is None:
             raise NotReadyError(self._jittered(NOT_READY_RETRY_AFTER_NS))
+        admission = self._admission(now, configuration, host, path, authorizations)
+        key = self._shard_key(admission.service, shard_key)
+        self.retry_budget.deposit(admission.service.name)
+        deadline_at = now + min(client_timeout_ns, admission.route.timeout_ns)
+        return ForwardedRequest(admission, key, now, deadline_at, body_bytes)
+
+    def _admission(
+        self, now: int, configuration: Configuration, host: str, path: str, authorizations: Sequence[bytes]
+    ) -> Admission:
+        """Return the configuration's decisions: first the route, then the tenant, then the service."""
         route = configuration.route(host, path)
         if route is None:
             raise RouteNotFoundError
-        return configuration, route
+        has_tenants = configuration.tenants is not None
+        if has_tenants and (authorizations or not route.public_access):
+            self._require_confirmation(now)
+        tenant = authenticate(configuration, route, authorizations)
+        service = configuration.services[self._splitter.choose(configuration, route)]
+        return Admission(route, service, has_tenants, tenant)
+
+    def _require_confirmation(self, now: int) -> None:
+        """Raise `ConfigurationUnconfirmedError` if the configuration has been unconfirmed for too long."""
+        limit_ns = self._max_unconfirmed_ns
+        if limit_ns is not None and not self.view.is_confirmed(now, limit_ns):
+            raise ConfigurationUnconfirmedError(self._jittered(NOT_READY_RETRY_AFTER_NS))
 
     def _shard_key(self, service: Service, shard_key: str | None) -> int | None:
         """Return the shard key, and record it for the load report; None if the service is not sharded."""
--- a/kestrelplank/forwarding/request.py
+++ b/kestrelplank/forwarding/request.py
@@ -1,8 +1,10 @@
 """The state of one client's request at an edge machine."""
 
 from enum import Enum
+from typing import NamedTuple
 
-from kestrelplank.configuration.route_table import Route
+from kestrelplank.configuration.route_table import Route, Service
+from kestrelplank.configuration.tenants import Tenant
 from kestrelplank.forwarding.endpoint import Endpoint
 from kestrelplank.forwarding.retry_policy import CallKind, CallOutcome, Execution, Verdict
 
@@ -33,15 +35,29 @@
 }
 
 
+class Admission(NamedTuple):
+    """What one version of the configuration decides about a request.
+
+    :param has_tenants: whether that version has tenants; their keys then concern the gateway alone.
+    :param tenant: whose key the request carries; None: that version has no tenants, or the route needs no key.
+    """
+
+    route: Route
+    service: Service
+    has_tenants: bool = False
+    tenant: Tenant | None = None
+
+
 class ForwardedRequest:
     """A pending request; each state transition is a method that only records it.
 
     `TRANSITIONS` is checked only by a test, `test_request_states_follow_the_transition_table`.
 
-    Route, service and connection limit are those of the configuration at admission; a later configuration does not
-    change them (`test_a_request_keeps_its_route_when_the_configuration_changes`).
+    Route, service, tenant and connection limit are those of the configuration at admission; a later configuration does
+    not change them (`test_a_request_keeps_its_route_when_the_configuration_changes`).
 
-    :param max_connections: the number of connections that a server of the service accepts from all callers.
+    :param admission: the configuration's decisions; `max_connections` is the number of connections that a server of the
+        service accepts from all callers.
     :param key: the shard key; None if the service is not sharded.
     :param received_at: when the body had been received in full.
     :param deadline_at: when the client's or the route's time-out ends, whichever is earlier.
@@ -52,6 +68,8 @@
         "route",
         "service",
         "max_connections",
+        "has_tenants",
+        "tenant",
         "key",
         "body_bytes",
         "call_kind",
@@ -69,15 +87,15 @@
 
     def __init__(
         self,
-        route: Route,
-        service: str,
-        max_connections: int,
+        admission: Admission,
         key: int | None,
         received_at: int,
         deadline_at: int,
         body_bytes: int,
     ) -> None:
-        self.route, self.service, self.max_connections = route, service, max_connections
+        route, service = admission.route, admission.service
+        self.route, self.service, self.max_connections = route, service.name, service.max_connections
+        self.has_tenants, self.tenant = admission.has_tenants, admission.tenant
         self.key, self.body_bytes, self.received_at, self.deadline_at = key, body_bytes, received_at, deadline_at
         self.call_kind = CallKind.IDEMPOTENT_REQUEST if route.idempotent else CallKind.NON_IDEMPOTENT_REQUEST
         self.state = RequestState.ADMITTED
@@ -89,6 +107,13 @@
         self.may_have_run = False  # an attempt ended without proof that it has not run
         self.client_gone = False  # the client has disconnected: further steps are not carried out
 
+    @property
+    def priority(self) -> int:
+        """The request's rank, 0 the highest: its tenant's, or else its route's."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
     # Transitions.
 
     def begin_wait(self) -> None:
--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -62,6 +62,8 @@
     retry_budget_ratio: int | float = 0.2
     retry_allowance: int | float = 30
     max_hold_s: int | float = 10
+    revocation_closed: bool = False  # whether a machine out of touch stops accepting keys after `revoke_s`
+    revoke_s: int | float = 5
 
 
 @checked_dataclass
@@ -148,11 +150,11 @@
     """Raise InvalidSettingsError if the value of a field is out of range."""
     if not settings.network.internal_port_range or not settings.network.seed_nodes:
         raise InvalidSettingsError("internal_port_range and seed_nodes must not be empty", field="network")
-    max_hold_s = settings.bounds.max_hold_s
-    if max_hold_s <= 0:
-        raise InvalidSettingsError(
-            f"expected a number greater than 0, got {max_hold_s}", field="policy_terms.bounds.max_hold_s"
-        )
+    for name, duration_s in (("max_hold_s", settings.bounds.max_hold_s), ("revoke_s", settings.bounds.revoke_s)):
+        if duration_s <= 0:
+            raise InvalidSettingsError(
+                f"expected a number greater than 0, got {duration_s}", field=f"policy_terms.bounds.{name}"
+            )
     losses = settings.fault_tolerance.machine_losses
     if losses < 0:
         raise InvalidSettingsError(
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -48,6 +48,8 @@
       `test_a_former_member_can_not_confirm_a_configuration`,
       `test_a_delayed_confirmation_is_ignored`); it then stays ready
       (`test_a_ready_edge_stays_ready_when_a_newer_configuration_is_announced`).
+    - A confirmation counts from when this machine asked for it, and for the configurations that come later
+      (`test_a_confirmation_ages_from_the_heartbeat_that_it_answers`).
     - A key range delta is applied only to its base version
       (`test_a_key_range_delta_is_applied_only_to_its_base_version`).
 
@@ -65,7 +67,8 @@
         self.servers = ServerList()
         self.edge_count = 1  # edge machines that share the servers, including this one
         self._member_heard_at: int | None = None
-        self._confirmed = False  # whether a current member has ever confirmed the configuration
+        # When this machine sent the last heartbeat whose answer confirmed the configuration; None: there is none.
+        self._confirmed_at: int | None = None
 
     def receive(self, now: int, member: str, message: ToEdge) -> Change | None:
         """Update the view from a message of the member at that address; return the part that changed, if any."""
@@ -98,7 +101,7 @@
         if member in self.members:
             self._member_heard_at = now  # `receive` did not if this heartbeat added the member
             if self._confirms_configuration(now, heartbeat):
-                self._confirmed = True
+                self._confirmed_at = max(heartbeat.heartbeat_sent_at, self._confirmed_at or 0)
         return Change.MEMBERS if changed else None
 
     def _confirms_configuration(self, now: int, heartbeat: MemberHeartbeat) -> bool:
@@ -153,7 +156,11 @@
         That is after a current member of the newest membership has confirmed its configuration, and a server list has
         been received. It stays ready, as later updates are newer.
         """
-        return self._confirmed and self.servers.fetched_at is not None
+        return self._confirmed_at is not None and self.servers.fetched_at is not None
+
+    def is_confirmed(self, now: int, max_age_ns: int) -> bool:
+        """Whether a current member has confirmed the configuration in answer to a heartbeat of at most that age."""
+        return self._confirmed_at is not None and now - self._confirmed_at <= max_age_ns
 
     def addresses_to_dial(self, now: int) -> tuple[str, ...]:
         """Return the control addresses to connect to: the members, and also the seeds if no member sends messages."""
--- a/tests/edge/test_counters.py
+++ b/tests/edge/test_counters.py
@@ -7,15 +7,28 @@
 
 from kestrelplank.edge.counters import (
     DOWNSTREAM_RQ_REFUSED,
+    DOWNSTREAM_RQ_UNAUTHORIZED,
     UPSTREAM_RQ_ENDED,
     UPSTREAM_RQ_PENDING,
     UPSTREAM_RQ_RETRY,
     Counters,
 )
-from kestrelplank.forwarding.errors import ERRORS, NoServerError, OperatorCallError
+from kestrelplank.forwarding.errors import (
+    ERRORS,
+    AuthenticationFailure,
+    NoServerError,
+    OperatorCallError,
+    UnauthorizedError,
+)
 from kestrelplank.forwarding.retry_policy import CallOutcome
 
-ALL = [UPSTREAM_RQ_RETRY, UPSTREAM_RQ_PENDING, *UPSTREAM_RQ_ENDED.values(), *DOWNSTREAM_RQ_REFUSED.values()]
+ALL = [
+    UPSTREAM_RQ_RETRY,
+    UPSTREAM_RQ_PENDING,
+    *UPSTREAM_RQ_ENDED.values(),
+    *DOWNSTREAM_RQ_REFUSED.values(),
+    *DOWNSTREAM_RQ_UNAUTHORIZED.values(),
+]
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "oncall.md"
 
 
@@ -41,3 +54,15 @@
     assert counters.values == dict.fromkeys(
         ["upstream_rq_retry", "upstream_rq_5xx", "downstream_rq_refused_no_server"], times
     )
+
+
+def test_an_unauthorized_request_is_counted_by_its_reason_too():
+    counters = Counters()
+    for failure in AuthenticationFailure:
+        counters.refused(UnauthorizedError(failure=failure))
+    assert counters.values == {
+        "downstream_rq_refused_unauthorized": 3,
+        "downstream_rq_unauthorized_missing": 1,
+        "downstream_rq_unauthorized_malformed": 1,
+        "downstream_rq_unauthorized_unknown_key": 1,
+    }
--- a/tests/forwarding/test_errors.py
+++ b/tests/forwarding/test_errors.py
@@ -18,10 +18,12 @@
 def test_each_error_has_its_documented_status_and_body():
     assert [(error.status, error.reason) for error in ERRORS] == [
         (404, "no route"),
+        (401, "unauthorized"),
         (400, "bad request"),
         (413, "too large"),
         (408, "too slow"),
         (503, "not ready"),
+        (503, "configuration not confirmed"),
         (503, "no memory for the body"),
         (503, "no server"),
         (503, "nobody holds the key"),
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -6,8 +6,10 @@
 import pytest
 from configuration.test_parsing import configuration, encoded, route
 
+from kestrelplank.configuration.parsing import parse_configuration
 from kestrelplank.forwarding.errors import (
     BadRequestError,
+    ConfigurationUnconfirmedError,
     NoKeyHolderError,
     NoServerError,
     NotReadyError,
@@ -15,6 +17,7 @@
     RequestError,
     RouteNotFoundError,
     ServersFullError,
+    UnauthorizedError,
 )
 from kestrelplank.forwarding.forwarder import Forwarder
 from kestrelplank.forwarding.request import TRANSITIONS, ForwardedRequest, RequestState
@@ -27,6 +30,7 @@
     ConfigurationUpdate,
     KeyRangesUpdate,
     KeyRangesVersion,
+    MemberHeartbeat,
     RangeHolder,
     ServerListUpdate,
 )
@@ -57,9 +61,9 @@
     return KeyRangesUpdate("views", KeyRangesVersion(1, record), [RangeHolder(*holder) for holder in holders])
 
 
-def begin(forwarder, path="/a/x", key="5", within=2 * S, host="shop.example", now=NOW):
+def begin(forwarder, path="/a/x", key="5", within=2 * S, host="shop.example", now=NOW, authorizations=()):
     """Admit a request; return it and its first step."""
-    request = forwarder.admit(now, host, path, key, within)
+    request = forwarder.admit(now, host, path, key, within, authorizations=authorizations)
     return request, forwarder.next_step(now, request)
 
 
@@ -194,6 +198,86 @@
     assert configuration()["config_version"] == "00000007"
 
 
+TENANTS = [{"name": "museum", "api_keys": ["k"], "priority": 0}, {"name": "library", "api_keys": ["l"]}]
+
+
+@pytest.mark.parametrize(
+    "changes, error",
+    [
+        ({"path": "/nowhere", "authorizations": []}, RouteNotFoundError),
+        ({"authorizations": [b"Bearer unknown"], "key": None}, UnauthorizedError),
+        ({"authorizations": [b"Bearer k"], "key": None}, BadRequestError),
+    ],
+)
+def test_the_route_is_judged_before_the_key_and_the_key_before_all_else(changes, error):
+    forwarder = new_forwarder(tenants=TENANTS)
+    with pytest.raises(RequestError) as refusal:
+        begin(forwarder, **changes)
+    assert type(refusal.value) is error and not forwarder.requested_keys
+    with pytest.raises(NotReadyError):
+        begin(Forwarder(Random(1), EdgeView("edge-1", ()), "z", 0.2, 64), authorizations=[b"Bearer unknown"])
+
+
+def test_a_request_has_the_priority_of_its_tenant_or_else_of_its_route():
+    forwarder = new_forwarder(tenants=TENANTS)
+    priorities = {name: begin(forwarder, authorizations=[f"Bearer {name}".encode()])[0].priority for name in "kl"}
+    assert priorities == {"k": 0, "l": 2} and begin(new_forwarder())[0].priority == 2
+
+
+class ChangingView(EdgeView):
+    """A view whose configuration is another version at each read."""
+
+    versions = ()
+
+    @property
+    def configuration(self):
+        return next(self.versions)
+
+    @configuration.setter
+    def configuration(self, value):
+        pass
+
+
+# Guards against a key of one version that opens a route of another.
+def test_route_and_key_are_judged_by_the_same_version():
+    """One version has the key, the next has the route: neither serves the request."""
+
+    def version(tenants, prefix):
+        hosts = [{"host_name": "shop.example", "host_routes": [route(prefix, "idempotent", "orders")]}]
+        return parse_configuration(encoded(tenants=tenants, virtual_hosts=hosts)).unwrap()
+
+    key_only, route_only = version(TENANTS, "/b/"), version([], "/a/")
+    for versions, error in [((key_only, route_only), RouteNotFoundError), ((route_only, key_only), UnauthorizedError)]:
+        view = ChangingView("edge-1", ())
+        view.versions = iter(versions)
+        with pytest.raises(error):
+            Forwarder(Random(1), view, "z", 0.2, 64).admit(NOW, "shop.example", "/a/x", None, S, 0, [b"Bearer k"])
+
+
+@pytest.mark.parametrize("max_unconfirmed_ns, accepted_late", [(None, True), (5 * S, False)])
+def test_an_edge_out_of_touch_accepts_keys_only_as_long_as_the_settings_allow(max_unconfirmed_ns, accepted_late):
+    """Requests that need no key are served on."""
+    public = [{"host_name": "open.example", "host_routes": [route("/a/", "idempotent", public_access=True)]}]
+    hosts = [*configuration()["virtual_hosts"], *public]
+    former = new_forwarder(tenants=TENANTS, virtual_hosts=hosts)
+    forwarder = Forwarder(Random(1), former.view, "z", 0.2, 64, max_unconfirmed_ns=max_unconfirmed_ns)
+
+    def accepts(now, host="shop.example", authorizations=(b"Bearer k",)):
+        try:
+            begin(forwarder, now=now, host=host, authorizations=authorizations)
+        except ConfigurationUnconfirmedError as error:
+            assert error.retry_after_ns > 0 and not error.may_have_run
+            return False
+        return True
+
+    assert accepts(NOW) == accepted_late  # not confirmed yet
+    former.view.receive(NOW + S, "m", MemberHeartbeat(0, 1, "m", True, 7, ("m",), 1, NOW))
+    assert accepts(NOW + 5 * S) and accepts(NOW + 5 * S + 1) == accepted_late
+    assert accepts(NOW + 9 * S, "open.example", ()) and accepts(NOW + 9 * S, "open.example") == accepted_late
+    former.view.receive(NOW + 9 * S, "m", MemberHeartbeat(0, 1, "m", True, 7, ("m",), 1, NOW + 9 * S))
+    assert accepts(NOW + 9 * S)
+
+
 def test_connections_to_a_server_are_divided_among_all_edges():
     forwarder = new_forwarder(
         **{"service_table": [{"name": "views", "max_connections": 110, "sharded": True}, {"name": "orders"}]}
--- a/tests/settings/test_platform.py
+++ b/tests/settings/test_platform.py
@@ -47,6 +47,8 @@
         ('zone = "hall"\n', "", "local_system.zone: missing"),
         ('zone = "hall"', "zone = 3", "local_system.zone: 3 is not of type str"),
         ("grace_s = 7", 'grace_s = "7"', "policy_terms.bounds.grace_s"),
+        ("grace_s = 7", "revocation_closed = 1", "policy_terms.bounds.revocation_closed"),
+        ("grace_s = 7", "revoke_s = 0", "policy_terms.bounds.revoke_s: expected a number greater than 0, got 0"),
         ("losses = 2", "losses = -1", "policy_terms.fault_tolerance.machine_losses: expected 0 or more, got -1"),
         ('"10.0.0.9:80"', '"10.0.0.9"', "network.seed_nodes[0]"),
         ("[7540, 7555]", "[]", "internal_port_range"),
--- a/tests/transport/test_edge_view.py
+++ b/tests/transport/test_edge_view.py
@@ -85,6 +85,18 @@
     assert view.ready()
 
 
+def test_a_confirmation_ages_from_the_heartbeat_that_it_answers():
+    view = view_with_configuration(5)
+    assert not view.is_confirmed(0, SECOND)
+    view.receive(SECOND, "a:1", heartbeat(5, heartbeat_sent_at=SECOND // 2))
+    view.receive(SECOND, "b:1", heartbeat(5, heartbeat_sent_at=0))  # a slower answer to an earlier heartbeat
+    view.receive(SECOND, "a:1", configuration(9))  # newer than what was confirmed
+    assert view.is_confirmed(3 * SECOND // 2, SECOND) and not view.is_confirmed(3 * SECOND // 2 + 1, SECOND)
+    view.receive(2 * SECOND, "a:1", heartbeat(10, heartbeat_sent_at=2 * SECOND))  # names a newer one in force
+    view.receive(2 * SECOND, "a:1", heartbeat(9, is_current=False, heartbeat_sent_at=2 * SECOND))
+    assert not view.is_confirmed(2 * SECOND, SECOND)
+
+
 def test_an_edge_without_a_configuration_is_not_ready():
     view = EdgeView("edge-1", MEMBERS)
     view.receive(0, "a:1", ServerListUpdate(0, [entry("s")]))
