Trailers of a client's chunked body are never taken for headers

What callers saw: `Host` in a trailer moved the request to another route or to 404, X-Attempt-Id in one gave 400, any other header in a trailer reached the server as if it stood in the head; with tenants, `Authorization` in a trailer would count as the key. Cause: httptools reports trailers by the same call as headers, and uvicorn appends them to the list of the request that is under way. Evidence: the new test failed before, both cases: no answer of the server's (KeyError: 'x-attempt-id'). Change: the client's protocol stores headers only while it reads a head. Result: the test passes.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -5,9 +5,10 @@
 - The idle time-out of a connection is the longer of the limit now and the limit when it became idle. Until a
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
+- Trailers of a chunked body are discarded (RFC 9110, section 6.5.1): they never count as headers.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
 
-`tests/edge/test_client_limits.py` has a test for each of these.
+`tests/edge/test_client_limits.py` and `tests/edge/test_hard_cases.py` have a test for each of these.
 """
 
 import asyncio
@@ -116,6 +117,11 @@
         if self._limits.header_timeout_s is not None:
             self._set_timer(self.loop.time() + self._limits.header_timeout_s, self._on_head_timeout)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; trailers of a chunked body, which the parser reports here too, are discarded."""
+        if self._reading_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Pass the request to the application, or answer it with 431 if its head is too large."""
         self._reading_head = False
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -425,3 +425,25 @@
         assert [endpoint.in_flight for endpoint in endpoints] == [0, 0]
 
     run_scenario(scenario, script, script)
+
+
+# Guards against requests that run under another id or route, or as another tenant, than their head says.
+@pytest.mark.parametrize("in_one_read", [True, False])
+def test_trailers_of_a_chunked_body_are_not_taken_for_headers(in_one_read):
+    head = request_head(IDEMPOTENT, None, "me", 2000, "POST", "Transfer-Encoding: chunked")
+    trailers = b"Host: nowhere.example\r\nX-Attempt-Id: other\r\nX-Tenant-Name: other\r\nX-Trailer: 1\r\n"
+
+    async def scenario(harness):
+        client = await harness.client()
+        parts = [head + b"5\r\nwhole\r\n", b"0\r\n" + trailers + b"\r\n"]
+        client.writer.write(b"".join(parts) if in_one_read else parts[0])
+        while not in_one_read and not harness.program.context.buffered_body_bytes:
+            await asyncio.sleep(0)
+        client.writer.write(b"" if in_one_read else parts[1])
+        status, fields, _ = await client.answer()
+        assert (status, fields["x-attempt-id"]) == (200, "me")
+        received = harness.servers[0].connections[0].received
+        assert received.count(b"x-attempt-id") == received.count(b"host") == 1 and received.endswith(b"whole")
+        assert b"trailer" not in received and b"tenant" not in received
+
+    run_scenario(scenario, answer_all_requests)
