Edge: its log says who sent a configuration, why, and how late it may be

The log said only that a version is in force, so "keys are never looked up", "told late" and "told an older one" could not be told apart on one edge. Now the line has the member, push or answer, and when the former one was last confirmed, which bounds how late it is by the edge's own clock, without a change on the wire. SIGUSR1 adds version, age of the confirmation, and updates that could not be parsed, which left no trace before.

--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -21,7 +21,7 @@
 from kestrelplank.http.server import Server, create_server
 from kestrelplank.http.socket_options import listening_socket
 from kestrelplank.settings.platform import PlatformSettings
-from kestrelplank.time_units import SECOND, seconds_to_ns
+from kestrelplank.time_units import MILLISECOND, SECOND, seconds_to_ns
 from kestrelplank.transport.edge_view import Change, EdgeView
 from kestrelplank.transport.messages import LoadReport, ToEdge
 
@@ -130,12 +130,7 @@
             return
         if change is Change.CONFIGURATION and self.view.configuration is not None:
             self.set_limits(self.view.configuration)
-            tenants = self.view.configuration.tenants
-            log.info(
-                "Edge: configuration %08x is in force",
-                self.view.configuration.key.version,
-                extra={"tenants": None if tenants is None else len(tenants.tenants)},
-            )
+            self.log_configuration(self.view.configuration)
         elif change is Change.SERVERS and self.view.servers.fetched_at is not None:
             self.forwarder.endpoints.update(self.view.servers.fetched_at, self.view.servers.entries.values())
         elif change is Change.MEMBERS:
@@ -143,6 +138,15 @@
         self.forwarder.retry_budget.edge_count = self.view.edge_count
         self.context.wake_pending()
 
+    def log_configuration(self, configuration: Configuration) -> None:
+        """Log that the configuration is in force, and how it arrived; docs/oncall.md explains the fields."""
+        tenants, arrival = configuration.tenants, self.view.configuration_arrival
+        extra: dict[str, object] = {"tenants": None if tenants is None else len(tenants.tenants)}
+        if arrival is not None:
+            former_confirmed_ms = _whole_ms(arrival.former_confirmed_ns)
+            extra |= {"member": arrival.member, "by": arrival.delivery, "former_confirmed_ms": former_confirmed_ms}
+        log.info("Edge: configuration %08x is in force", configuration.key.version, extra=extra)
+
     def set_limits(self, configuration: Configuration) -> None:
         """Apply the configuration's client limits, also to open connections."""
         limits = self.server.limits
@@ -185,10 +189,23 @@
                 "upstream_rq_active": {name: round(load, 1) for name, load in loads.items() if load >= 1},
                 "outlier_ejected": endpoints.ejected(now),
                 "control_session_silent_ms": self.sessions.silent_ms(),
+                "configuration_version": _version_text(self.view.configuration),
+                "configuration_confirmed_ms": _whole_ms(self.view.confirmation_age_ns(now)),
+                "configuration_rejected": self.view.rejected_configurations,
             },
         )
 
 
+def _version_text(configuration: Configuration | None) -> str | None:
+    """Return the version as operators write it; None if there is no configuration."""
+    return None if configuration is None else f"{configuration.key.version:08x}"
+
+
+def _whole_ms(duration_ns: int | None) -> int | None:
+    """Return a duration in whole milliseconds; None for None."""
+    return None if duration_ns is None else duration_ns // MILLISECOND
+
+
 async def run(settings: PlatformSettings, trace_one_in: int = 0) -> int:
     """Run an edge until SIGTERM, and return the exit code.
 
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -7,6 +7,7 @@
 from kestrelplank.configuration.route_table import Configuration
 from kestrelplank.consensus.member_messages import ServerListUpdate
 from kestrelplank.time_units import MILLISECOND, SECOND
+from kestrelplank.transport.configuration_arrival import ConfigurationArrival, Delivery
 from kestrelplank.transport.key_range_table import KeyRangeTable
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
@@ -63,9 +64,12 @@
         self.members: tuple[str, ...] = ()  # control addresses of the newest membership known
         self.epoch, self.term, self.leader = -1, -1, ""
         self.configuration: Configuration | None = None
+        self.configuration_arrival: ConfigurationArrival | None = None
+        self.rejected_configurations = 0  # updates with a text that this release can't parse
         self.key_ranges: dict[str, KeyRangeTable] = {}  # by service
         self.servers = ServerList()
         self.edge_count = 1  # edge machines that share the servers, including this one
+        self._announced_versions: dict[str, int | None] = {}  # by member: the version in its last heartbeat
         self._current_member_heard_at: int | None = None
         # When this machine sent the last heartbeat whose answer confirmed the configuration; None: there is none.
         self._confirmed_at: int | None = None
@@ -76,7 +80,7 @@
             case MemberHeartbeat():
                 return self._handle_heartbeat(now, member, message)
             case ConfigurationUpdate():
-                return self._handle_configuration(message)
+                return self._handle_configuration(now, member, message)
             case KeyRangesUpdate():
                 return self._handle_key_ranges(message)
             case KeyRangesDelta():
@@ -88,6 +92,7 @@
 
     def _handle_heartbeat(self, now: int, member: str, heartbeat: MemberHeartbeat) -> Change | None:
         """Update members and leader, and record whether the configuration is confirmed."""
+        self._announced_versions[member] = heartbeat.configuration_version
         if heartbeat.epoch < self.epoch:
             return None  # from a former membership: it can't confirm, and its data is older
         self.edge_count = max(1, heartbeat.edge_count)
@@ -111,13 +116,20 @@
         in_force = heartbeat.configuration_version
         return in_force is None or in_force <= self.configuration.key.version
 
-    def _handle_configuration(self, update: ConfigurationUpdate) -> Change | None:
+    def _handle_configuration(self, now: int, member: str, update: ConfigurationUpdate) -> Change | None:
         if self.configuration is not None and update.version <= self.configuration.key.version:
             return None
         configuration = parse_configuration(update.text, self.configuration).value_or(None)
         if configuration is None:
+            self.rejected_configurations += 1
             return None
         self.configuration = configuration
+        # A member that answers a heartbeat names the version before it sends the update.
+        answers = self._announced_versions.get(member) == update.version
+        delivery = Delivery.ANSWER if answers else Delivery.PUSH
+        self.configuration_arrival = ConfigurationArrival(
+            update.version, member, delivery, self.confirmation_age_ns(now)
+        )
         return Change.CONFIGURATION
 
     def _handle_key_ranges(self, update: KeyRangesUpdate) -> Change | None:
@@ -159,7 +171,12 @@
 
     def is_confirmed(self, now: int, max_age_ns: int) -> bool:
         """Whether a current member has confirmed the configuration in answer to a heartbeat of at most that age."""
-        return self._confirmed_at is not None and now - self._confirmed_at <= max_age_ns
+        age_ns = self.confirmation_age_ns(now)
+        return age_ns is not None and age_ns <= max_age_ns
+
+    def confirmation_age_ns(self, now: int) -> int | None:
+        """Return the time since the heartbeat whose answer last confirmed the configuration; None: there is none."""
+        return None if self._confirmed_at is None else now - self._confirmed_at
 
     def addresses_to_dial(self, now: int) -> tuple[str, ...]:
         """Return the control addresses to connect to: the members, and also the seeds if no current member is heard.
--- a/tests/transport/test_edge_view.py
+++ b/tests/transport/test_edge_view.py
@@ -4,6 +4,7 @@
 
 from kestrelplank.consensus.member_messages import ServerListUpdate
 from kestrelplank.time_units import SECOND
+from kestrelplank.transport.configuration_arrival import ConfigurationArrival, Delivery
 from kestrelplank.transport.edge_view import CONFIRMATION_MAX_AGE_NS, SEED_FALLBACK_DELAY_NS, Change, EdgeView
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
@@ -155,9 +156,23 @@
     assert view.key_ranges["views"].holder_of(7).server == "s"
 
 
-def test_an_invalid_configuration_is_ignored():
+def test_an_invalid_configuration_is_ignored_and_counted():
     view = EdgeView("edge-1", MEMBERS)
     assert view.receive(0, "a:1", ConfigurationUpdate(9, b"{")) is None and view.configuration is None
+    assert view.rejected_configurations == 1 and view.configuration_arrival is None
+
+
+def test_the_arrival_of_a_configuration_says_who_sent_it_why_and_how_late_it_may_be():
+    view = view_with_configuration(5)
+    assert view.configuration_arrival == ConfigurationArrival(5, "a:1", Delivery.PUSH, None)
+    view.receive(SECOND, "a:1", heartbeat(5, heartbeat_sent_at=SECOND - 3))
+    view.receive(SECOND, "b:1", heartbeat(5, heartbeat_sent_at=SECOND - 9))
+    view.receive(2 * SECOND, "b:1", heartbeat(6))  # names it, but the update of another member comes first
+    view.receive(2 * SECOND, "a:1", configuration(6))
+    assert view.configuration_arrival == ConfigurationArrival(6, "a:1", Delivery.PUSH, SECOND + 3)
+    view.receive(3 * SECOND, "b:1", heartbeat(7, heartbeat_sent_at=3 * SECOND))
+    view.receive(3 * SECOND, "b:1", configuration(7))
+    assert view.configuration_arrival == ConfigurationArrival(7, "b:1", Delivery.ANSWER, 2 * SECOND + 3)
 
 
 def test_a_key_range_delta_is_applied_only_to_its_base_version():
