Control: a configuration is sent once on a connection, and status says which edges are behind

What callers would see: with a large configuration on a slow link an edge gets it late, or never. Each heartbeat, every 0.4 s, was answered with the whole text until one showed that it had arrived, so copies queued behind the first at every voter. A connection delivers what was sent or ends, so a member now remembers the version sent on it and sends it again only on a new one. Text of a few KB is not affected: it arrives before the next heartbeat.

status has behind_s by edge: for how long its heartbeats have shown an older version than is in force at that member.

Evidence: test_a_configuration_is_sent_once_on_a_connection fails with the condition taken out (3 copies for 3 heartbeats); before, the member had no such argument.

--- a/kestrelplank/control/edge_updates.py
+++ b/kestrelplank/control/edge_updates.py
@@ -8,6 +8,7 @@
 from kestrelplank.control.replica import Replica
 from kestrelplank.control.shard_assigners import ShardAssigners
 from kestrelplank.control.shard_record import key_ranges_update
+from kestrelplank.state.control_state import NO_VERSION
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
     EdgeHeartbeat,
@@ -22,7 +23,8 @@
 class EdgeUpdates:
     """Builds the replies to heartbeats of edge machines.
 
-    Only committed data is sent, and only if the edge machine does not have it yet.
+    Only committed data is sent, and only if the edge machine does not have it yet; a configuration only once on a
+    connection (`test_a_configuration_is_sent_once_on_a_connection`).
     """
 
     def __init__(
@@ -34,15 +36,19 @@
         self._servers = servers
         self._assigners = assigners
 
-    def handle_edge_heartbeat(self, now: int, heartbeat: EdgeHeartbeat, edge_count: int) -> list[ToEdge]:
+    def handle_edge_heartbeat(
+        self, now: int, heartbeat: EdgeHeartbeat, edge_count: int, sent_version: int | None
+    ) -> list[ToEdge]:
         """Return this member's heartbeat, then the updates that the edge machine lacks according to its own heartbeat.
 
         :param edge_count: how many edge machines are in session with this member.
+        :param sent_version: of the newest configuration sent on the connection of the heartbeat; None: none was.
         """
         answers: list[ToEdge] = [self._member_heartbeat(now, heartbeat, edge_count)]
         configuration = self._replica.state.configuration
-        edge_version = heartbeat.configuration_version
-        if configuration is not None and (edge_version is None or edge_version < configuration.version):
+        # What was sent on the connection and has not arrived is on its way: a copy would only delay it on a slow link.
+        known = max((v for v in (heartbeat.configuration_version, sent_version) if v is not None), default=NO_VERSION)
+        if configuration is not None and known < configuration.version:
             answers.append(ConfigurationUpdate(configuration.version, configuration.text))
         for service in self._replica.sharded_services():
             update = self._key_ranges_update(now, service, heartbeat.key_ranges.get(service, KeyRangesVersion()))
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -185,12 +185,15 @@
         """Record an edge machine's report on the load of servers and keys."""
         self._assigners.handle_load_report(now, report)
 
-    def handle_edge_heartbeat(self, now: int, heartbeat: EdgeHeartbeat, edge_count: int) -> list[ToEdge]:
+    def handle_edge_heartbeat(
+        self, now: int, heartbeat: EdgeHeartbeat, edge_count: int, sent_version: int | None = None
+    ) -> list[ToEdge]:
         """Return the messages that answer an edge machine's heartbeat.
 
         :param edge_count: the number of edge machines in session.
+        :param sent_version: of the newest configuration sent on the connection of the heartbeat; None: none was.
         """
-        return self._edge_updates.handle_edge_heartbeat(now, heartbeat, edge_count)
+        return self._edge_updates.handle_edge_heartbeat(now, heartbeat, edge_count, sent_version)
 
     def tick(self, now: int, log_size_bytes: int = 0) -> list[Effect]:
         """Do all timed work that is due. Must be called at least every 50 ms.
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -49,7 +49,7 @@
 from kestrelplank.storage.log_file import LogFile
 from kestrelplank.time_units import SECOND, seconds_to_ns
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, LoadReport, ToMember, decode_at_member
-from kestrelplank.transport.wire import FrameConnection, encode_frame
+from kestrelplank.transport.wire import FrameConnection
 
 TICK_INTERVAL_S = 0.05
 SERVER_FETCH_CHECK_INTERVAL_S = 0.5
@@ -246,7 +246,7 @@
             case SendToAddress():
                 self._sessions.send_to_address(effect.address, effect.message)
             case PushToEdges():
-                self._inbound.send_to_edges(encode_frame(effect.message))
+                self._inbound.send_to_edges(effect.message)
             case CallServer():
                 self._call_server(effect)
             case AnswerOrder():
@@ -294,10 +294,14 @@
                 assert_never(message)
 
     def _handle_edge_heartbeat(self, now: int, connection: MemberConnection, heartbeat: EdgeHeartbeat) -> None:
-        if not self._inbound.handle_edge_heartbeat(now, connection, heartbeat.edge, heartbeat.configuration_version):
+        session = self._inbound.handle_edge_heartbeat(
+            now, connection, heartbeat.edge, heartbeat.configuration_version, self._member.state.version
+        )
+        if session is None:
             return
-        for answer in self._member.handle_edge_heartbeat(now, heartbeat, self._inbound.edge_count):
-            connection.send(answer)
+        edge_count, sent_version = self._inbound.edge_count, session.sent_version
+        for answer in self._member.handle_edge_heartbeat(now, heartbeat, edge_count, sent_version):
+            self._inbound.send_to_edge(session, answer)
 
     def _handle_inbound_ended(self, connection: MemberConnection) -> None:
         self._inbound.handle_ended(connection)
--- a/kestrelplank/control/status.py
+++ b/kestrelplank/control/status.py
@@ -63,10 +63,16 @@
 
 
 class EdgeStatus(msgspec.Struct, frozen=True):
-    """An edge machine in session: its configuration in force (None: none yet) and the time since its last heartbeat."""
+    """An edge machine in session.
+
+    :param configuration_version: in force there; None: none yet.
+    :param last_heard_s: time since its last heartbeat.
+    :param behind_s: for how long its heartbeats have shown an older configuration than this member's; None: they don't.
+    """
 
     configuration_version: str | None
     last_heard_s: float
+    behind_s: float | None = None
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
--- a/kestrelplank/gateway/status.py
+++ b/kestrelplank/gateway/status.py
@@ -18,7 +18,8 @@
         behind = "" if peer.caught_up else ", behind"
         print(f"peer {name}: match index {peer.match_index}, last heard {peer.last_heard_s} s ago{behind}")
     for name, edge in member.edges.items():
-        print(f"edge {name}: configuration {edge.configuration_version}, last heard {edge.last_heard_s} s ago")
+        behind = "" if edge.behind_s is None else f", behind for {edge.behind_s} s"
+        print(f"edge {name}: configuration {edge.configuration_version}, last heard {edge.last_heard_s} s ago{behind}")
     for name, service in member.services.items():
         print_service(name, service)
     return ExitCode.DONE
--- a/kestrelplank/transport/sessions.py
+++ b/kestrelplank/transport/sessions.py
@@ -23,11 +23,13 @@
     :param heard_at: when the newest message was received.
     """
 
-    __slots__ = ("connection", "heard_at", "reported_version")
+    __slots__ = ("connection", "heard_at", "reported_version", "behind_since", "sent_version")
 
     def __init__(self, connection: Connection, heard_at: int) -> None:
         self.connection, self.heard_at = connection, heard_at
         self.reported_version: int | None = None  # version of the peer's configuration
+        self.behind_since: int | None = None  # when the peer was first heard to have an older one than this process
+        self.sent_version: int | None = None  # of the newest configuration sent on the connection
 
     def idle_ns(self, now: int) -> int:
         """Return the time since the newest message."""
