State: an unchanged tenant list keeps its index from one version to the next

ControlState forgot the parsed configuration before it parsed the next one, so parse_configuration never had a former index to use again, and each member built one for every version. The new test failed before. Nothing that callers see changes.

--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -82,7 +82,7 @@
         self._configuration: PutConfiguration | None = None
         self._records: dict[str, bytes] = {}
         self._sharded_services: frozenset[str] | None = frozenset()  # None: unknown, so any service may be
-        self._parsed: Configuration | None = None
+        self._parsed: Configuration | None = None  # while `_parse_pending`, of the former order
         self._parse_pending = False
 
     @property
@@ -164,8 +164,9 @@
     def _set_configuration(self, order: PutConfiguration | None) -> None:
         self._configuration = order
         self._sharded_services = frozenset() if order is None else sharded_services(order.text)
-        self._parsed = None
         self._parse_pending = order is not None
+        if order is None:
+            self._parsed = None
 
     def _may_have_record(self, service: str) -> bool:
         return self._sharded_services is None or service in self._sharded_services
--- a/tests/state/test_control_state.py
+++ b/tests/state/test_control_state.py
@@ -127,6 +127,20 @@
     assert state.parsed.key.version == 7
 
 
+def test_the_next_version_reuses_the_index_of_an_unchanged_tenant_list():
+    def tenants_order(version, *tenants):
+        text = encoded(version=f"{version:08x}", tenants=list(tenants))
+        return PutConfiguration(version, parse_configuration(text).unwrap().key.digest, text)
+
+    first, second = {"name": "acme", "api_keys": ["first"]}, {"name": "acme", "api_keys": ["second"]}
+    state, _ = applied(tenants_order(5, first))
+    index = state.parsed.tenants
+    state.apply(Entry(2, 1, tenants_order(6, first)))
+    assert state.parsed.key.version == 6 and state.parsed.tenants is index
+    state.apply(Entry(3, 1, tenants_order(7, second)))
+    assert state.parsed.tenants is not index and state.parsed.tenants.find(b"first") is None
+
+
 def test_unparsable_configuration_is_in_force_and_drops_no_record():
     state, _ = applied(FIVE, VIEWS, PutConfiguration(6, "d", b"{not whole"))
     assert state.version == 6 and state.parsed is None and state.records == {"views": b"v"}
