Configuration: an unknown target_service is rejected beside a traffic_split too

Callers would see: a configuration in which a route names an unknown service is acknowledged, if that route has a traffic_split as well. The field was checked only where it was used.

--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -78,6 +78,10 @@
             "traffic_split[1]",
         ),
         (with_route(traffic_split=[{"target_service": "views", "weight": -1}]), "weight"),
+        (
+            with_route(target_service="nobody", traffic_split=[{"target_service": "views", "weight": 1}]),
+            "target_service",
+        ),
         (with_route(traffic_split=[]), "weights"),
         (with_route(route_type="sometimes"), "route_type"),
         (with_route(timeout_s=601), "timeout_s"),
