A request that asks for an upgrade keeps its body, and its connection goes on

What callers saw: a server got a request with `Connection: Upgrade` without its body (`Content-Length: 0` in place of the client's five bytes), and later requests on the connection were never answered. With `Transfer-Encoding: x` beside it the request ran in place of 400. Cause: httptools takes such a request for complete at the end of its head and parses nothing more; uvicorn goes on as if no upgrade were asked. Change: a parser around httptools' ignores `Upgrade` (RFC 9110, section 7.8) and goes on behind the head with the body that it announces.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -5,6 +5,7 @@
 - The idle time-out of a connection is the longer of the limit now and the limit when it became idle. Until a
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
+- A request to change the protocol (`Upgrade`) is ignored.
 - Trailers of a chunked body are discarded (RFC 9110, section 6.5.1): they never count as headers.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
 
@@ -20,6 +21,7 @@
 
 from kestrelplank.http.asgi import Application, Receive, Scope, Send
 from kestrelplank.http.client_limits import ServerConfig
+from kestrelplank.http.request_parser import RequestParser
 from kestrelplank.http.socket_options import has_unread_bytes
 
 NO_LIMIT_POLL_INTERVAL_S = 5.0  # between checks of an idle connection while there is no limit
@@ -39,6 +41,7 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
+        self.parser = RequestParser(self)  # type: ignore[assignment] # it has all methods that uvicorn calls
         self._limits = config.client_limits
         self._reading_head = False  # a request has started, and its head is incomplete
         self._head_bytes = 0
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -447,3 +447,54 @@
         assert b"trailer" not in received and b"tenant" not in received
 
     run_scenario(scenario, answer_all_requests)
+
+
+UPGRADE = ["Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABkAAQ"]
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\nX-Trailer: 1\r\n\r\n"
+
+
+# Guards against requests that run with another body than the client sent, and requests that are never answered.
+@pytest.mark.parametrize(
+    "framed_body, expected", [(b"Content-Length: 5\r\n\r\nwhole", b"whole"), (CHUNKED, b"whole"), (b"\r\n", b"")]
+)
+@pytest.mark.parametrize("piece_size", [1, 7, 10_000])
+def test_request_that_asks_for_an_upgrade_keeps_its_body_and_the_next_one_is_answered(
+    framed_body, expected, piece_size
+):
+    """The upgrade is ignored. Both requests arrive in pieces of any size, and twice on the same connection."""
+    bodies = []
+
+    async def script(server, connection):
+        while True:
+            fields, body = await connection.request()
+            bodies.append(body)
+            assert not {"upgrade", "connection", "http2-settings"} & set(fields)
+            connection.write(answer(fields))
+
+    async def scenario(harness):
+        client = await harness.client()
+        for number in range(2):
+            head = request_head(NON_IDEMPOTENT, None, f"up-{number}", 2000, "POST", *UPGRADE)[:-2]
+            data = head + framed_body + request_head(NON_IDEMPOTENT, 4, f"next-{number}") + b"next"
+            for start in range(0, len(data), piece_size):
+                client.writer.write(data[start : start + piece_size])
+                await asyncio.sleep(0)
+            answers = [await client.answer() for _ in range(2)]
+            assert [(status, fields["x-attempt-id"]) for status, fields, _ in answers] == [
+                (200, f"up-{number}"),
+                (200, f"next-{number}"),
+            ]
+        assert bodies == [expected, b"next"] * 2
+
+    run_scenario(scenario, script)
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5\r\nTransfer-Encoding: chunked", "Transfer-Encoding: x", "Content-Length: x"])  # fmt: skip
+def test_request_that_asks_for_an_upgrade_with_an_ambiguous_length_reaches_no_server(framing):
+    async def scenario(harness):
+        client = await harness.client()
+        client.writer.write(request_head(NON_IDEMPOTENT, None, "up", 2000, "POST", *UPGRADE, framing) + b"whole")
+        assert (await client.answer())[0] == 400 and await client.ended()
+        assert not harness.servers[0].request_lines()
+
+    run_scenario(scenario, answer_all_requests)
