Servers receive the request's target byte for byte

What callers saw: `/safe/x?` reached the server as `/safe/x`, and `/safe/x#f?q` as `/safe/x`. Cause: the target was put together again from ASGI's path and query, which lack an empty query and a fragment. Evidence: the new test failed before for these two of five targets. Change: the scope has the target as it was sent; only the origin of an absolute target is left out. Result: the tests pass.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -169,15 +169,23 @@
 
     def _server_request(self, request: ForwardedRequest, body: bytes) -> ServerRequest:
         """Return the request for servers, without the headers that differ between attempts."""
-        query = self._scope["query_string"]
         return ServerRequest(
             self._scope["method"].encode(),
-            self._scope["raw_path"] + (b"?" + query if query else b""),
+            self._target(),
             server_headers(self._headers, self._fields, body, request),
             body,
             self._fields[ATTEMPT_ID],
         )
 
+    def _target(self) -> bytes:
+        """Return path and query as the client sent them, without the origin of an absolute target."""
+        target: bytes = self._scope["target"]
+        if target.startswith(b"/"):
+            return target
+        path: bytes = self._scope["raw_path"]
+        query: bytes = self._scope["query_string"]
+        return path + b"?" + query if query else path
+
     async def _wait_for_disconnect(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -126,7 +126,10 @@
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Pass the request to the application, or answer it with 431 if its head is too large."""
+        """Pass the request to the application, or answer it with 431 if its head is too large.
+
+        The scope gets the request's target as it was sent: ASGI's path and query lack an empty query.
+        """
         self._reading_head = False
         self._clear_timer()
         size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
@@ -137,6 +140,7 @@
             super().on_headers_complete()
         finally:
             self.app = app
+        self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         if self._stopping:
             self.cycle.keep_alive = False
 
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -498,3 +498,23 @@
         assert not harness.servers[0].request_lines()
 
     run_scenario(scenario, answer_all_requests)
+
+
+# Guards against requests that run with another path or query than the client sent.
+@pytest.mark.parametrize(
+    "target", ["/safe/x?", "/safe/x?a=%41&b=+?/", "/safe/%2e%2F%78//y/../z", "/safe/x#f?q", "/safe/'\"|"]
+)
+def test_server_receives_the_target_byte_for_byte(target):
+    async def scenario(harness):
+        assert (await harness.send_request(target))[0] == 200
+        assert harness.servers[0].request_lines() == [f"POST {target} HTTP/1.1".encode()]
+
+    run_scenario(scenario, answer_all_requests)
+
+
+def test_server_receives_an_absolute_target_as_path_and_query():
+    async def scenario(harness):
+        assert (await harness.send_request("http://shop.example/safe/x?a"))[0] == 200
+        assert harness.servers[0].request_lines() == [b"POST /safe/x?a HTTP/1.1"]
+
+    run_scenario(scenario, answer_all_requests)
