A tenant's name may not begin or end with white space

What callers would see: each request of such a tenant is answered with 400, as its name can't be sent in X-Tenant-Name. Evidence: h11 rejects b' acme' and b'acme ' ("Illegal header value"); names with inner spaces or other scripts are sent. The two new rows of the test failed before, as the document was taken. Result: it is refused with the field and the reason.

--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -123,6 +123,8 @@
     """Check a tenant's name, and add it to the `paths` of earlier names."""
     if not name.strip():
         raise InvalidFieldError(path, "must not be empty")
+    if name != name.strip():
+        raise InvalidFieldError(path, "must not begin or end with white space, which headers can't carry")
     if not name.isprintable():
         raise InvalidFieldError(path, "must consist of printable characters")
     if name in paths:
--- a/tests/configuration/test_tenants.py
+++ b/tests/configuration/test_tenants.py
@@ -51,6 +51,8 @@
         ([tenant("acme", FIRST_KEY), tenant("acme", SECOND_KEY)], ["tenants[1].name", "tenants[0].name"]),
         ([tenant("", FIRST_KEY)], ["tenants[0].name"]),
         ([tenant("acme\r\nX-Header: 1", FIRST_KEY)], ["tenants[0].name"]),
+        ([tenant(" acme", FIRST_KEY)], ["tenants[0].name"]),
+        ([tenant("acme ", FIRST_KEY)], ["tenants[0].name"]),
         ([tenant("acme", FIRST_KEY, "")], ["tenants[0].api_keys[1]"]),
         ([{"name": "acme"}], ["tenants[0].api_keys"]),
         ([{"name": "acme", "api_keys": FIRST_KEY}], ["tenants[0].api_keys"]),
