--- a/tests/edge/test_api_keys.py
+++ b/tests/edge/test_api_keys.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import logging
+from random import Random
 
 import pytest
 from edge.stage import HOSTS, answer, answer_all_requests, request_head, run_scenario
@@ -25,13 +26,13 @@
 
 
 def run_with_tenants(scenario, *scripts):
-    """Run the scenario on an edge whose configuration has `TENANTS`."""
+    """Run the scenario on an edge whose configuration has `TENANTS`, and return its result."""
 
     async def configured(harness):
         harness.configure(tenants=TENANTS)
-        await scenario(harness)
+        return await scenario(harness)
 
-    run_scenario(configured, *(scripts or (answer_all_requests,)))
+    return run_scenario(configured, *(scripts or (answer_all_requests,)))
 
 
 def received(harness):
@@ -302,3 +303,54 @@
     assert [line["tenant"] for line in lines if line["message"] == "Edge: request"] == ["museum"]
     assert any("defect" in line["message"] for line in lines) and any("counters" in line for line in lines)
     assert not any(key in written for key in keys)
+
+
+# A random mixture of all the above.
+
+FRAGMENTS = [
+    f"Authorization: Bearer {KEY}",
+    f"Authorization: Bearer {KEY}",
+    f"authorization:bearer   {OTHER_KEY}",
+    "AUTHORIZATION: Bearer nobodys-key",
+    "Authorization: Basic eA==",
+    "X-Tenant-Name: library",
+    "x-tenant-name: museum",
+    "X_TENANT-NAME: library",
+    "X-Tenant-Name:",
+    "X-Other: X-Tenant-Name: library",
+    "Connection: keep-alive, X-Tenant-Name",
+    "Connection: Authorization,x-attempt-id",
+    "Connection: Upgrade, X_Tenant_Name",
+    "Upgrade: h2c",
+    f"Proxy-Authorization: Bearer {KEY}",
+    "Content-Length: 0",
+    "Transfer-Encoding: chunked",
+]
+
+
+def test_whatever_headers_a_client_sends_a_run_bears_the_one_name_of_its_one_key_and_no_key():
+    """300 mixtures in a random order, each on a new connection; a chunked body has trailers of the same kind."""
+    random = Random(7)
+
+    async def scenario(harness):
+        runs = 0
+        for number in range(300):
+            headers = random.choices(FRAGMENTS, k=random.randrange(1, 5))
+            trailers = "".join(f"{line}\r\n" for line in random.choices(FRAGMENTS[:10], k=2))
+            client = await harness.client()
+            data = request_head("/safe/x", None, f"id-{number}", 2000, "POST", *headers)
+            client.writer.write(data + (f"0\r\n{trailers}\r\n".encode() if b"chunked" in data else b""))
+            before = len(received(harness))
+            status = (await client.answer())[0]
+            new = received(harness)[before:].lower()
+            keys = [line for line in headers if line.lower().startswith("authorization:")]
+            name = {FRAGMENTS[0]: b"museum", FRAGMENTS[2]: b"library"}.get(keys[0] if len(keys) == 1 else "")
+            assert status in (200, 400, 401) and (status == 200) == (new != b""), headers
+            if new:
+                runs += 1
+                names = [line for line in new.replace(b"_", b"-").split(b"\r\n") if line.startswith(b"x-tenant-name:")]
+                assert name is not None and names == [b"x-tenant-name: " + name], headers
+                assert not any(key.lower().encode() in new for key in (KEY, OTHER_KEY)) and b"authorization:" not in new
+        return runs
+
+    assert 60 < run_with_tenants(scenario) < 200
