Usage: counting, true time, collecting, fixing and reporting as cores without I/O

Edges count attempts by window of true time and tenant; members collect them; a log entry fixes the content of a window before it is first sent; the holder of the role repeats that content until the platform has accepted it.

Nothing uses them yet.

--- a/kestrelplank/consensus/log_entries.py
+++ b/kestrelplank/consensus/log_entries.py
@@ -44,7 +44,19 @@
     membership: Membership
 
 
-Command = Noop | PutConfiguration | PutRecord | ChangeMembership
+class FixUsage(msgspec.Struct, frozen=True, array_like=True, tag="usage"):
+    """The content of the usage report of one window; it changes nothing if that window or a later one is fixed already.
+
+    :param content: the JSON text to send to the platform.
+    :param reported_through: the platform has accepted the reports of this window and all earlier ones; -1: of none.
+    """
+
+    window: int
+    content: bytes
+    reported_through: int = -1
+
+
+Command = Noop | PutConfiguration | PutRecord | ChangeMembership | FixUsage
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/kestrelplank/usage/counts_sender.py
@@ -0,0 +1,58 @@
+"""An edge's messages on usage to one member, on one connection. No I/O."""
+
+from kestrelplank.usage.messages import UsageCounts, UsageCountsReply
+from kestrelplank.usage.true_time import TrueTimeEstimate
+from kestrelplank.usage.usage_counter import UsageCounter
+
+
+class EdgeUsage:
+    """The usage of one edge process, which all its connections share.
+
+    :param edge: the machine's name.
+    :param incarnation: random number of this process.
+    """
+
+    def __init__(self, edge: str, incarnation: int, interval_ns: int) -> None:
+        self.edge, self.incarnation = edge, incarnation
+        self.counter = UsageCounter(interval_ns)
+        self.time = TrueTimeEstimate()
+
+
+class CountsSender:
+    """Builds the messages on one connection: each has what changed since the one before, the first has everything.
+
+    A connection delivers its messages in order or ends, so that nothing needs to be repeated on it. In
+    `tests/usage/test_counts_sender.py`:
+    `test_a_new_connection_is_sent_all_windows_and_later_messages_only_changes`.
+
+    :param member: address of the member at the other end.
+    """
+
+    def __init__(self, usage: EdgeUsage, member: str) -> None:
+        self._usage, self._member = usage, member
+        self._sent_revision = 0
+        self._reply: UsageCountsReply | None = None  # the last one
+        self._reply_received_at = 0
+
+    def next_message(self, now: int, wall_time_ns: int) -> UsageCounts:
+        """Return the message to send now."""
+        usage, reply = self._usage, self._reply
+        changes = usage.counter.changes_since(self._sent_revision)
+        self._sent_revision = usage.counter.revision
+        return UsageCounts(
+            usage.edge,
+            usage.incarnation,
+            now,
+            wall_time_ns,
+            usage.counter.final_through(usage.time.true_time(now)),
+            changes,
+            reply.sent_at if reply else 0,
+            now - self._reply_received_at if reply else 0,
+        )
+
+    def handle_reply(self, now: int, reply: UsageCountsReply) -> None:
+        """Record the reply: it has a reading of the member's clock, and tells which windows are fixed."""
+        self._reply, self._reply_received_at = reply, now
+        if reply.true_time_ns:
+            self._usage.time.add_reading(now, self._member, reply.true_time_ns, now - reply.counts_sent_at)
+        self._usage.counter.drop_through(reply.fixed_through)
--- /dev/null
+++ b/kestrelplank/usage/policy.py
@@ -0,0 +1,26 @@
+"""The platform's settings for usage reports."""
+
+from dataclasses import dataclass
+
+from kestrelplank.time_units import SECOND
+
+REPORTING_TIME_NS = 3 * SECOND  # part of the delay that is reserved for sending a fixed window
+
+
+@dataclass(frozen=True, slots=True)
+class UsagePolicy:
+    """When windows begin and end, and how soon they are to be reported.
+
+    :param interval_ns: length of a window.
+    :param delay_ns: time from the end of a window until its report is due.
+    :param calls_per_s: calls that the platform accepts from all members together.
+    """
+
+    interval_ns: int = 5 * SECOND
+    delay_ns: int = 10 * SECOND
+    calls_per_s: float = 1.0
+
+    @property
+    def fixing_delay_ns(self) -> int:
+        """Return the time from the end of a window until it is fixed at the latest."""
+        return max(self.delay_ns // 2, self.delay_ns - REPORTING_TIME_NS)
--- a/tests/storage/test_stored_by_4f929ce.py
+++ b/tests/storage/test_stored_by_4f929ce.py
@@ -14,7 +14,7 @@
 
 from kestrelplank.consensus import snapshots
 from kestrelplank.consensus.effects import Persist
-from kestrelplank.consensus.log_entries import Command, Entry, HardState, Snapshot
+from kestrelplank.consensus.log_entries import Command, Entry, FixUsage, HardState, Snapshot
 from kestrelplank.control.shard_record import encode_record, read_record
 from kestrelplank.decode import MalformedError
 from kestrelplank.sharding.timing import LEASE_DURATION_NS
@@ -103,9 +103,26 @@
     assert loaded(folder) == [None, by_position(HardState()), None, []]
 
 
-def test_recorded_log_files_contain_every_kind_of_command():
+# Commands added since, each with the bytes of one entry.
+LATER_COMMANDS = {
+    "usage": (
+        Entry(7, 2, FixUsage(353445120, b'{"window_number":353445120,"counts":{"a":1}}', 353445118)),
+        "93070294a57573616765ce15112500c42c7b2277696e646f775f6e756d626572223a3335333434353132302c22636f756e7473223a7b"
+        "2261223a317d7dce151124fe",
+    ),
+}
+
+
+@pytest.mark.parametrize("tag", LATER_COMMANDS)
+def test_an_entry_of_a_command_added_later_has_the_recorded_bytes(tag):
+    entry, expected = LATER_COMMANDS[tag]
+    assert msgspec.msgpack.encode(entry).hex() == expected
+    assert msgspec.msgpack.decode(bytes.fromhex(expected), type=Entry) == entry
+
+
+def test_recorded_log_files_and_later_entries_contain_every_kind_of_command():
     commands = [entry[2][0] for file in LOG_FILES["files"].values() for entry in file["loaded"][3]]
-    assert set(commands) == {kind.__struct_config__.tag for kind in Command.__args__}
+    assert {*commands, *LATER_COMMANDS} == {kind.__struct_config__.tag for kind in Command.__args__}
 
 
 def test_configuration_copy_has_the_recorded_name_and_bytes(tmp_path):
