Roles: assignment by log entry, fencing token, member's role_token, reports to the leader

AssignRole names role, partition, holder and the holder's process; its log index is the fencing token.

No role configured: no entry, no message.

--- a/kestrelplank/consensus/log_entries.py
+++ b/kestrelplank/consensus/log_entries.py
@@ -44,7 +44,24 @@
     membership: Membership
 
 
-Command = Noop | PutConfiguration | PutRecord | ChangeMembership
+class AssignRole(msgspec.Struct, frozen=True, array_like=True, tag="role"):
+    """A singleton role is assigned to a member's process; the entry's log index is its fencing token.
+
+    :param role: name of the role.
+    :param partition: number of the role's partition.
+    :param holder: identity of the member.
+    :param start_id: id of its process, see `member_messages.RoleReport`.
+    :param former_may_act: whether the former holder may not know yet that it has lost the role.
+    """
+
+    role: str
+    partition: int
+    holder: str
+    start_id: int
+    former_may_act: bool
+
+
+Command = Noop | PutConfiguration | PutRecord | ChangeMembership | AssignRole
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
--- a/kestrelplank/consensus/member_messages.py
+++ b/kestrelplank/consensus/member_messages.py
@@ -3,6 +3,8 @@
 Tags and the order of fields determine the bytes on the wire; field names do not.
 """
 
+from enum import StrEnum
+
 import msgspec
 
 from kestrelplank.consensus.consensus_messages import ConsensusMessage
@@ -109,6 +111,37 @@
     standbys: tuple[str, ...]
 
 
+class ReleaseReason(StrEnum):
+    """Why a member has given a role up; the values are on the wire and in the log lines."""
+
+    RESTARTED = "its process was restarted"
+    STOPPING = "it is stopping"
+    REJECTED = "its fencing token was rejected"
+    UNREACHABLE = "what it has to call is out of its reach"
+
+
+class ReleasedRole(msgspec.Struct, frozen=True, array_like=True):
+    """A role that its holder has given up, under this token and for good: no process acts under it any more."""
+
+    role: str
+    partition: int
+    token: int
+    reason: ReleaseReason
+
+
+class RoleReport(msgspec.Struct, frozen=True, array_like=True, tag="roles"):
+    """Sent regularly by a member to the leader, which assigns singleton roles by it.
+
+    :param start_id: drawn at random at each start of the sender's process.
+    :param available: whether the sender may be assigned roles; it may not once it is stopping.
+    :param released: the roles that it has given up and that are not assigned anew yet.
+    """
+
+    start_id: int
+    available: bool
+    released: tuple[ReleasedRole, ...] = ()
+
+
 Message = (
     ConsensusMessage
     | MembershipRequest
@@ -119,4 +152,5 @@
     | ServerListUpdate
     | MembershipQuery
     | MembershipUpdate
+    | RoleReport
 )
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -19,7 +19,15 @@
     VoteRequest,
 )
 from kestrelplank.consensus.identity import address_of
-from kestrelplank.consensus.log_entries import ChangeMembership, Entry, HardState, PutConfiguration, PutRecord, Snapshot
+from kestrelplank.consensus.log_entries import (
+    AssignRole,
+    ChangeMembership,
+    Entry,
+    HardState,
+    PutConfiguration,
+    PutRecord,
+    Snapshot,
+)
 from kestrelplank.consensus.member_messages import (
     MembershipQuery,
     MembershipRequest,
@@ -28,6 +36,8 @@
     OrderResult,
     ReadConfiguration,
     ReadResult,
+    ReleaseReason,
+    RoleReport,
     ServerListUpdate,
     SubmitOrder,
 )
@@ -44,9 +54,11 @@
 from kestrelplank.control.server_discovery import ServerDiscovery
 from kestrelplank.control.shard_assigner import ShardAssigner
 from kestrelplank.control.shard_assigners import ShardAssigners
+from kestrelplank.control.singleton_roles import SingletonRoles
 from kestrelplank.control.status import MemberStatus, member_status
 from kestrelplank.sharding.effects import ServerCallResult
 from kestrelplank.state.control_state import ControlState
+from kestrelplank.state.role_table import RoleId
 from kestrelplank.transport.messages import ConfigurationUpdate, EdgeHeartbeat, LoadReport, ToEdge
 from kestrelplank.transport.server_list import ListedServer, ServerList
 
@@ -104,7 +116,9 @@
         address = address_of(identity)
         self._directory = PeerDirectory(address, profile.seeds)
         self.lifecycle = MemberLifecycle(now, address, profile, self._replica, self._directory)
-        self._operator_calls = OperatorCalls(self._replica, random.getrandbits(63))
+        start_id = random.getrandbits(63)
+        self._operator_calls = OperatorCalls(self._replica, start_id)
+        self._roles = SingletonRoles(now, profile, self._replica, start_id)
         self._assigners = ShardAssigners(random, self._replica, self._servers, profile.max_key_lease_ns)
         self._reconciler = MembershipReconciler(now, profile, self._replica, self._directory)
         self._discovery = ServerDiscovery(self._replica, self._servers, self._assigners)
@@ -142,16 +156,12 @@
                 self.lifecycle.handle_membership_query(now, sender)
             case MembershipUpdate():
                 self._directory.handle_membership_update(now, message)
-            case SubmitOrder():
-                self._operator_calls.handle_submit_order(now, sender, message)
-            case ReadConfiguration():
-                self._operator_calls.handle_read_configuration(now, sender, message)
-            case OrderResult():
-                self._operator_calls.handle_order_result(sender, message)
-            case ReadResult():
-                self._operator_calls.handle_read_result(sender, message)
+            case SubmitOrder() | ReadConfiguration() | OrderResult() | ReadResult():
+                self._operator_calls.handle_message(now, sender, message)
             case ServerListUpdate():
                 self._discovery.handle_server_list_update(now, message)
+            case RoleReport():
+                self._roles.handle_report(now, sender, message)
             case _:
                 assert_never(message)
         return self._take_effects(now)
@@ -200,25 +210,50 @@
         self._replica.add_events(self.node.tick(now))
         self._handle_consensus_events(now)  # first, as the following steps depend on who leads
         self._operator_calls.tick(now)
+        self._roles.tick(now)
         self.lifecycle.tick(now)
         if self.node.leads(now):
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
+            self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
         self._replica.compact_if_due(log_size_bytes)
         return self._take_effects(now)
 
     def begin_stop(self, now: int) -> list[Effect]:
-        """Transfer leadership and ask to be replaced as a voter; the member keeps serving until `may_stop`."""
+        """Give up all singleton roles, transfer leadership and ask to be replaced as a voter.
+
+        The member keeps serving until `may_stop`.
+        """
+        self._roles.begin_stop(now)
         self.lifecycle.begin_stop(now)
         self._handle_consensus_events(now)
         self.lifecycle.tick(now)
         return self._take_effects(now)
 
+    # Singleton roles.
+
+    def role_token(self, now: int, role: RoleId) -> int | None:
+        """Return the fencing token under which this member may act in a role at this moment; None: it may not.
+
+        To be checked again right before each call is sent.
+        """
+        return self._roles.token(now, role)
+
+    def handle_role_token_rejected(self, now: int, role: RoleId, token: int) -> list[Effect]:
+        """Handle the rejection of a call under that token, as a higher one was seen: it is never used again."""
+        self._roles.release(now, role, token, ReleaseReason.REJECTED)
+        return self._take_effects(now)
+
+    def release_role(self, now: int, role: RoleId, token: int) -> list[Effect]:
+        """Give up a role that is held under that token, as what it has to call is out of this member's reach."""
+        self._roles.release(now, role, token, ReleaseReason.UNREACHABLE)
+        return self._take_effects(now)
+
     # Queries by the program.
 
     def may_stop(self, now: int) -> bool:
         """Whether this member may exit, as waiting longer would make no data safer."""
-        return self.lifecycle.may_stop(now)
+        return self.lifecycle.may_stop(now) and self._roles.may_stop(now)
 
     def addresses_to_dial(self, now: int) -> list[str]:
         """Return the control addresses of the members to keep sessions with."""
@@ -252,7 +287,7 @@
                 case consensus.Applied():
                     self._handle_applied(now, event.entry)
                 case consensus.Restored():
-                    self._handle_restored(event.snapshot)
+                    self._handle_restored(now, event.snapshot)
                 case consensus.Elected():
                     self._handle_elected(now, event.term)
                 case consensus.Deposed():
@@ -270,6 +305,8 @@
             self._handle_configuration_in_force(now, in_force)
         if isinstance(command, PutRecord):
             self._assigners.handle_record_committed(now, entry, command)
+        if isinstance(command, AssignRole):
+            self._roles.handle_applied(now)
         self._operator_calls.handle_applied(entry, came_into_force=in_force is not None)
 
     def _handle_configuration_in_force(self, now: int, order: PutConfiguration) -> None:
@@ -279,8 +316,9 @@
         if self.node.leads(now):
             self._replica.emit(PushToEdges(ConfigurationUpdate(order.version, order.text)))
 
-    def _handle_restored(self, snapshot: Snapshot) -> None:
+    def _handle_restored(self, now: int, snapshot: Snapshot) -> None:
         self.state.restore(snapshot.state)
+        self._roles.handle_restored(now)
         self._replica.handle_membership_committed(snapshot.membership)
         configuration = self.state.configuration
         version = f"configuration {configuration.version:08x}" if configuration else "no configuration"
@@ -289,6 +327,7 @@
     def _handle_elected(self, now: int, term: int) -> None:
         self._replica.handle_elected(term)
         self._reconciler.handle_elected(now)
+        self._roles.handle_elected(now)
 
     def _handle_deposed(self, reason: consensus.StepDownReason) -> None:
         self._replica.handle_deposed(reason)
--- a/kestrelplank/control/member_profile.py
+++ b/kestrelplank/control/member_profile.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from kestrelplank.state.role_table import RoleId
 from kestrelplank.time_units import SECOND
 
 
@@ -15,6 +16,8 @@
     :param machine_losses: the number of simultaneous machine losses to tolerate.
     :param stop_grace_ns: how long a member may take to stop after SIGTERM.
     :param max_key_lease_ns: the longest lease on keys that servers accept.
+    :param roles: the singleton roles that members hold.
+    :param role_lease_ns: a role comes back to a former holder only after more than this time.
     """
 
     zone: str
@@ -23,6 +26,8 @@
     machine_losses: int
     stop_grace_ns: int
     max_key_lease_ns: int = 10 * SECOND
+    roles: tuple[RoleId, ...] = ()
+    role_lease_ns: int = 3 * SECOND
 
     @property
     def target_voters(self) -> int:
--- a/kestrelplank/control/operator_calls.py
+++ b/kestrelplank/control/operator_calls.py
@@ -4,6 +4,8 @@
 them at once.
 """
 
+from typing import assert_never
+
 from kestrelplank.configuration.route_table import Configuration
 from kestrelplank.consensus.log_entries import Entry, PutConfiguration
 from kestrelplank.consensus.member_messages import OrderResult, ReadConfiguration, ReadResult, SubmitOrder
@@ -55,21 +57,37 @@
 
     # Messages from other members.
 
-    def handle_submit_order(self, now: int, sender: str, message: SubmitOrder) -> None:
+    def handle_message(
+        self, now: int, sender: str, message: SubmitOrder | ReadConfiguration | OrderResult | ReadResult
+    ) -> None:
+        """Handle a call that another member forwarded, or the leader's result of one forwarded here."""
+        match message:
+            case SubmitOrder():
+                self._handle_submit_order(now, sender, message)
+            case ReadConfiguration():
+                self._handle_read_configuration(now, sender, message)
+            case OrderResult():
+                self._handle_order_result(sender, message)
+            case ReadResult():
+                self._handle_read_result(sender, message)
+            case _:
+                assert_never(message)
+
+    def _handle_submit_order(self, now: int, sender: str, message: SubmitOrder) -> None:
         """Handle an order that another member forwarded."""
         self._handle_order(now, ForwardingMember(sender, message.call), message.order)
 
-    def handle_read_configuration(self, now: int, sender: str, message: ReadConfiguration) -> None:
+    def _handle_read_configuration(self, now: int, sender: str, message: ReadConfiguration) -> None:
         """Answer a read that another member forwarded."""
         self._answer_read_by_state(now, ForwardingMember(sender, message.call))
 
-    def handle_order_result(self, sender: str, result: OrderResult) -> None:
+    def _handle_order_result(self, sender: str, result: OrderResult) -> None:
         """Answer an operator's order that this member forwarded with the leader's result."""
         forwarded = self._forwarded.take_answered(sender, result.call, is_read=False)
         if forwarded is not None:
             self._answer_order(LocalCaller(forwarded.ticket), result.acknowledged, result.in_force)
 
-    def handle_read_result(self, sender: str, result: ReadResult) -> None:
+    def _handle_read_result(self, sender: str, result: ReadResult) -> None:
         """Answer an operator's read that this member forwarded with the leader's result."""
         forwarded = self._forwarded.take_answered(sender, result.call, is_read=True)
         if forwarded is not None:
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -12,10 +12,12 @@
 
 from kestrelplank.configuration.parsing import parse_configuration
 from kestrelplank.configuration.route_table import Configuration
-from kestrelplank.consensus.log_entries import Entry, PutConfiguration, PutRecord
+from kestrelplank.consensus.log_entries import AssignRole, Entry, PutConfiguration, PutRecord
 from kestrelplank.decode import MalformedError
+from kestrelplank.state.role_table import RoleAssignment, RoleTable
 
 SNAPSHOT_FORMAT = 1
+REQUIRED_SNAPSHOT_FIELDS = 3  # later ones have defaults
 NO_VERSION = -1
 
 
@@ -24,11 +26,13 @@
 
     :param format_version: `SNAPSHOT_FORMAT`.
     :param records: services and their records, in the order of the services' names.
+    :param roles: the newest assignment of each singleton role, in the order of the roles.
     """
 
     format_version: int
     configuration: PutConfiguration | None
     records: tuple[tuple[str, bytes], ...]
+    roles: tuple[RoleAssignment, ...] = ()
 
 
 class ServiceOutline(msgspec.Struct, frozen=True):
@@ -81,6 +85,7 @@
     def __init__(self) -> None:
         self._configuration: PutConfiguration | None = None
         self._records: dict[str, bytes] = {}
+        self.roles = RoleTable()
         self._sharded_services: frozenset[str] | None = frozenset()  # None: unknown, so any service may be
         self._parsed: Configuration | None = None
         self._parse_pending = False
@@ -130,12 +135,14 @@
             return self._put_configuration(command)
         if isinstance(command, PutRecord):
             return self._put_record(command)
+        if isinstance(command, AssignRole):
+            self.roles.apply(entry, command)
         return NO_CHANGE  # the consensus core applies a membership as soon as it is in the log
 
     def snapshot(self) -> bytes:
         """Return the encoded state; members that applied the same entries return the same bytes."""
         records = tuple(sorted(self._records.items()))
-        return msgspec.msgpack.encode(SnapshotContent(SNAPSHOT_FORMAT, self._configuration, records))
+        return encode_snapshot(SnapshotContent(SNAPSHOT_FORMAT, self._configuration, records, self.roles.content()))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state with that of `snapshot`.
@@ -145,6 +152,7 @@
         content = decode_snapshot(snapshot)
         self._set_configuration(content.configuration)
         self._records = dict(content.records)
+        self.roles.restore(content.roles)
 
     def _put_configuration(self, order: PutConfiguration) -> ApplyResult:
         if self.is_decided(order):
@@ -180,6 +188,14 @@
     return frozenset(service.name for service in outline.service_table if service.sharded)
 
 
+def encode_snapshot(content: SnapshotContent) -> bytes:
+    """Return the bytes of a snapshot. Empty trailing fields are left out, so that older releases can read them."""
+    values = list(msgspec.structs.astuple(content))
+    while len(values) > REQUIRED_SNAPSHOT_FIELDS and not values[-1]:
+        values.pop()
+    return msgspec.msgpack.encode(values)
+
+
 def decode_snapshot(snapshot: bytes) -> SnapshotContent:
     """Return a snapshot's content.
 
