--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -12,8 +12,9 @@
 
 from kestrelplank.configuration.parsing import parse_configuration
 from kestrelplank.configuration.route_table import Configuration
-from kestrelplank.consensus.log_entries import Entry, FixUsage, PutConfiguration, PutRecord
+from kestrelplank.consensus.log_entries import AssignRole, Entry, FixUsage, PutConfiguration, PutRecord
 from kestrelplank.decode import MalformedError
+from kestrelplank.state.role_table import RoleAssignment, RoleTable
 from kestrelplank.state.usage_ledger import LedgerContent, UsageLedger
 
 SNAPSHOT_FORMAT = 1
@@ -26,12 +27,14 @@
 
     :param format_version: `SNAPSHOT_FORMAT`.
     :param records: services and their records, in the order of the services' names.
+    :param roles: the newest assignment of each singleton role, in the order of the roles.
     :param usage: None before the first window of usage is fixed.
     """
 
     format_version: int
     configuration: PutConfiguration | None
     records: tuple[tuple[str, bytes], ...]
+    roles: tuple[RoleAssignment, ...] = ()
     usage: LedgerContent | None = None
 
 
@@ -87,6 +90,7 @@
     def __init__(self) -> None:
         self._configuration: PutConfiguration | None = None
         self._records: dict[str, bytes] = {}
+        self.roles = RoleTable()
         self.usage = UsageLedger()
         self._sharded_services: frozenset[str] | None = frozenset()  # None: unknown, so any service may be
         self._parsed: Configuration | None = None
@@ -137,6 +141,8 @@
             return self._put_configuration(command)
         if isinstance(command, PutRecord):
             return self._put_record(command)
+        if isinstance(command, AssignRole):
+            self.roles.apply(entry, command)
         if isinstance(command, FixUsage):
             return ApplyResult(unreported_windows=self.usage.apply(command))
         return NO_CHANGE  # the consensus core applies a membership as soon as it is in the log
@@ -144,7 +150,9 @@
     def snapshot(self) -> bytes:
         """Return the encoded state; members that applied the same entries return the same bytes."""
         records = tuple(sorted(self._records.items()))
-        return encode_snapshot(SnapshotContent(SNAPSHOT_FORMAT, self._configuration, records, self.usage.content()))
+        return encode_snapshot(
+            SnapshotContent(SNAPSHOT_FORMAT, self._configuration, records, self.roles.content(), self.usage.content())
+        )
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state with that of `snapshot`.
@@ -154,6 +162,7 @@
         content = decode_snapshot(snapshot)
         self._set_configuration(content.configuration)
         self._records = dict(content.records)
+        self.roles.restore(content.roles)
         self.usage.restore(content.usage)
 
     def _put_configuration(self, order: PutConfiguration) -> ApplyResult:
