Usage: messages between edges and members, fixing and reporting at the control program

Edges send their counts with each heartbeat in a frame of its own, in the same packet: the bytes of heartbeats stay as they are. Every voter collects them; the leader proposes FixUsage; the holder of USAGE_REPORT sends what the log has, on a connection of its own, and checks its token right before the bytes leave.

The test that no module reads the wall clock now names the one reader and its two callers: windows are defined by true time, which is estimated from wall clocks. It covers three packages more.

--- a/kestrelplank/consensus/member_messages.py
+++ b/kestrelplank/consensus/member_messages.py
@@ -142,6 +142,12 @@
     released: tuple[ReleasedRole, ...] = ()
 
 
+class UsageReported(msgspec.Struct, frozen=True, array_like=True, tag="reported"):
+    """Sent to the leader by the member that reports usage: the platform has accepted all windows up to this one."""
+
+    window: int
+
+
 Message = (
     ConsensusMessage
     | MembershipRequest
@@ -153,4 +159,5 @@
     | MembershipQuery
     | MembershipUpdate
     | RoleReport
+    | UsageReported
 )
--- a/kestrelplank/control/effects.py
+++ b/kestrelplank/control/effects.py
@@ -6,6 +6,7 @@
 from kestrelplank.consensus.member_messages import Message
 from kestrelplank.sharding.effects import ServerRequest
 from kestrelplank.transport.messages import ToEdge
+from kestrelplank.usage.usage_reporter import PlatformCall
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,16 @@
     leader_lease_until: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReportUsage:
+    """Send the report to the platform if `ControlMember.may_report_usage` right before its first byte.
+
+    `ControlMember.handle_usage_call_ended` follows.
+    """
+
+    call: PlatformCall
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerOrder:
     """Answer the operator's order `ticket`.
@@ -89,6 +100,7 @@
     | SendToAddress
     | PushToEdges
     | CallServer
+    | ReportUsage
     | AnswerOrder
     | AnswerRead
     | WriteConfigurationCopy
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import assert_never
 
+import msgspec
+
 from kestrelplank.configuration.route_table import Configuration
 from kestrelplank.consensus import effects as consensus
 from kestrelplank.consensus.consensus_messages import (
@@ -23,6 +25,7 @@
     AssignRole,
     ChangeMembership,
     Entry,
+    FixUsage,
     HardState,
     PutConfiguration,
     PutRecord,
@@ -40,6 +43,7 @@
     RoleReport,
     ServerListUpdate,
     SubmitOrder,
+    UsageReported,
 )
 from kestrelplank.consensus.membership import Membership
 from kestrelplank.consensus.node import ConsensusNode
@@ -56,11 +60,14 @@
 from kestrelplank.control.shard_assigners import ShardAssigners
 from kestrelplank.control.singleton_roles import SingletonRoles
 from kestrelplank.control.status import MemberStatus, member_status
+from kestrelplank.control.usage_reporting import UsageReporting
 from kestrelplank.sharding.effects import ServerCallResult
 from kestrelplank.state.control_state import ControlState
 from kestrelplank.state.role_table import RoleId
 from kestrelplank.transport.messages import ConfigurationUpdate, EdgeHeartbeat, LoadReport, ToEdge
 from kestrelplank.transport.server_list import ListedServer, ServerList
+from kestrelplank.usage.messages import UsageCounts, UsageCountsReply
+from kestrelplank.usage.usage_reporter import CallResult, PlatformCall
 
 
 class ControlMember:
@@ -122,6 +129,8 @@
         self._assigners = ShardAssigners(random, self._replica, self._servers, profile.max_key_lease_ns)
         self._reconciler = MembershipReconciler(now, profile, self._replica, self._directory)
         self._discovery = ServerDiscovery(self._replica, self._servers, self._assigners)
+        usage = profile.usage
+        self._usage = None if usage is None else UsageReporting(random, usage, self._replica, self._roles)
         self._edge_updates = EdgeUpdates(self._replica, self.lifecycle, self._servers, self._assigners)
 
     @property
@@ -162,6 +171,8 @@
                 self._discovery.handle_server_list_update(now, message)
             case RoleReport():
                 self._roles.handle_report(now, sender, message)
+            case UsageReported():
+                self._handle_usage_reported(message)
             case _:
                 assert_never(message)
         return self._take_effects(now)
@@ -202,10 +213,11 @@
         """
         return self._edge_updates.handle_edge_heartbeat(now, heartbeat, edge_count)
 
-    def tick(self, now: int, log_size_bytes: int = 0) -> list[Effect]:
+    def tick(self, now: int, log_size_bytes: int = 0, wall_time_ns: int | None = None) -> list[Effect]:
         """Do all timed work that is due. Must be called at least every 50 ms.
 
         :param log_size_bytes: size of the log on disk.
+        :param wall_time_ns: this machine's time of day, in ns since 1970; used only for usage reports.
         """
         self._replica.add_events(self.node.tick(now))
         self._handle_consensus_events(now)  # first, as the following steps depend on who leads
@@ -216,6 +228,8 @@
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
             self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
+        if self._usage is not None:
+            self._usage.tick(now, wall_time_ns)
         self._replica.compact_if_due(log_size_bytes)
         return self._take_effects(now)
 
@@ -249,6 +263,26 @@
         self._roles.release(now, role, token, ReleaseReason.UNREACHABLE)
         return self._take_effects(now)
 
+    # Usage reports.
+
+    def handle_usage_counts(self, now: int, counts: UsageCounts) -> UsageCountsReply | None:
+        """Return the answer to an edge machine's counts; None if the platform wants no usage reports."""
+        return None if self._usage is None else self._usage.handle_counts(now, counts)
+
+    def may_report_usage(self, now: int, call: PlatformCall) -> bool:
+        """Whether the call's token is still valid; to be checked right before it is sent."""
+        return self._usage is not None and self._usage.may_send(now, call)
+
+    def handle_usage_call_ended(self, now: int, call: PlatformCall, result: CallResult) -> list[Effect]:
+        """Handle the end of a `ReportUsage`."""
+        if self._usage is not None:
+            self._usage.handle_call_ended(now, call, result)
+        return self._take_effects(now)
+
+    def _handle_usage_reported(self, message: UsageReported) -> None:
+        if self._usage is not None:
+            self._usage.handle_reported(message)
+
     # Queries by the program.
 
     def may_stop(self, now: int) -> bool:
@@ -265,7 +299,8 @@
 
     def status(self, now: int) -> MemberStatus:
         """Return the status of this member for operators, without edge machines."""
-        return member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        return status if self._usage is None else msgspec.structs.replace(status, usage=self._usage.status(now))
 
     # Effects of the consensus node (`consensus.effects`), which are events here.
 
@@ -297,8 +332,8 @@
 
     def _handle_applied(self, now: int, entry: Entry) -> None:
         """Apply a committed entry to the state and notify every component that waits for it."""
-        in_force = self.state.apply(entry).in_force
-        command = entry.command
+        result = self.state.apply(entry)
+        in_force, command = result.in_force, entry.command
         if isinstance(command, ChangeMembership):
             self._replica.handle_membership_committed(command.membership)
         if in_force is not None:
@@ -307,6 +342,8 @@
             self._assigners.handle_record_committed(now, entry, command)
         if isinstance(command, AssignRole):
             self._roles.handle_applied(now)
+        if isinstance(command, FixUsage) and self._usage is not None:
+            self._usage.handle_applied(result.unreported_windows)
         self._operator_calls.handle_applied(entry, came_into_force=in_force is not None)
 
     def _handle_configuration_in_force(self, now: int, order: PutConfiguration) -> None:
@@ -319,6 +356,8 @@
     def _handle_restored(self, now: int, snapshot: Snapshot) -> None:
         self.state.restore(snapshot.state)
         self._roles.handle_restored(now)
+        if self._usage is not None:
+            self._usage.handle_applied(())
         self._replica.handle_membership_committed(snapshot.membership)
         configuration = self.state.configuration
         version = f"configuration {configuration.version:08x}" if configuration else "no configuration"
@@ -328,6 +367,8 @@
         self._replica.handle_elected(term)
         self._reconciler.handle_elected(now)
         self._roles.handle_elected(now)
+        if self._usage is not None:
+            self._usage.handle_elected(now)
 
     def _handle_deposed(self, reason: consensus.StepDownReason) -> None:
         self._replica.handle_deposed(reason)
--- a/kestrelplank/control/member_profile.py
+++ b/kestrelplank/control/member_profile.py
@@ -4,6 +4,7 @@
 
 from kestrelplank.state.role_table import RoleId
 from kestrelplank.time_units import SECOND
+from kestrelplank.usage.policy import UsagePolicy
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,7 @@
     :param max_key_lease_ns: the longest lease on keys that servers accept.
     :param roles: the singleton roles that members hold.
     :param role_lease_ns: a role comes back to a former holder only after more than this time.
+    :param usage: None if the platform wants no usage reports.
     """
 
     zone: str
@@ -28,6 +30,7 @@
     max_key_lease_ns: int = 10 * SECOND
     roles: tuple[RoleId, ...] = ()
     role_lease_ns: int = 3 * SECOND
+    usage: UsagePolicy | None = None
 
     @property
     def target_voters(self) -> int:
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -26,6 +26,7 @@
     Effect,
     LogLine,
     PushToEdges,
+    ReportUsage,
     SendMessage,
     SendToAddress,
     WriteConfigurationCopy,
@@ -39,10 +40,12 @@
 from kestrelplank.control.platform_client import PlatformClient
 from kestrelplank.control.server_calls import ServerCalls
 from kestrelplank.control.status import MemberStatus
+from kestrelplank.control.usage_calls import UsageCalls
 from kestrelplank.control.waiting_calls import WaitingCalls
 from kestrelplank.http.critical_tasks import CriticalTasks
 from kestrelplank.http.server import create_server
 from kestrelplank.http.socket_options import listening_socket
+from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import PlatformSettings
 from kestrelplank.sharding.effects import ServerCallResult
 from kestrelplank.storage.disk_thread import DiskThread
@@ -50,6 +53,10 @@
 from kestrelplank.time_units import SECOND, seconds_to_ns
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, LoadReport, ToMember, decode_at_member
 from kestrelplank.transport.wire import FrameConnection, encode_frame
+from kestrelplank.usage.messages import UsageCounts
+from kestrelplank.usage.policy import usage_policy
+from kestrelplank.usage.usage_reporter import CallResult, PlatformCall
+from kestrelplank.wall_clock import wall_time_ns
 
 TICK_INTERVAL_S = 0.05
 SERVER_FETCH_CHECK_INTERVAL_S = 0.5
@@ -99,6 +106,7 @@
     """Return the log and the member restored from disk; disk errors are retried until they stop."""
     local = settings.local_system
     host, port = settings.listen_address("control_plane")
+    usage = usage_policy(settings)
     profile = MemberProfile(
         zone=local.zone,
         eligible=local.quorum_member,
@@ -106,6 +114,9 @@
         machine_losses=settings.fault_tolerance.machine_losses,
         stop_grace_ns=seconds_to_ns(settings.bounds.grace_s),
         max_key_lease_ns=seconds_to_ns(settings.bounds.max_hold_s),
+        roles=() if usage is None else (USAGE_REPORT,),
+        role_lease_ns=seconds_to_ns(settings.bounds.lease_s),
+        usage=usage,
     )
     folder, address = local.data_directory or f"/tmp/{local.node_name}", f"{host}:{port}"
 
@@ -130,6 +141,7 @@
     - the members' listener (`_listen_for_peers`): accepts connections; `_inbound` tracks them;
     - `CriticalTasks`: the tasks of `_log_writer`, `_tick` and `_fetch_servers`;
     - `_sessions`: outbound connections to other members;
+    - `_usage_calls`: the connection to the platform for usage reports;
     - `_server_calls`: connections to servers, one `ServerCalls` per address; they end with the process.
     """
 
@@ -143,6 +155,12 @@
         self._sessions = MemberSessions(member.identity, settings.internal_port(), self._handle_peer_message)
         self._inbound = InboundConnections()
         self._platform = PlatformClient(settings.cloud_api.address)
+        self._usage_calls = UsageCalls(
+            settings.cloud_api.address,
+            settings.local_system.node_name,
+            lambda call: member.may_report_usage(time.monotonic_ns(), call),
+            self._handle_usage_call_ended,
+        )
         self._server_calls: dict[str, ServerCalls] = {}  # by address
         tickets = itertools.count(1)
         self._orders = WaitingCalls[AnswerOrder](tickets)
@@ -151,7 +169,7 @@
     async def run(self, stop: asyncio.Event) -> int:
         """Run until `stop` is set, then shut down gracefully. Return the exit code."""
         tasks = CriticalTasks("Control", stop)
-        with closing(self._sessions):
+        with closing(self._sessions), closing(self._usage_calls):
             try:
                 async with self._listen_for_peers(), self._serve_operators():
                     log.info("Control: member %s starts", self._member.identity)
@@ -201,7 +219,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = time.monotonic_ns()
-            self._carry_out(self._member.tick(now, self._log_writer.log_size_bytes))
+            self._carry_out(self._member.tick(now, self._log_writer.log_size_bytes, wall_time_ns()))
             self._sessions.keep_sessions_with(self._member.addresses_to_dial(now))
             self._sessions.reset_unanswered(now)
             self._inbound.reset_idle(now)
@@ -239,16 +257,16 @@
 
     def _carry_out_effect(self, effect: Effect) -> None:
         match effect:
-            case SendMessage():
-                self._sessions.send(effect.to, effect.message)
+            case SendMessage() | SendToAddress():
+                self._send_to_member(effect)
             case Persist():
                 self._log_writer.write(effect)
-            case SendToAddress():
-                self._sessions.send_to_address(effect.address, effect.message)
             case PushToEdges():
                 self._inbound.send_to_edges(encode_frame(effect.message))
             case CallServer():
                 self._call_server(effect)
+            case ReportUsage():
+                self._usage_calls.put(effect.call)
             case AnswerOrder():
                 self._orders.resolve(effect)
             case AnswerRead():
@@ -260,6 +278,12 @@
             case _:
                 assert_never(effect)
 
+    def _send_to_member(self, effect: SendMessage | SendToAddress) -> None:
+        if isinstance(effect, SendMessage):
+            self._sessions.send(effect.to, effect.message)
+        else:
+            self._sessions.send_to_address(effect.address, effect.message)
+
     def _call_server(self, effect: CallServer) -> None:
         address = effect.request.address
         calls = self._server_calls.get(address)
@@ -275,6 +299,9 @@
     def _handle_server_call_ended(self, call: CallServer, result: ServerCallResult) -> None:
         self._carry_out(self._member.handle_server_call_ended(time.monotonic_ns(), call, result))
 
+    def _handle_usage_call_ended(self, call: PlatformCall, result: CallResult) -> None:
+        self._carry_out(self._member.handle_usage_call_ended(time.monotonic_ns(), call, result))
+
     def _handle_peer_message(self, sender: str, message: Message) -> None:
         """Handle a message from the member `sender`, on an inbound or outbound connection."""
         self._carry_out(self._member.handle_message(time.monotonic_ns(), sender, message))
@@ -290,6 +317,8 @@
                 self._handle_edge_heartbeat(now, connection, message)
             case LoadReport():
                 self._member.handle_load_report(now, message)
+            case UsageCounts():
+                self._handle_usage_counts(now, connection, message)
             case _:
                 assert_never(message)
 
@@ -299,6 +328,11 @@
         for answer in self._member.handle_edge_heartbeat(now, heartbeat, self._inbound.edge_count):
             connection.send(answer)
 
+    def _handle_usage_counts(self, now: int, connection: MemberConnection, counts: UsageCounts) -> None:
+        reply = self._member.handle_usage_counts(now, counts)
+        if reply is not None:
+            connection.send(reply)
+
     def _handle_inbound_ended(self, connection: MemberConnection) -> None:
         self._inbound.handle_ended(connection)
         self._sessions.handle_inbound_ended(connection)
--- a/kestrelplank/control/status.py
+++ b/kestrelplank/control/status.py
@@ -8,6 +8,7 @@
 from kestrelplank.control.shard_assigner import ShardAssigner
 from kestrelplank.control.shard_assigners import ShardAssigners
 from kestrelplank.control.shard_record import ShardRecord
+from kestrelplank.control.usage_status import UsageStatus
 from kestrelplank.sharding.key_range import KeyRange
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.server_list import ServerList
@@ -87,6 +88,7 @@
     :param server_count: how many servers the platform lists.
     :param server_list_age_s: the age of that list; None if none has arrived.
     :param edges: the edge machines in session, by name.
+    :param usage: None if the platform wants no usage reports.
     """
 
     member: str
@@ -108,6 +110,7 @@
     server_list_age_s: float | None
     services: dict[str, ServiceStatus]
     edges: dict[str, EdgeStatus] = {}
+    usage: UsageStatus | None = None
 
 
 def member_status(
--- a/kestrelplank/edge/control_sessions.py
+++ b/kestrelplank/edge/control_sessions.py
@@ -8,23 +8,38 @@
 from kestrelplank.settings.platform import parse_address
 from kestrelplank.time_units import MILLISECOND
 from kestrelplank.transport.edge_view import SESSION_TIMEOUT_NS, EdgeView
-from kestrelplank.transport.messages import LoadReport, ToEdge, decode_at_edge
-from kestrelplank.transport.wire import FrameConnection
+from kestrelplank.transport.messages import LoadReport, ToEdge, ViewUpdate, decode_at_edge
+from kestrelplank.transport.wire import FrameConnection, encode_frame
+from kestrelplank.usage.counts_sender import CountsSender
+from kestrelplank.usage.edge_usage import EdgeUsage
+from kestrelplank.usage.messages import UsageCountsReply
+from kestrelplank.wall_clock import wall_time_ns
 
 CONNECT_TIMEOUT_S = 0.6
 RECONNECT_INTERVAL_S = 0.25  # minimum delay before reconnecting; also the interval of `reconcile`
 HEARTBEAT_INTERVAL_S = 0.4
+LAST_COUNTS_DELAY_S = 0.1  # for the last counts to be sent before the sessions are closed
 
 
 class ControlSessions:
     """All sessions of one edge.
 
     :param port: the port on which control members accept sessions.
-    :param on_message: called with a member's address and each message received from it.
+    :param on_message: called with a member's address and each update of the view received from it.
+    :param usage: None if usage is not reported.
     """
 
-    def __init__(self, view: EdgeView, port: int, random: Random, on_message: Callable[[str, ToEdge], None]) -> None:
+    def __init__(
+        self,
+        view: EdgeView,
+        port: int,
+        random: Random,
+        on_message: Callable[[str, ViewUpdate], None],
+        usage: EdgeUsage | None = None,
+    ) -> None:
         self._view, self._port, self._random, self._on_message = view, port, random, on_message
+        self._usage = usage
+        self._counts_senders: dict[FrameConnection[ToEdge], CountsSender] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}  # by member address
         self._connections: dict[str, FrameConnection[ToEdge]] = {}  # by member address
         self._last_received_at: dict[FrameConnection[ToEdge], int] = {}  # monotonic time in ns
@@ -46,6 +61,15 @@
         for member in [member for member in self._tasks if member not in wanted]:
             self._tasks.pop(member).cancel()
 
+    async def send_last_counts(self) -> None:
+        """Send all members the counts that they lack, as no request is forwarded any more."""
+        if self._usage is None:
+            return
+        self._usage.counter.close()
+        for connection in self._connections.values():
+            connection.send(self._counts_frame(connection))
+        await asyncio.sleep(LAST_COUNTS_DELAY_S)
+
     def close(self) -> None:
         """Close all sessions."""
         for task in self._tasks.values():
@@ -76,22 +100,34 @@
                 self._port,
             )
         connection.peer, self._connections[member] = member, connection
+        if self._usage is not None:
+            self._counts_senders[connection] = CountsSender(self._usage, member)
         self._last_received_at[connection] = time.monotonic_ns()
         return connection
 
     async def _send_heartbeats(self, connection: FrameConnection[ToEdge]) -> None:
-        """Send heartbeats with the versions that this edge has, until the connection ends or times out."""
+        """Send heartbeats and changed counts, until the connection ends or times out."""
         while connection.is_open and time.monotonic_ns() - self._last_received_at[connection] < SESSION_TIMEOUT_NS:
-            connection.send(self._view.heartbeat(time.monotonic_ns()))
+            heartbeat = encode_frame(self._view.heartbeat(time.monotonic_ns()))
+            connection.send(heartbeat + self._counts_frame(connection))  # in one packet
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def _received(self, connection: FrameConnection[ToEdge], message: ToEdge) -> None:
-        self._last_received_at[connection] = time.monotonic_ns()
-        self._on_message(connection.peer, message)
+        now = self._last_received_at[connection] = time.monotonic_ns()
+        if not isinstance(message, UsageCountsReply):
+            self._on_message(connection.peer, message)
+        elif connection in self._counts_senders:
+            self._counts_senders[connection].handle_reply(now, message)
+
+    def _counts_frame(self, connection: FrameConnection[ToEdge]) -> bytes:
+        """Return the counts that changed since the last message on the connection, encoded; nothing without usage."""
+        sender = self._counts_senders.get(connection)
+        return b"" if sender is None else encode_frame(sender.next_message(time.monotonic_ns(), wall_time_ns()))
 
     def _discard(self, member: str, connection: FrameConnection[ToEdge]) -> None:
         connection.reset()
         self._last_received_at.pop(connection, None)
+        self._counts_senders.pop(connection, None)
         if self._connections.get(member) is connection:
             del self._connections[member]
 
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -23,13 +23,16 @@
 from kestrelplank.settings.platform import PlatformSettings
 from kestrelplank.time_units import SECOND, seconds_to_ns
 from kestrelplank.transport.edge_view import Change, EdgeView
-from kestrelplank.transport.messages import LoadReport, ToEdge
+from kestrelplank.transport.messages import LoadReport, ViewUpdate
+from kestrelplank.usage.edge_usage import EdgeUsage
+from kestrelplank.usage.policy import usage_policy
 
 REPORT_INTERVAL_S = 0.5  # between load reports, and between sweeps of idle connections
 DRAIN_DELAY_S = 2.3  # from SIGTERM until connections are refused, for the platform's readiness check to fail
 FINAL_ANSWERS_S = 0.5  # end of the platform's grace period, reserved for answering unfinished requests
 BODY_MEMORY_FRACTION = 0.25  # of this machine's memory, for buffered request bodies
 BYTES_PER_MB = 1 << 20
+INCARNATION_BITS = 63
 log = logging.getLogger("edge")
 
 
@@ -53,6 +56,7 @@
             seconds_to_ns(bounds.drain_s),
         )
         self.connections = ServerConnections(time.monotonic_ns)
+        self.usage = edge_usage(settings, random)
         self.readiness = Readiness(self.view)
         self.context = ExchangeContext(
             self.forwarder,
@@ -60,8 +64,9 @@
             self.readiness,
             int(local.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_FRACTION),
             trace_one_in,
+            self.usage,
         )
-        self.sessions = ControlSessions(self.view, settings.internal_port(), random, self.receive)
+        self.sessions = ControlSessions(self.view, settings.internal_port(), random, self.receive, self.usage)
         self.server: Server = create_server(
             client_application(self.context, settings.listen_address("readiness")[1]),
             idle_timeout_s=None,  # until a configuration has been received
@@ -83,6 +88,7 @@
         await stop.wait()
         log.info("Edge: stopping, not ready from now on")
         await self.drain(DRAIN_DELAY_S)  # while the control sessions are open: requests in progress need updates
+        await self.sessions.send_last_counts()
         critical_tasks.cancel()
         self.sessions.close()
         log.info("Edge: stopped", extra={"counters": self.context.counters.values})
@@ -121,7 +127,7 @@
 
     # Messages from control members.
 
-    def receive(self, member: str, message: ToEdge) -> None:
+    def receive(self, member: str, message: ViewUpdate) -> None:
         """Apply a message from the control member at that address; if it changes anything, wake waiting requests."""
         now = time.monotonic_ns()
         change = self.view.receive(now, member, message)
@@ -179,9 +185,25 @@
                 "upstream_rq_active": {name: round(load, 1) for name, load in loads.items() if load >= 1},
                 "outlier_ejected": endpoints.ejected(now),
                 "control_session_silent_ms": self.sessions.silent_ms(),
+                **self.usage_counters(),
             },
         )
 
+    def usage_counters(self) -> dict[str, int]:
+        """Return the counters of usage; docs/oncall.md explains each."""
+        if self.usage is None:
+            return {}
+        counter = self.usage.counter
+        return {"usage_windows_dropped": counter.dropped_windows, "usage_attempts_late": counter.late_attempts}
+
+
+def edge_usage(settings: PlatformSettings, random: Random) -> EdgeUsage | None:
+    """Return an empty usage for this process; None if the platform wants no usage reports."""
+    policy = usage_policy(settings)
+    if policy is None:
+        return None
+    return EdgeUsage(settings.local_system.node_name, random.getrandbits(INCARNATION_BITS), policy.interval_ns)
+
 
 async def run(settings: PlatformSettings, trace_one_in: int = 0) -> int:
     """Run an edge until SIGTERM, and return the exit code.
--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -48,9 +48,14 @@
 
 @checked_dataclass
 class CloudApi:
-    """`platform.cloud_api`: the API through which the platform lists the servers."""
+    """`platform.cloud_api`: the API through which the platform lists the servers and takes reports.
+
+    `duties` are the kinds of reports that it wants; `duty_rate_s` is how many it accepts in a second from all machines.
+    """
 
     address: str
+    duties: list[str] = field(default_factory=list)
+    duty_rate_s: int | float = 1
 
 
 @checked_dataclass
@@ -62,6 +67,9 @@
     retry_budget_ratio: int | float = 0.2
     retry_allowance: int | float = 30
     max_hold_s: int | float = 10
+    report_interval_s: int | float = 5
+    usage_delay_s: int | float = 10
+    lease_s: int | float = 3
 
 
 @checked_dataclass
@@ -148,11 +156,16 @@
     """Raise InvalidSettingsError if the value of a field is out of range."""
     if not settings.network.internal_port_range or not settings.network.seed_nodes:
         raise InvalidSettingsError("internal_port_range and seed_nodes must not be empty", field="network")
-    max_hold_s = settings.bounds.max_hold_s
-    if max_hold_s <= 0:
-        raise InvalidSettingsError(
-            f"expected a number greater than 0, got {max_hold_s}", field="policy_terms.bounds.max_hold_s"
-        )
+    positive = {
+        "policy_terms.bounds.max_hold_s": settings.bounds.max_hold_s,
+        "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
+        "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
+        "policy_terms.bounds.lease_s": settings.bounds.lease_s,
+        "platform.cloud_api.duty_rate_s": settings.cloud_api.duty_rate_s,
+    }
+    for name, value in positive.items():
+        if value <= 0:
+            raise InvalidSettingsError(f"expected a number greater than 0, got {value}", field=name)
     losses = settings.fault_tolerance.machine_losses
     if losses < 0:
         raise InvalidSettingsError(
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -14,7 +14,7 @@
     KeyRangesDelta,
     KeyRangesUpdate,
     MemberHeartbeat,
-    ToEdge,
+    ViewUpdate,
 )
 from kestrelplank.transport.server_list import ServerList
 
@@ -67,7 +67,7 @@
         self._member_heard_at: int | None = None
         self._confirmed = False  # whether a current member has ever confirmed the configuration
 
-    def receive(self, now: int, member: str, message: ToEdge) -> Change | None:
+    def receive(self, now: int, member: str, message: ViewUpdate) -> Change | None:
         """Update the view from a message of the member at that address; return the part that changed, if any."""
         if member in self.members:
             self._member_heard_at = now
--- a/kestrelplank/transport/messages.py
+++ b/kestrelplank/transport/messages.py
@@ -9,6 +9,8 @@
   a changed server list as a `ServerListUpdate`; all key ranges as a `KeyRangesUpdate` when a leader begins to assign
   them, then those that it recorded, or that their holder is releasing, as a `KeyRangesDelta`.
 - Twice a second an edge machine sends a `LoadReport` for each service to the member that assigns the service's keys.
+- Where usage is reported, an edge machine sends `UsageCounts` with each heartbeat, which the member answers with a
+  `UsageCountsReply` (`usage.messages`).
 - Every message between control members is sent in an `Envelope`.
 
 Messages are encoded as msgpack arrays: the tag and the order of fields are part of the wire format, names of fields are
@@ -18,6 +20,7 @@
 import msgspec
 
 from kestrelplank.consensus.member_messages import Message, ServerListUpdate
+from kestrelplank.usage.messages import UsageCounts, UsageCountsReply
 
 
 class KeyRangesVersion(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -127,7 +130,9 @@
     key_ranges: list[RangeHolder]
 
 
-ToEdge = MemberHeartbeat | ConfigurationUpdate | KeyRangesUpdate | KeyRangesDelta | ServerListUpdate
+ViewUpdate = MemberHeartbeat | ConfigurationUpdate | KeyRangesUpdate | KeyRangesDelta | ServerListUpdate
+"""Messages that update an edge machine's view (`transport.edge_view`)."""
+ToEdge = ViewUpdate | UsageCountsReply
 
 
 # Between control members.
@@ -146,7 +151,7 @@
     message: Message
 
 
-ToMember = Envelope | EdgeHeartbeat | LoadReport
+ToMember = Envelope | EdgeHeartbeat | LoadReport | UsageCounts
 
 _encoder = msgspec.msgpack.Encoder()
 _edge_decoder: msgspec.msgpack.Decoder[ToEdge] = msgspec.msgpack.Decoder(ToEdge)
--- a/kestrelplank/usage/counts_sender.py
+++ b/kestrelplank/usage/counts_sender.py
@@ -1,21 +1,7 @@
 """An edge's messages on usage to one member, on one connection. No I/O."""
 
+from kestrelplank.usage.edge_usage import EdgeUsage
 from kestrelplank.usage.messages import UsageCounts, UsageCountsReply
-from kestrelplank.usage.true_time import TrueTimeEstimate
-from kestrelplank.usage.usage_counter import UsageCounter
-
-
-class EdgeUsage:
-    """The usage of one edge process, which all its connections share.
-
-    :param edge: the machine's name.
-    :param incarnation: random number of this process.
-    """
-
-    def __init__(self, edge: str, incarnation: int, interval_ns: int) -> None:
-        self.edge, self.incarnation = edge, incarnation
-        self.counter = UsageCounter(interval_ns)
-        self.time = TrueTimeEstimate()
 
 
 class CountsSender:
@@ -37,6 +23,7 @@
     def next_message(self, now: int, wall_time_ns: int) -> UsageCounts:
         """Return the message to send now."""
         usage, reply = self._usage, self._reply
+        usage.set_own_clock(now, wall_time_ns)
         changes = usage.counter.changes_since(self._sent_revision)
         self._sent_revision = usage.counter.revision
         return UsageCounts(
--- a/kestrelplank/usage/policy.py
+++ b/kestrelplank/usage/policy.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
-from kestrelplank.time_units import SECOND
+from kestrelplank.settings.platform import PlatformSettings
+from kestrelplank.time_units import SECOND, seconds_to_ns
+
+USAGE_REPORT_DUTY = "usage_report"  # in the platform's settings
 
 REPORTING_TIME_NS = 3 * SECOND  # part of the delay that is reserved for sending a fixed window
 
@@ -24,3 +27,13 @@
     def fixing_delay_ns(self) -> int:
         """Return the time from the end of a window until it is fixed at the latest."""
         return max(self.delay_ns // 2, self.delay_ns - REPORTING_TIME_NS)
+
+
+def usage_policy(settings: PlatformSettings) -> UsagePolicy | None:
+    """Return the policy in the settings; None if the platform wants no usage reports."""
+    if USAGE_REPORT_DUTY not in settings.cloud_api.duties:
+        return None
+    bounds = settings.bounds
+    return UsagePolicy(
+        seconds_to_ns(bounds.report_interval_s), seconds_to_ns(bounds.usage_delay_s), settings.cloud_api.duty_rate_s
+    )
--- a/tests/consensus/test_recorded_bytes.py
+++ b/tests/consensus/test_recorded_bytes.py
@@ -41,6 +41,7 @@
     RoleReport,
     ServerListUpdate,
     SubmitOrder,
+    UsageReported,
 )
 from kestrelplank.consensus.membership import Membership
 
@@ -81,6 +82,7 @@
     "94a5726f6c657305c39194ac75736167655f7265706f7274000bbe6974732066656e63696e6720746f6b656e207761732072656a6563746564": RoleReport(
         5, True, (ReleasedRole("usage_report", 0, 11, ReleaseReason.REJECTED),)
     ),
+    "92a87265706f727465640c": UsageReported(12),
 }
 COMMANDS = {
     "91a46e6f6f70": Noop(),
--- a/tests/control/test_member_faults.py
+++ b/tests/control/test_member_faults.py
@@ -173,8 +173,11 @@
     assert system.all_keys_owned()
 
 
-def test_no_gateway_module_reads_the_wall_clock():
-    """The wall clock may jump; only the monotonic clock may be used."""
+def test_only_the_reader_of_the_wall_clock_and_its_two_callers_use_it():
+    """Guards against: a decision by the wall clock, which may jump; only the monotonic clock may be used.
+
+    Windows of usage are defined by true time, so two adapters pass readings to the estimate of true time.
+    """
     folder = Path(kestrelplank.__file__).parent
     folders = (
         "consensus",
@@ -186,10 +189,15 @@
         "http",
         "edge",
         "control",
+        "roles",
+        "state",
+        "usage",
     )
     sources = [path for folder_name in folders for path in (folder / folder_name).glob("*.py")]
     assert len(sources) > 20
     assert not [path for path in sources if re.search(r"\btime\.time(_ns)?\(|datetime", path.read_text())]
+    readers = {path.relative_to(folder).as_posix() for path in sources if "wall_clock" in path.read_text()}
+    assert readers == {"control/program.py", "edge/control_sessions.py"}
 
 
 def test_a_member_that_lost_its_disk_is_not_a_voter_until_the_others_add_it():
--- a/tests/transport/test_wire_of_4f929ce.py
+++ b/tests/transport/test_wire_of_4f929ce.py
@@ -13,8 +13,9 @@
 from kestrelplank.transport.messages import Envelope, ToEdge, ToMember, decode_at_edge, decode_at_member, encode
 from kestrelplank.transport.server_list import READY, ServerList
 from kestrelplank.transport.wire import COMPRESSED_FLAG, encode_frame, uncompressed_body
+from kestrelplank.usage.messages import UsageCounts, UsageCountsReply, WindowCounts
 
-ADDED_SINCE = {"roles"}  # their bytes are recorded in tests/consensus/test_recorded_bytes.py
+ADDED_SINCE = {"roles", "reported"}  # their bytes are recorded in tests/consensus/test_recorded_bytes.py
 DATA = Path(__file__).parent / "data" / "4f929ce"
 MESSAGES = json.loads((DATA / "wire_messages.json").read_text())
 FRAMES = json.loads((DATA / "wire_frames.json").read_text())
@@ -48,14 +49,50 @@
     assert by_position(message) == example["value"]
 
 
+# Messages between edge machines and members that were added since, by tag, with their bytes.
+LATER_TO_MEMBERS = {
+    "usage": (
+        UsageCounts(
+            "edge-1",
+            77,
+            1000,
+            1_800_000_000_000_000_000,
+            359999999,
+            [WindowCounts(360000000, {"a": 3, "b": 0})],
+            55,
+            400,
+        ),
+        "99a57573616765a6656467652d314dcd03e8cf18fae27693b40000ce157529ff9192ce15752a0082a16103a1620037cd0190",
+    ),
+}
+LATER_TO_EDGES = {
+    "usage": (
+        UsageCountsReply(1000, 55, 1_800_000_000_000_000_001, 359999998),
+        "95a57573616765cd03e837cf18fae27693b40001ce157529fe",
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    "decode, message, expected",
+    [
+        *((decode_at_member, *example) for example in LATER_TO_MEMBERS.values()),
+        *((decode_at_edge, *example) for example in LATER_TO_EDGES.values()),
+    ],
+)
+def test_a_message_added_later_has_the_recorded_bytes(decode, message, expected):
+    assert encode(message).hex() == expected
+    assert decode(bytes.fromhex(expected)) == message
+
+
 def test_every_type_of_message_has_an_example():
     envelope_contents = typing.get_args(typing.get_type_hints(Envelope)["message"])
     to_members = {tag_of(kind) for kind in (*typing.get_args(ToMember), *envelope_contents) if kind is not Envelope}
-    assert {example["tag"] for example in MESSAGES["to a member"]} == to_members - ADDED_SINCE
+    later_to_members = {*LATER_TO_MEMBERS, *ADDED_SINCE}
+    assert {example["tag"] for example in MESSAGES["to a member"]} == to_members - later_to_members
     assert ADDED_SINCE <= {tag_of(type(message)) for message in test_recorded_bytes.MESSAGES.values()}
-    assert {example["tag"] for example in MESSAGES["to an edge machine"]} == {
-        tag_of(kind) for kind in typing.get_args(ToEdge)
-    }
+    to_edges = {tag_of(kind) for kind in typing.get_args(ToEdge)}
+    assert {example["tag"] for example in MESSAGES["to an edge machine"]} == to_edges - {*LATER_TO_EDGES}
 
 
 def test_a_short_message_has_the_same_frame():
--- a/tests/usage/test_counts_sender.py
+++ b/tests/usage/test_counts_sender.py
@@ -1,7 +1,8 @@
 """An edge's messages to members, and the exchange of clock readings."""
 
 from kestrelplank.time_units import MILLISECOND, SECOND
-from kestrelplank.usage.counts_sender import CountsSender, EdgeUsage
+from kestrelplank.usage.counts_sender import CountsSender
+from kestrelplank.usage.edge_usage import EdgeUsage
 from kestrelplank.usage.messages import UsageCountsReply, WindowCounts
 
 EPOCH = 1_800_000_000 * SECOND
@@ -46,3 +47,14 @@
     sender.handle_reply(SECOND, UsageCountsReply(SECOND, 1, EPOCH + SECOND))
     sender.handle_reply(9 * SECOND, UsageCountsReply(5 * SECOND, 2, EPOCH + 5 * SECOND))
     assert usage.time.true_time(9 * SECOND) == EPOCH + 9 * SECOND
+
+
+def test_the_own_clock_is_used_only_until_a_member_has_told_the_true_time():
+    usage = EdgeUsage("edge-1", 7, INTERVAL)
+    assert usage.attempt_started(0, "a") is None
+    sender = CountsSender(usage, "m1")
+    sender.next_message(0, EPOCH + 2 * INTERVAL)
+    assert usage.attempt_started(0, "a") == WINDOW + 2
+    sender.handle_reply(1, UsageCountsReply(0, 5, EPOCH))
+    sender.next_message(2, EPOCH + 2 * INTERVAL)
+    assert usage.attempt_started(2, "a") == WINDOW
