--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -11,6 +11,7 @@
 from typing import TypedDict, assert_never
 from zlib import crc32
 
+from kestrelplank.edge.attempt_counting import counted_attempt
 from kestrelplank.edge.counters import UPSTREAM_RQ_PENDING, UPSTREAM_RQ_RETRY
 from kestrelplank.edge.exchange_context import ExchangeContext
 from kestrelplank.edge.request_head import (
@@ -211,7 +212,10 @@
         context, endpoint = self._context, step.endpoint
         if request.last_outcome is not None:
             context.counters.add(UPSTREAM_RQ_RETRY)
-        result = self._last_result = await self._send_attempt(request, step, server_request, disconnected)
+        tenant = request.tenant.name if request.tenant else None
+        with counted_attempt(context.usage, tenant, request.call_kind) as counted:
+            result = self._last_result = await self._send_attempt(request, step, server_request, disconnected)
+            counted.outcome = result.outcome
         now = time.monotonic_ns()
         self._record_attempt(endpoint.server, result, now - request.sent_at)
         if disconnected.done():
--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -158,13 +158,9 @@
     """Raise InvalidSettingsError if the value of a field is out of range."""
     if not settings.network.internal_port_range or not settings.network.seed_nodes:
         raise InvalidSettingsError("internal_port_range and seed_nodes must not be empty", field="network")
-    for name, duration_s in (("max_hold_s", settings.bounds.max_hold_s), ("revoke_s", settings.bounds.revoke_s)):
-        if duration_s <= 0:
-            raise InvalidSettingsError(
-                f"expected a number greater than 0, got {duration_s}", field=f"policy_terms.bounds.{name}"
-            )
     positive = {
         "policy_terms.bounds.max_hold_s": settings.bounds.max_hold_s,
+        "policy_terms.bounds.revoke_s": settings.bounds.revoke_s,
         "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
         "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
         "policy_terms.bounds.lease_s": settings.bounds.lease_s,
