--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -48,9 +48,14 @@
 
 @checked_dataclass
 class CloudApi:
-    """`platform.cloud_api`: the API through which the platform lists the servers."""
+    """`platform.cloud_api`: the API through which the platform lists the servers and takes reports.
+
+    `duties` are the kinds of reports that it wants; `duty_rate_s` is how many it accepts in a second from all machines.
+    """
 
     address: str
+    duties: list[str] = field(default_factory=list)
+    duty_rate_s: int | float = 1
 
 
 @checked_dataclass
@@ -64,6 +69,9 @@
     max_hold_s: int | float = 10
     revocation_closed: bool = False  # whether a machine out of touch stops accepting keys after `revoke_s`
     revoke_s: int | float = 5
+    report_interval_s: int | float = 5
+    usage_delay_s: int | float = 10
+    lease_s: int | float = 3
 
 
 @checked_dataclass
@@ -150,11 +158,17 @@
     """Raise InvalidSettingsError if the value of a field is out of range."""
     if not settings.network.internal_port_range or not settings.network.seed_nodes:
         raise InvalidSettingsError("internal_port_range and seed_nodes must not be empty", field="network")
-    for name, duration_s in (("max_hold_s", settings.bounds.max_hold_s), ("revoke_s", settings.bounds.revoke_s)):
-        if duration_s <= 0:
-            raise InvalidSettingsError(
-                f"expected a number greater than 0, got {duration_s}", field=f"policy_terms.bounds.{name}"
-            )
+    positive = {
+        "policy_terms.bounds.max_hold_s": settings.bounds.max_hold_s,
+        "policy_terms.bounds.revoke_s": settings.bounds.revoke_s,
+        "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
+        "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
+        "policy_terms.bounds.lease_s": settings.bounds.lease_s,
+        "platform.cloud_api.duty_rate_s": settings.cloud_api.duty_rate_s,
+    }
+    for name, value in positive.items():
+        if value <= 0:
+            raise InvalidSettingsError(f"expected a number greater than 0, got {value}", field=name)
     losses = settings.fault_tolerance.machine_losses
     if losses < 0:
         raise InvalidSettingsError(
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -15,7 +15,7 @@
     KeyRangesDelta,
     KeyRangesUpdate,
     MemberHeartbeat,
-    ToEdge,
+    ViewUpdate,
 )
 from kestrelplank.transport.server_list import ServerList
 
@@ -74,7 +74,7 @@
         # When this machine sent the last heartbeat whose answer confirmed the configuration; None: there is none.
         self._confirmed_at: int | None = None
 
-    def receive(self, now: int, member: str, message: ToEdge) -> Change | None:
+    def receive(self, now: int, member: str, message: ViewUpdate) -> Change | None:
         """Update the view from a message of the member at that address; return the part that changed, if any."""
         match message:
             case MemberHeartbeat():
