Edge: a traced request names its route, configuration version and path as sent

A request that ran where no configuration sends it could not be told apart in the log from one that ran by an older version or by another prefix: the line had the decoded path and the service only. It now has the path as sent, the route's host and prefix, and the version that chose the service.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -72,6 +72,7 @@
         self._client_timeout_ns = client_timeout_ns(self._fields)  # counted from `_received_at`
         self._buffered_body_bytes = 0  # this request's part of the context's `buffered_body_bytes`
         self._request: ForwardedRequest | None = None  # None until it is admitted
+        self._configuration_version = 0  # that of its route; 0 until it is admitted
         self._last_result: AttemptResult | None = None
         self._attempts: list[AttemptTrace] = []
         self._answered = False
@@ -154,8 +155,8 @@
                 return b"".join(chunks)
 
     def _admit(self, now: int, body: bytes) -> ForwardedRequest:
-        fields = self._fields
-        return self._context.forwarder.admit(
+        fields, forwarder = self._fields, self._context.forwarder
+        request = forwarder.admit(
             now,
             host=fields.get(b"host", b"").decode("latin-1"),
             path=self._scope["path"],
@@ -163,6 +164,9 @@
             client_timeout_ns=self._client_timeout_ns - (now - self._received_at),
             body_bytes=len(body),
         )
+        if forwarder.view.configuration is not None:
+            self._configuration_version = forwarder.view.configuration.key.version
+        return request
 
     def _server_request(self, body: bytes) -> ServerRequest:
         """Return the request for servers, without the headers that differ between attempts."""
@@ -313,7 +317,9 @@
             "Edge: request",
             extra={
                 "attempt": attempt_id.decode("latin-1"),
-                "path": self._scope["path"],
+                "path": self._scope["raw_path"].decode("latin-1"),
+                "route": request.route.host + request.route.path_prefix,
+                "configuration": f"{self._configuration_version:08x}",
                 "service": request.service,
                 "key": request.key,
                 "attempts": self._attempts,
