Edge: requests are routed by the path as it was sent, not percent-decoded

What callers saw: GET /safe%2fx ran by the route /safe/, which does not begin that path, and /safe/deep%2fx went to the service of the longer prefix /safe/deep/ (503 where it had no server). Cause: the prefix was compared with uvicorn's decoded path, while the server got the raw one. Fix: both are the raw path. %61 no longer matches a prefix with an a: a prefix has to begin the path. A prefix with characters that no URI contains (blanks, letters beyond ASCII) is compared in its encoded form, as clients send it; two prefixes with the same encoded form are one.

--- a/kestrelplank/configuration/route_table.py
+++ b/kestrelplank/configuration/route_table.py
@@ -1,7 +1,9 @@
 """A compiled configuration: its version, services and limits, and the table that finds a request's route."""
 
+import string
 from enum import StrEnum
 from typing import NamedTuple
+from urllib.parse import quote
 
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
@@ -12,6 +14,9 @@
 from kestrelplank.configuration.tenants import TenantIndex, tenant_index
 from kestrelplank.time_units import seconds_to_ns
 
+# These are compared as they are, although RFC 3986 allows some of them only in percent-encoded form.
+URI_CHARACTERS = string.punctuation + string.digits + string.ascii_letters
+
 
 class RouteType(StrEnum):
     """The operator's classification of a route's requests: whether they may run twice, and whether bodies are large."""
@@ -94,13 +99,16 @@
         self.idle_timeout_ns = seconds_to_ns(limits.idle_timeout_s)
         self.header_timeout_ns = seconds_to_ns(limits.header_timeout_s)
         self.services = {service.name: _service(service) for service in document.service_table}
-        self.routes_by_host: dict[str, dict[str, Route]] = {}  # lower-case host, then path prefix
+        self.routes_by_host: dict[str, dict[str, Route]] = {}  # lower-case host, then encoded path prefix
         for host in document.virtual_hosts:
             routes = self.routes_by_host.setdefault(host.host_name.lower(), {})
-            routes.update((route.path_prefix, _route(host, route)) for route in host.host_routes)
+            routes.update((encoded_prefix(route.path_prefix), _route(host, route)) for route in host.host_routes)
 
     def route(self, host: str, path: str) -> Route | None:
-        """Return the host's route with the longest matching path prefix; a port in `host` is ignored."""
+        """Return the host's route with the longest matching path prefix; a port in `host` is ignored.
+
+        :param path: as it was sent, so that a percent-encoded slash is none, without query and fragment.
+        """
         routes = self.routes_by_host.get(host.rsplit(":", 1)[0].lower() if ":" in host else host.lower())
         if routes is None:
             return None
@@ -113,6 +121,11 @@
         return None
 
 
+def encoded_prefix(path_prefix: str) -> str:
+    """Return the prefix as it occurs in paths: characters that a URI can't contain are percent-encoded."""
+    return quote(path_prefix, safe=URI_CHARACTERS)
+
+
 def _service(service: ServiceDocument) -> Service:
     """Compile a service of the document."""
     return Service(
--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -18,7 +18,7 @@
     TrafficSplitDocument,
 )
 from kestrelplank.configuration.errors import InvalidFieldError
-from kestrelplank.configuration.route_table import RouteType
+from kestrelplank.configuration.route_table import RouteType, encoded_prefix
 
 MAX_ROUTE_TIMEOUT_S = 600
 ROUTE_TYPES = tuple(RouteType)
@@ -72,10 +72,11 @@
     for index, route in enumerate(host.host_routes):
         route_path = f"{path}.host_routes[{index}]"
         _validate_route(route, route_path, service_names)
-        if route.path_prefix in prefixes:
+        prefix = encoded_prefix(route.path_prefix)
+        if prefix in prefixes:
             reason = f"{route.path_prefix!r} is given twice for host {host.host_name!r}; prefixes must be distinct"
             raise InvalidFieldError(f"{route_path}.path_prefix", reason)
-        prefixes.add(route.path_prefix)
+        prefixes.add(prefix)
 
 
 def _validate_route(route: RouteDocument, path: str, service_names: set[str]) -> None:
--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -161,7 +161,7 @@
         request = forwarder.admit(
             now,
             host=fields.get(b"host", b"").decode("latin-1"),
-            path=self._scope["path"],
+            path=self._scope["raw_path"].decode("ascii"),  # as servers get it, not percent-decoded
             shard_key=fields.get(SHARD_KEY, b"").decode("latin-1") or None,
             client_timeout_ns=self._client_timeout_ns - (now - self._received_at),
             body_bytes=len(body),
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -124,6 +124,17 @@
     assert parsed.route("other.example", "/a/x") is None
 
 
+def test_a_prefix_with_characters_that_no_uri_contains_matches_their_encoded_form():
+    """Guards against prefixes that no path begins with, as paths are compared as they were sent."""
+    hosts = [
+        {"host_name": "shop.example", "host_routes": [route("/caf\u00e9 1/", "idempotent"), route("/%61~/", "upload")]}
+    ]
+    parsed = parse_configuration(encoded(virtual_hosts=hosts)).unwrap()
+    assert parsed.route("shop.example", "/caf%C3%A9%201/x").path_prefix == "/caf\u00e9 1/"
+    assert parsed.route("shop.example", "/%61~/x").route_type == "upload"
+    assert parsed.route("shop.example", "/a~/x") is None
+
+
 def test_a_traffic_split_follows_the_weights_and_skips_a_weight_of_0():
     split = [{"target_service": "views", "weight": 90}, {"target_service": "orders", "weight": 10}]
     split_route = parse_configuration(encoded(**with_route(traffic_split=split))).unwrap().route("shop.example", "/a/")
