Edge: trailers of a chunked body are dropped

What callers saw: a trailer counted as a header of its request. `Host` in one chose the route (404 for a route that is there), a second X-Attempt-Id made it 400, and Authorization, X-Tenant-Name and X-Shard-Key reached the server. Cause: httptools reports trailers by on_header, and uvicorn adds them to the list in the request's scope. Fix: once the head is complete, the parser is given a list that keeps nothing. It also bounds the memory of endless trailers, which no limit counted. The hot path has one assignment more for each request.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -6,8 +6,9 @@
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
+- Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
 
-`tests/edge/test_client_limits.py` has a test for each of these.
+`tests/edge/test_client_limits.py` and `tests/edge/test_request_forwarding.py` have a test for each of these.
 """
 
 import asyncio
@@ -27,6 +28,16 @@
 HEADERS_TOO_LARGE, REQUEST_TIMEOUT = 431, 408
 
 
+class DroppedHeaders(list[tuple[bytes, bytes]]):
+    """Headers that are not kept."""
+
+    def append(self, _header: tuple[bytes, bytes]) -> None:
+        """Drop the header."""
+
+
+DROPPED_HEADERS = DroppedHeaders()
+
+
 class ClientProtocol(HttpToolsProtocol):
     """One client connection, under the current values of `config.client_limits`."""
 
@@ -128,6 +139,7 @@
             super().on_headers_complete()
         finally:
             self.app = app
+        self.headers = DROPPED_HEADERS  # the parser adds trailers to them; those of the request are in the scope
         if self._stopping:
             self.cycle.keep_alive = False
 
--- /dev/null
+++ b/tests/edge/test_request_forwarding.py
@@ -0,0 +1,70 @@
+"""A server receives the request that the client sent: its target, headers and body, and nothing in place of them."""
+
+import asyncio
+
+import pytest
+from edge.stage import answer, run_scenario
+
+HEADERS = ["Host: shop.example", "X-Attempt-Id: me", "X-Deadline-Remaining: 2000"]
+CHUNKED_BODY = ["3", "abc", "0"]
+
+
+def request(target, headers=HEADERS, body="", method="POST"):
+    """Return a request's bytes."""
+    return "\r\n".join([f"{method} {target} HTTP/1.1", *headers, "", body]).encode()
+
+
+def chunked_request(*trailers):
+    """Return a request with a chunked body and trailers."""
+    return request("/safe/x", [*HEADERS, "Transfer-Encoding: chunked"], "\r\n".join([*CHUNKED_BODY, *trailers, "", ""]))
+
+
+def run_on_one_connection(data, answers=1, pieces=1):
+    """Send the data on one connection; return the answers' statuses and the requests that the server received.
+
+    :param pieces: into how many parts the data is split; the edge may read each on its own.
+    :returns: statuses (None: the connection ended), and each request's first line, headers and body.
+    """
+    received = []
+
+    async def script(server, connection):
+        while True:
+            line, fields = await connection.head()
+            body = await connection._read(int(fields.get("content-length", "0")))
+            received.append((line, fields, body))
+            connection.write(answer(fields))
+
+    async def scenario(harness):
+        client = await harness.client()
+        size = -(-len(data) // pieces)
+        for position in range(0, len(data), size):
+            client.writer.write(data[position : position + size])
+            await client.writer.drain()
+            for _ in range(3):
+                await asyncio.sleep(0)
+        whole = [await client.answer() for _ in range(answers)]
+        return [one and one[0] for one in whole], received
+
+    return run_scenario(scenario, script)
+
+
+# Guards against trailers that choose route, tenant or id, as they were taken for headers of the request.
+@pytest.mark.parametrize("pieces", [1, 2, 20])
+@pytest.mark.parametrize(
+    "trailer",
+    ["Host: nobody.example", "X-Attempt-Id: two", "X-Shard-Key: 5", "Authorization: Bearer k", "X-Tenant-Name: own"],
+)
+def test_trailers_are_dropped(trailer, pieces):
+    statuses, [(line, fields, body)] = run_on_one_connection(chunked_request(trailer), pieces=pieces)
+    assert statuses == [200] and (line, body) == ("POST /safe/x HTTP/1.1", b"abc")
+    assert set(fields) == {"host", "x-attempt-id", "x-deadline-remaining", "x-target-instance", "content-length"}
+    assert (fields["host"], fields["x-attempt-id"]) == ("shop.example", "me")
+
+
+# Guards against trailers that have an effect beyond their request.
+@pytest.mark.parametrize("trailers", [["Connection: Upgrade", "Upgrade: h2c"], ["Expect: 100-continue"]])
+def test_a_connection_goes_on_after_trailers(trailers):
+    data = chunked_request(*trailers) + request("/safe/y", method="GET")
+    statuses, received = run_on_one_connection(data, answers=2)
+    assert statuses == [200, 200]
+    assert [line for line, _, _ in received] == ["POST /safe/x HTTP/1.1", "GET /safe/y HTTP/1.1"]
