Edge: a connection whose trailer says Connection: close ends after the answer

What callers saw: after a chunked request with `Connection: close` among its trailers, the next request on the connection was read and never answered; the connection stayed open until its idle time-out. Cause: the parser ignores what follows such a request, while uvicorn had asked it before the trailers whether the connection goes on. Fix: it is asked again when the message is complete; the answer then says `Connection: close`, or the connection is closed if the answer has gone out already.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -143,6 +143,14 @@
         if self._stopping:
             self.cycle.keep_alive = False
 
+    def on_message_complete(self) -> None:
+        """Complete the body; if a trailer was `Connection: close`, the parser ignores all that follows."""
+        super().on_message_complete()
+        if not self.parser.should_keep_alive():
+            self.cycle.keep_alive = False
+            if self.cycle.response_complete:
+                self.transport.close()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed bytes with 400, unless the client could take that for the answer to another request."""
         body_is_malformed = self._request_in_progress and self.cycle.more_body and not self.cycle.response_started
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -61,6 +61,13 @@
     assert (fields["host"], fields["x-attempt-id"]) == ("shop.example", "me")
 
 
+# Guards against a next request that is never answered: the parser ignores what follows `Connection: close` in a trailer.
+def test_a_connection_ends_after_the_answer_if_a_trailer_says_so():
+    data = chunked_request("Connection: close") + request("/safe/y", method="GET")
+    statuses, received = run_on_one_connection(data, answers=2)
+    assert statuses == [200, None] and len(received) == 1
+
+
 # Guards against trailers that have an effect beyond their request.
 @pytest.mark.parametrize("trailers", [["Connection: Upgrade", "Upgrade: h2c"], ["Expect: 100-continue"]])
 def test_a_connection_goes_on_after_trailers(trailers):
