Edge: a request for an upgrade is served whole, as one without it

What callers saw: the server got a request with `Connection: Upgrade` and `Upgrade: h2c` with an empty body in place of the client's, and the connection's next request was never answered, also after a GET without a body. Cause: llhttp takes what follows such a head for the other protocol, body too; uvicorn goes on as if nothing followed. Fix: the parser feeds itself the same head without `Upgrade`, then what followed it. The callbacks for the first reading are ignored. CONNECT, which llhttp treats the same, is answered 400 as before, by name.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -6,6 +6,7 @@
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
+- A request for an upgrade is served as one without it (`http.request_parser`).
 - Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
 
 `tests/edge/test_client_limits.py` and `tests/edge/test_request_forwarding.py` have a test for each of these.
@@ -20,6 +21,7 @@
 
 from kestrelplank.http.asgi import Application, Receive, Scope, Send
 from kestrelplank.http.client_limits import ServerConfig
+from kestrelplank.http.request_parser import RequestParser
 from kestrelplank.http.socket_options import has_unread_bytes
 
 NO_LIMIT_POLL_INTERVAL_S = 5.0  # between checks of an idle connection while there is no limit
@@ -49,6 +51,8 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
+        self.parser: RequestParser = RequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)  # as uvicorn's, for pipelined requests
         self._limits = config.client_limits
         self._reading_head = False  # a request has started, and its head is incomplete
         self._head_bytes = 0
@@ -129,6 +133,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass the request to the application, or answer it with 431 if its head is too large."""
+        if self.parser.is_upgrade():
+            return
         self._reading_head = False
         self._clear_timer()
         size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
@@ -145,6 +151,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the body; if a trailer was `Connection: close`, the parser ignores all that follows."""
+        if self.parser.is_upgrade():
+            return
         super().on_message_complete()
         if not self.parser.should_keep_alive():
             self.cycle.keep_alive = False
--- /dev/null
+++ b/kestrelplank/http/request_parser.py
@@ -0,0 +1,63 @@
+"""httptools' parser of requests, which takes a request for an upgrade for an ordinary one.
+
+A server may ignore `Upgrade` (RFC 9110, section 7.8). llhttp can't: it takes what follows the head for another
+protocol, a body too. Therefore the head is parsed a second time, without `Upgrade`, and then what follows it.
+"""
+
+from typing import Protocol
+
+import httptools
+
+CONNECT, UPGRADE = b"CONNECT", b"upgrade"
+
+
+class ConnectUnsupportedError(Exception):
+    """A request for a tunnel, which this server does not open."""
+
+
+class RequestHead(Protocol):
+    """What the parser's callbacks have stored of the current request's head."""
+
+    url: bytes
+    headers: list[tuple[bytes, bytes]]  # names in lower case
+
+
+class RequestParser(httptools.HttpRequestParser):
+    """A parser whose `protocol` ignores `on_headers_complete` and `on_message_complete` while `is_upgrade` is true.
+
+    Both are called again for the same request, as are the callbacks before them.
+    """
+
+    def __init__(self, protocol: RequestHead) -> None:
+        super().__init__(protocol)
+        self._head = protocol
+
+    def is_upgrade(self) -> bool:
+        """Whether the head that has just been parsed asks for an upgrade.
+
+        :raises ConnectUnsupportedError: it asks for a tunnel.
+        """
+        if not self.should_upgrade():
+            return False
+        if self.get_method() == CONNECT:
+            raise ConnectUnsupportedError
+        return True
+
+    def feed_data(self, data: bytes | bytearray | memoryview) -> None:  # type: ignore[override] # no arrays are parsed
+        """Parse bytes of requests.
+
+        :raises httptools.HttpParserError: they are malformed.
+        """
+        while True:
+            try:
+                super().feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                data = memoryview(data)[upgrade.args[0] :]
+                super().feed_data(self._head_without_upgrade())
+            else:
+                return
+
+    def _head_without_upgrade(self) -> bytes:
+        lines = [b"%s %s HTTP/%s" % (self.get_method(), self._head.url, self.get_http_version().encode())]
+        lines += [b"%s: %s" % header for header in self._head.headers if header[0] != UPGRADE]
+        return b"\r\n".join([*lines, b"", b""])
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -6,7 +6,7 @@
 from edge.stage import answer, run_scenario
 
 HEADERS = ["Host: shop.example", "X-Attempt-Id: me", "X-Deadline-Remaining: 2000"]
-CHUNKED_BODY = ["3", "abc", "0"]
+CHUNKED = "3\r\nabc\r\n0\r\n\r\n"
 
 
 def request(target, headers=HEADERS, body="", method="POST"):
@@ -16,7 +16,11 @@
 
 def chunked_request(*trailers):
     """Return a request with a chunked body and trailers."""
-    return request("/safe/x", [*HEADERS, "Transfer-Encoding: chunked"], "\r\n".join([*CHUNKED_BODY, *trailers, "", ""]))
+    return request(
+        "/safe/x",
+        [*HEADERS, "Transfer-Encoding: chunked"],
+        CHUNKED[:-2] + "".join(f"{line}\r\n" for line in (*trailers, "")),
+    )
 
 
 def run_on_one_connection(data, answers=1, pieces=1):
@@ -75,3 +79,44 @@
     statuses, received = run_on_one_connection(data, answers=2)
     assert statuses == [200, 200]
     assert [line for line, _, _ in received] == ["POST /safe/x HTTP/1.1", "GET /safe/y HTTP/1.1"]
+
+
+UPGRADES = [
+    ["Connection: Upgrade", "Upgrade: h2c"],
+    [
+        "Connection: Upgrade, HTTP2-Settings",
+        "Upgrade: h2c",
+        "HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA",
+    ],  # as curl sends
+    ["Upgrade: websocket", "Connection: keep-alive, upgrade", "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ=="],
+]
+
+
+# Guards against requests for an upgrade that lose their body and leave the connection's next request without an answer.
+@pytest.mark.parametrize("pieces", [1, 2, 50])
+@pytest.mark.parametrize("upgrade", UPGRADES)
+@pytest.mark.parametrize(
+    "framing, sent_body, body",
+    [([], "", b""), (["Content-Length: 3"], "abc", b"abc"), (["Transfer-Encoding: chunked"], CHUNKED, b"abc")],
+)
+def test_a_request_for_an_upgrade_is_served_without_it(upgrade, framing, sent_body, body, pieces):
+    data = request("/safe/x", [*HEADERS, *upgrade, *framing], sent_body, "PUT")
+    following = request("/safe/y", [*HEADERS, "Content-Length: 2"], "zz")
+    statuses, received = run_on_one_connection(data + following, answers=2, pieces=pieces)
+    assert statuses == [200, 200]
+    lines_and_bodies = [(line, body) for line, _, body in received]
+    assert lines_and_bodies == [("PUT /safe/x HTTP/1.1", body), ("POST /safe/y HTTP/1.1", b"zz")]
+    assert not {"upgrade", "connection"} & set(received[0][1])
+
+
+# Guards against a parser that tries for ever: CONNECT asks for a tunnel, which nothing can make a plain request.
+@pytest.mark.parametrize("target", ["shop.example:80", "shop.example"])
+def test_connect_is_answered_400_and_not_run(target):
+    assert run_on_one_connection(request(target, method="CONNECT")) == ([400], [])
+
+
+# Guards against recursion or a cost that grows with the square of the requests in one read.
+def test_many_pipelined_requests_for_an_upgrade_are_each_answered():
+    data = request("/safe/x", [*HEADERS, *UPGRADES[0]], method="GET") * 300
+    statuses, received = run_on_one_connection(data, answers=300)
+    assert statuses == [200] * 300 and len(received) == 300
