--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -9,7 +9,8 @@
 - A request for an upgrade is served as one without it (`http.request_parser`).
 - Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
 
-`tests/edge/test_client_limits.py` and `tests/edge/test_request_forwarding.py` have a test for each of these.
+`tests/edge/test_client_limits.py`, `tests/edge/test_hard_cases.py` and `tests/edge/test_request_forwarding.py` have a
+test for each of these.
 """
 
 import asyncio
@@ -132,7 +133,10 @@
             self._set_timer(self.loop.time() + self._limits.header_timeout_s, self._on_head_timeout)
 
     def on_headers_complete(self) -> None:
-        """Pass the request to the application, or answer it with 431 if its head is too large."""
+        """Pass the request to the application, or answer it with 431 if its head is too large.
+
+        The scope gets the request's target as it was sent: ASGI's path and query lack an empty query.
+        """
         if self.parser.is_upgrade():
             return
         self._reading_head = False
@@ -146,6 +150,7 @@
         finally:
             self.app = app
         self.headers = DROPPED_HEADERS  # the parser adds trailers to them; those of the request are in the scope
+        self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         if self._stopping:
             self.cycle.keep_alive = False
 
