--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -5,11 +5,12 @@
 - The idle time-out of a connection is the longer of the limit now and the limit when it became idle. Until a
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
-- A request to change the protocol (`Upgrade`) is ignored.
-- Trailers of a chunked body are discarded (RFC 9110, section 6.5.1): they never count as headers.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
+- A request for an upgrade is served as one without it (`http.request_parser`).
+- Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
 
-`tests/edge/test_client_limits.py` and `tests/edge/test_hard_cases.py` have a test for each of these.
+`tests/edge/test_client_limits.py`, `tests/edge/test_hard_cases.py` and `tests/edge/test_request_forwarding.py` have a
+test for each of these.
 """
 
 import asyncio
@@ -30,6 +31,16 @@
 HEADERS_TOO_LARGE, REQUEST_TIMEOUT = 431, 408
 
 
+class DroppedHeaders(list[tuple[bytes, bytes]]):
+    """Headers that are not kept."""
+
+    def append(self, _header: tuple[bytes, bytes]) -> None:
+        """Drop the header."""
+
+
+DROPPED_HEADERS = DroppedHeaders()
+
+
 class ClientProtocol(HttpToolsProtocol):
     """One client connection, under the current values of `config.client_limits`."""
 
@@ -41,7 +52,8 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
-        self.parser = RequestParser(self)  # type: ignore[assignment] # it has all methods that uvicorn calls
+        self.parser: RequestParser = RequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)  # as uvicorn's, for pipelined requests
         self._limits = config.client_limits
         self._reading_head = False  # a request has started, and its head is incomplete
         self._head_bytes = 0
@@ -120,16 +132,13 @@
         if self._limits.header_timeout_s is not None:
             self._set_timer(self.loop.time() + self._limits.header_timeout_s, self._on_head_timeout)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers of a chunked body, which the parser reports here too, are discarded."""
-        if self._reading_head:
-            super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Pass the request to the application, or answer it with 431 if its head is too large.
 
         The scope gets the request's target as it was sent: ASGI's path and query lack an empty query.
         """
+        if self.parser.is_upgrade():
+            return
         self._reading_head = False
         self._clear_timer()
         size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
@@ -140,10 +149,21 @@
             super().on_headers_complete()
         finally:
             self.app = app
+        self.headers = DROPPED_HEADERS  # the parser adds trailers to them; those of the request are in the scope
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         if self._stopping:
             self.cycle.keep_alive = False
 
+    def on_message_complete(self) -> None:
+        """Complete the body; if a trailer was `Connection: close`, the parser ignores all that follows."""
+        if self.parser.is_upgrade():
+            return
+        super().on_message_complete()
+        if not self.parser.should_keep_alive():
+            self.cycle.keep_alive = False
+            if self.cycle.response_complete:
+                self.transport.close()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed bytes with 400, unless the client could take that for the answer to another request."""
         body_is_malformed = self._request_in_progress and self.cycle.more_body and not self.cycle.response_started
