--- a/kestrelplank/gateway/command_line.py
+++ b/kestrelplank/gateway/command_line.py
@@ -4,6 +4,7 @@
   gateway edge [--settings=FILE] [--level=LEVEL] [--trace=N]
   gateway control [--settings=FILE] [--level=LEVEL]
   gateway rehearse [--requests=N] [--level=LEVEL] [--json]
+  gateway soak [--seed=N] [--minutes=M] [--members=N] [--edges=N] [--load=N] [--tenants=CHOICE] [--json]
   gateway status ADDRESS [--json]
   gateway replace ADDRESS FILE [--wait=SECONDS] [--json]
   gateway check (--settings=FILE | --configuration=FILE)
@@ -14,6 +15,7 @@
   edge       Run the edge program, which forwards client requests.
   control    Run the control program on this core machine.
   rehearse   Run a small gateway on loopback through simulated failures, with simulated clients, servers and platform.
+  soak       Run processes on loopback through a seeded script of faults that overlap, and check the rules.
   status     Print the state of a control member: voters, leader, log, peers, edges, versions, key ranges.
   replace    Send a configuration to a control member, and wait until all edges and members in session have it.
   check      Validate a configuration or a settings file.
@@ -26,6 +28,12 @@
   --trace=N             Log one request in N with its attempts, by X-Attempt-Id; 0 for none [default: 0].
   --wait=SECONDS        How long to wait for all edges and members [default: 5].
   --requests=N          How many requests the simulated clients send [default: 300].
+  --seed=N              The seed of the script of faults [default: 1].
+  --minutes=M           How long the soak sends requests [default: 1].
+  --members=N           How many control members run [default: 3].
+  --edges=N             How many edges run [default: 3].
+  --load=N              About how many requests all clients send in a second [default: 60].
+  --tenants=CHOICE      Whether requests need a key of a tenant, yes or no [default: yes].
   --json                Print JSON.
 
 Exit codes: 0 success; 1 a difference or fault was found, or an address can't be connected to or listened on;
@@ -103,6 +111,8 @@
     as_json, address = arguments.is_given("--json"), arguments.text("ADDRESS")
     if arguments.is_given("rehearse"):
         return run_rehearsal(arguments)
+    if arguments.is_given("soak"):
+        return run_soak(arguments)
     if arguments.is_given("status"):
         from kestrelplank.gateway.status import status
 
@@ -129,6 +139,26 @@
     return rehearse(arguments.whole_number("--requests"), log_level, as_json=arguments.is_given("--json"))
 
 
+def run_soak(arguments: Arguments) -> int:
+    """Run a soak.
+
+    :raises InvalidSettingsError: an option has no valid value.
+    """
+    from kestrelplank.gateway.soak import soak
+    from kestrelplank.rehearsal.soak_script import SoakForm
+
+    if arguments.text("--tenants") not in ("yes", "no"):
+        raise InvalidSettingsError("expected yes or no", field="--tenants")
+    form = SoakForm(
+        minutes=arguments.seconds("--minutes"),
+        members=arguments.whole_number("--members"),
+        edges=arguments.whole_number("--edges"),
+        load_per_s=arguments.seconds("--load"),
+        with_tenants=arguments.text("--tenants") == "yes",
+    )
+    return soak(arguments.whole_number("--seed"), form, as_json=arguments.is_given("--json"))
+
+
 def run_check(arguments: Arguments) -> int:
     """Validate a configuration or a settings file."""
     from kestrelplank.gateway.check import check_configuration, check_settings
--- /dev/null
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -0,0 +1,143 @@
+"""A server of a soak: it records each request as it arrived, and now and then sheds, fails or takes long."""
+
+import asyncio
+import hashlib
+from collections.abc import Sequence
+from http import HTTPStatus
+from random import Random
+
+import msgspec
+
+from kestrelplank.http.asgi import Headers, Receive, Scope, Send
+from kestrelplank.rehearsal.asgi import receive_body, send_answer
+from kestrelplank.rehearsal.observations import Observations
+from kestrelplank.rehearsal.simulated_server import (
+    GRANT_PATH,
+    RELEASE_PATH,
+    SLOTS,
+    GrantCall,
+    SimulatedServer,
+)
+from kestrelplank.rehearsal.soak_records import KeyConflict, ServerCall, SoakRecords
+from kestrelplank.rehearsal.soak_terms import BOUNDS
+
+HEALTH_PATH = "/health"
+WORK_S, LONG_WORK_S = (0.005, 0.06), (0.3, 1.4)
+LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.06, 0.02, 0.01
+
+
+def digest(body: bytes) -> str:
+    """Return the short digest under which a body is recorded."""
+    return hashlib.blake2s(body, digest_size=8).hexdigest()
+
+
+class SoakServer(SimulatedServer):
+    """One life of a server.
+
+    :param peers: all servers that are up, to detect keys that two of them own.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: tuple[str, int],
+        records: SoakRecords,
+        peers: Sequence["SoakServer"],
+        random: Random,
+    ) -> None:
+        super().__init__(name, service, address, Observations(), peers)
+        self._records, self._soak_peers, self._random = records, peers, random
+        self._late_grants: list[GrantCall] = []  # that arrived right after their sender may have been thawed
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer a call of a control member, a health check, or a request."""
+        body = await receive_body(receive)
+        if body is None:
+            return
+        if scope["path"] in (GRANT_PATH, RELEASE_PATH):
+            call = msgspec.json.decode(body, type=GrantCall)
+            status = self.grant(call) if scope["path"] == GRANT_PATH else self.release(call)
+            await send_answer(send, status, [(b"x-handover", b"h")], b"")
+        elif scope["path"] == HEALTH_PATH:
+            status = HTTPStatus.OK if self.state == "ready" else HTTPStatus.SERVICE_UNAVAILABLE
+            await send_answer(send, status, [(b"x-instance-id", self.name.encode())], b"")
+        else:
+            await self._answer_request(scope, body, send)
+
+    # Keys.
+
+    def grant(self, call: GrantCall) -> int:
+        """Accept a grant, and remember one that may have been sent by a member that was frozen."""
+        now = self._records.now()
+        thaws = [d.end for d in self._records.disturbances if d.kind == "SIGSTOP"]
+        if any(0 <= now - thaw <= BOUNDS.thaw_slack_s for thaw in thaws):
+            self._late_grants.append(call)
+        return super().grant(call)
+
+    def holds_late(self, key: int) -> bool:
+        """Whether the key came by a grant that does not count."""
+        return any(call.first_key <= key <= call.last_key for call in self._late_grants)
+
+    def _record_conflict(self, key: int, now: float) -> None:
+        """Record it if another server that is up holds the key too."""
+        holders = [peer for peer in self._soak_peers if peer.is_running and peer.holds_key(key, now)]
+        if len(holders) > 1 and not any(peer.holds_late(key) for peer in holders):
+            names = tuple(peer.name for peer in holders)
+            self._records.conflicts.append(KeyConflict(self._records.now(), key, self.name, names))
+
+    # Requests.
+
+    async def _answer_request(self, scope: Scope, body: bytes, send: Send) -> None:
+        headers: Headers = scope["headers"]
+        call = self._record(scope, headers, body)
+        fields = dict(headers)
+        rejection = self._rejection(fields) or self._shed()
+        if rejection is not None:
+            call.status, call.ended_at = rejection[0], self._records.now()
+            await send_answer(send, *rejection)
+            return
+        call.executed = True
+        if b"x-shard-key" in fields and self.service == "views":
+            self._record_conflict(int(fields[b"x-shard-key"]), asyncio.get_running_loop().time())
+        status, answer_headers = await self._work(call)
+        call.ended_at = self._records.now()
+        await send_answer(send, status, answer_headers, call.answer_body)
+
+    def _record(self, scope: Scope, headers: Headers, body: bytes) -> ServerCall:
+        fields, query = dict(headers), scope["query_string"].decode("latin-1")
+        call = ServerCall(
+            attempt_id=fields.get(b"x-attempt-id", b"").decode("latin-1"),
+            server=self.name,
+            service=self.service,
+            at=self._records.now(),
+            method=scope["method"],
+            path=scope["raw_path"].decode("latin-1") + ("?" + query if query else ""),
+            body_digest=digest(body),
+            tenants=tuple(value.decode("latin-1") for name, value in headers if name == b"x-tenant-name"),
+            key_passed_on=any(name == b"authorization" for name, _ in headers),
+            executed=False,
+        )
+        self._records.calls.setdefault(call.attempt_id, []).append(call)
+        return call
+
+    def _shed(self) -> tuple[int, Headers, bytes] | None:
+        if self._random.random() >= SHED_SHARE:
+            return None
+        return HTTPStatus.SERVICE_UNAVAILABLE, [(b"x-not-executed", b"1")], b""
+
+    async def _work(self, call: ServerCall) -> tuple[int, Headers]:
+        """Work on a request, then return status and headers of the answer; its body is recorded first."""
+        is_long, fails = self._random.random() < LONG_SHARE, self._random.random() < FAILURE_SHARE
+        call.status = HTTPStatus.INTERNAL_SERVER_ERROR if fails else HTTPStatus.OK
+        call.answer_body = f"{call.attempt_id} {self.name} {call.body_digest} {self._random.random()}".encode()
+        self.requests_running += 1
+        try:
+            await asyncio.sleep(self._random.uniform(*(LONG_WORK_S if is_long else WORK_S)))
+        finally:
+            self.requests_running -= 1
+        return call.status, [
+            (b"x-attempt-id", call.attempt_id.encode("latin-1")),
+            (b"x-server-seal", digest(call.answer_body).encode()),
+            (b"x-server-load", b"%d,0,%d" % (self.requests_running + 1, SLOTS)),
+        ]
