Configuration: an unknown target service beside a traffic split is rejected

Operators saw a configuration acknowledged in which a route's target_service names no service, if the route has a traffic_split as well: validation looked at the split only. A route that names an unknown service is invalid. An empty name beside a split is accepted as before.

--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -87,12 +87,12 @@
         raise InvalidFieldError(f"{path}.timeout_s", reason)
     if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
         raise InvalidFieldError(f"{path}.path_prefix", f"{route.path_prefix!r} must begin and end with a slash")
+    if route.target_service and route.target_service not in service_names:
+        raise InvalidFieldError(f"{path}.target_service", f"{route.target_service!r} is not in service_table")
     if route.traffic_split is not None:
         _validate_traffic_split(route.traffic_split, f"{path}.traffic_split", service_names)
-    elif route.target_service is None:
+    elif not route.target_service:
         raise InvalidFieldError(f"{path}.target_service", "missing; expected target_service or traffic_split")
-    elif route.target_service not in service_names:
-        raise InvalidFieldError(f"{path}.target_service", f"{route.target_service!r} is not in service_table")
 
 
 def _validate_traffic_split(split: list[TrafficSplitDocument], path: str, service_names: set[str]) -> None:
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -107,6 +107,13 @@
     assert expected in str(parse_configuration(encoded(**changes)).failure())
 
 
+# Guards against a route with an unknown `target_service` being accepted since its traffic split is used instead.
+def test_an_unknown_target_service_beside_a_traffic_split_is_rejected():
+    split = [{"target_service": "views", "weight": 1}]
+    error = parse_configuration(encoded(**with_route(traffic_split=split, target_service="nobody"))).failure()
+    assert error.field == "virtual_hosts[0].host_routes[0].target_service"
+
+
 def test_a_document_truncated_at_any_byte_is_rejected():
     complete = encoded()
     for end in range(len(complete)):
