--- a/kestrelplank/rehearsal/soak_fault_player.py
+++ b/kestrelplank/rehearsal/soak_fault_player.py
@@ -112,10 +112,9 @@
         disturbance.end = self._records.now()
 
     async def _restart(self, machine: Machine, after_s: float) -> None:
-        """Start the process again after some time, unless another fault's restart came first."""
+        """Start the process again after some time, unless the restart of another fault came first."""
         await asyncio.sleep(after_s)
-        if not self._processes.is_running(machine):
-            await self._processes.restart(machine)
+        await self._processes.restart(machine)
 
     async def _freeze(self, machine: Machine, fault: Fault) -> None:
         self.played[fault.kind.value] += 1
