--- a/kestrelplank/consensus/log_entries.py
+++ b/kestrelplank/consensus/log_entries.py
@@ -44,6 +44,18 @@
     membership: Membership
 
 
+class FixUsage(msgspec.Struct, frozen=True, array_like=True, tag="usage"):
+    """The content of the usage report of one window; it changes nothing if that window or a later one is fixed already.
+
+    :param content: the JSON text to send to the platform.
+    :param reported_through: the platform has accepted the reports of this window and all earlier ones; -1: of none.
+    """
+
+    window: int
+    content: bytes
+    reported_through: int = -1
+
+
 class AssignRole(msgspec.Struct, frozen=True, array_like=True, tag="role"):
     """A singleton role is assigned to a member's process; the entry's log index is its fencing token.
 
@@ -61,7 +73,7 @@
     former_may_act: bool
 
 
-Command = Noop | PutConfiguration | PutRecord | ChangeMembership | AssignRole
+Command = Noop | PutConfiguration | PutRecord | ChangeMembership | AssignRole | FixUsage
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/consensus/test_recorded_bytes.py
+++ b/tests/consensus/test_recorded_bytes.py
@@ -20,6 +20,7 @@
     ChangeMembership,
     Command,
     Entry,
+    FixUsage,
     HardState,
     Noop,
     PutConfiguration,
@@ -40,6 +41,7 @@
     RoleReport,
     ServerListUpdate,
     SubmitOrder,
+    UsageReported,
 )
 from kestrelplank.consensus.membership import Membership
 
@@ -80,6 +82,7 @@
     "94a5726f6c657305c39194ac75736167655f7265706f7274000bbe6974732066656e63696e6720746f6b656e207761732072656a6563746564": RoleReport(
         5, True, (ReleasedRole("usage_report", 0, 11, ReleaseReason.REJECTED),)
     ),
+    "92a87265706f727465640c": UsageReported(12),
 }
 COMMANDS = {
     "91a46e6f6f70": Noop(),
@@ -89,6 +92,7 @@
         MEMBERSHIP
     ),
     "96a4726f6c65ac75736167655f7265706f727400a3612f3105c3": AssignRole("usage_report", 0, "a/1", 5, True),
+    "94a5757361676507c4027b7d05": FixUsage(7, b"{}", 5),
 }
 RECORDS = {
     "930b0494ad636f6e66696775726174696f6e07a6646967657374c40474657874": Entry(11, 4, ORDER),
--- a/tests/storage/test_stored_by_4f929ce.py
+++ b/tests/storage/test_stored_by_4f929ce.py
@@ -27,7 +27,7 @@
 from kestrelplank.state.tables import Tables
 from kestrelplank.storage.log_file import LogFile
 
-COMMANDS_ADDED_SINCE = {"role"}  # their bytes are recorded in tests/consensus/test_recorded_bytes.py
+COMMANDS_ADDED_SINCE = {"role", "usage"}  # their bytes are recorded in tests/consensus/test_recorded_bytes.py
 DATA = Path(__file__).parent / "data" / "4f929ce"
 
 
