Gateway: check says how many tenants a configuration has; no command prints an API key

A test runs check, diff, replace and status on configurations with tenants, valid and not, and finds no key in what they print. check names the number of tenants, so that an operator sees that the field was read: a misspelt one is ignored, and then no request needs a key.

--- a/kestrelplank/gateway/check.py
+++ b/kestrelplank/gateway/check.py
@@ -25,14 +25,15 @@
 
 
 def check_configuration(path: str) -> ExitCode:
-    """Print the version and the numbers of routes and services of a valid configuration.
+    """Print the version and the numbers of routes, services and, if it has any, tenants of a valid configuration.
 
     :raises InvalidSettingsError: the file is not a valid configuration.
     """
     configuration = read_configuration(path)
     routes = sum(map(len, configuration.routes_by_host.values()))
     services = len(configuration.services)
-    print(f"{path}: version {configuration.key.version:08x}, {routes} routes, {services} services")
+    tenants = "" if configuration.tenants is None else f", {len(configuration.tenants.tenants)} tenants"
+    print(f"{path}: version {configuration.key.version:08x}, {routes} routes, {services} services{tenants}")
     return ExitCode.DONE
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -137,6 +137,28 @@
     assert capsys.readouterr().err == f"kestrelplank: {path}: virtual_hosts[0].host_name: must not be empty\n"
 
 
+# Guards against API keys on an operator's screen or in what is redirected to a file.
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+def test_no_command_prints_an_api_key(configuration_file, capsys, flags):
+    def tenant(name, *api_keys):
+        return {"name": name, "api_keys": api_keys}
+
+    old = configuration_file("old.json", tenants=[tenant("acme", "first-secret"), tenant("globex", "second-secret")])
+    new = configuration_file("new.json", tenants=[tenant("acme", "third-secret")])
+    shared = configuration_file("shared.json", tenants=[tenant("acme", "first-secret"), tenant("b", "first-secret")])
+    assert main(["check", f"--configuration={new}"]) == 0 and main(["diff", old, new, *flags]) == 1
+    assert main(["check", f"--configuration={shared}"]) == 2
+    member = StubMember()
+    assert exit_code(member, "replace", "ADDRESS", new, *flags) == 0 and exit_code(member, "status", "ADDRESS") == 0
+    printed = capsys.readouterr()
+    assert (
+        "2 services, 1 tenants\n" in printed.out
+        and "tenant acme api_keys changed" in printed.out
+        and "tenants[1].api_keys[0]" in printed.err
+    )
+    assert "secret" not in printed.out + printed.err
+
+
 def test_unreachable_address_prints_one_line_and_exits_with_1(configuration_file, capsys):
     sock = listening_socket("127.0.0.1", 0)  # bound, but not listening
     assert main(["status", "127.0.0.1:%d" % sock.getsockname()[1]]) == 1
