--- a/tests/edge/test_api_keys.py
+++ b/tests/edge/test_api_keys.py
@@ -6,12 +6,16 @@
 import asyncio
 import json
 import logging
+from contextlib import nullcontext
 from random import Random
 
 import pytest
 from edge.stage import HOSTS, answer, answer_all_requests, request_head, run_scenario
 
+from kestrelplank.edge.program import EdgeProgram
+from kestrelplank.forwarding.errors import ConfigurationUnconfirmedError
 from kestrelplank.settings.json_logging import configure_json_logging
+from kestrelplank.settings.platform import Bounds
 
 KEY = "K3y-of-museum"
 OTHER_KEY = "key-of-library"
@@ -268,6 +272,20 @@
     run_with_tenants(scenario)
 
 
+@pytest.mark.parametrize("closed", [True, False])
+def test_settings_say_whether_an_edge_out_of_touch_accepts_keys(closed):
+    async def scenario(harness):
+        settings = harness.program.settings._replace(bounds=Bounds(revocation_closed=closed, revoke_s=5))
+        program = EdgeProgram(settings)
+        program.view.configuration = harness.program.view.configuration  # no member has confirmed it
+        key = [f"Bearer {KEY}".encode()]
+        expected = pytest.raises(ConfigurationUnconfirmedError) if closed else nullcontext()
+        with expected:
+            program.forwarder.admit(0, "shop.example", "/safe/x", None, 1, authorizations=key)
+
+    run_with_tenants(scenario)
+
+
 # Logs.
 
 
