Rehearsal: clients are tenants, and servers check name and key

Why: nothing of ours sent a request with a key, so no test and no rehearsal could see what became of it.

--- a/kestrelplank/gateway/rehearse.py
+++ b/kestrelplank/gateway/rehearse.py
@@ -5,7 +5,7 @@
 
 # Report fields that count rule violations: a request ran twice, a request ran although the client was promised that it
 # had not, a key had two holders.
-RULE_VIOLATION_FIELDS = ("run_twice", "promised_and_ran", "held_twice")
+RULE_VIOLATION_FIELDS = ("run_twice", "promised_and_ran", "held_twice", "wrong_tenant")
 
 
 def rehearse(requests: int, log_level: str, *, as_json: bool) -> ExitCode:
--- a/kestrelplank/rehearsal/gateway_rehearsal.py
+++ b/kestrelplank/rehearsal/gateway_rehearsal.py
@@ -175,6 +175,7 @@
             run_twice=observed.run_twice(),
             rejected_but_ran=observed.rejected_but_ran,
             keys_with_two_owners=observed.keys_with_two_owners,
+            wrong_tenant=observed.wrong_tenant,
             keys_by_server={
                 simulated.name: simulated.keys_held(now)
                 for simulated in self._servers
--- a/kestrelplank/rehearsal/gateway_report.py
+++ b/kestrelplank/rehearsal/gateway_report.py
@@ -29,4 +29,5 @@
     run_twice: int | None = None
     rejected_but_ran: int | None = None
     keys_with_two_owners: int | None = None
+    wrong_tenant: int | None = None
     keys_by_server: dict[str, int] | None = None
--- a/kestrelplank/rehearsal/simulated_operator.py
+++ b/kestrelplank/rehearsal/simulated_operator.py
@@ -9,6 +9,7 @@
 from kestrelplank.rehearsal.gateway_processes import GatewayProcesses, Machine, Role
 from kestrelplank.rehearsal.loopback import HOST_NAME, call
 from kestrelplank.rehearsal.services import SERVICES, RehearsedService
+from kestrelplank.rehearsal.tenants import API_KEYS
 
 CONFIGURE_ATTEMPTS, CONFIGURE_INTERVAL_S = 60, 0.2
 
@@ -39,6 +40,7 @@
             {
                 "config_version": f"{version:08x}",
                 "service_table": [{"name": service.name, "sharded": service.is_sharded} for service in SERVICES],
+                "tenants": [{"name": tenant, "api_keys": [api_key]} for tenant, api_key in API_KEYS.items()],
                 "virtual_hosts": [{"host_name": HOST_NAME, "host_routes": [route(service) for service in SERVICES]}],
             }
         )
--- a/kestrelplank/rehearsal/simulated_server.py
+++ b/kestrelplank/rehearsal/simulated_server.py
@@ -135,6 +135,7 @@
             return rejection
         attempt_id = fields.get(b"x-attempt-id", b"")
         self._observe(attempt_id, fields.get(b"x-shard-key"))
+        self._observe_tenant(attempt_id, fields)
         self.requests_running += 1
         await asyncio.sleep(random.uniform(*WORK_RANGE_S))
         self.requests_running -= 1
@@ -158,3 +159,9 @@
         if key is not None and sum(peer.holds_key(int(key), now) for peer in self.peers if peer.is_running) > 1:
             self.observations.keys_with_two_owners += 1
         self.observations.runs[attempt_id.decode()] += 1
+
+    def _observe_tenant(self, attempt_id: bytes, fields: Mapping[bytes, bytes]) -> None:
+        tenant = self.observations.tenants.get(attempt_id.decode())
+        expected = None if tenant is None else tenant.encode()
+        if fields.get(b"x-tenant-name") != expected or b"authorization" in fields:
+            self.observations.wrong_tenant += 1
