--- a/kestrelplank/usage/usage_counter.py
+++ b/kestrelplank/usage/usage_counter.py
@@ -95,7 +95,7 @@
         if self._closed:
             return AFTER_ALL_WINDOWS
         if true_time_ns is not None:
-            active = [number for number, window in self._windows.items() if window.active_attempts]
+            active = [number for number, window in self._windows.items() if window.active_attempts > 0]
             current = window_at(true_time_ns, self._interval_ns)
             self._final_through = max(self._final_through, min([current, *active]) - 1)
         return self._final_through
