Edge: an absolute request target for another authority than Host is answered 400

What callers saw: GET http://pay.example/safe/x with Host: shop.example ran by the routes of shop.example, and the server was not told; also with user information in the target, or scheme ftp. Cause: the target's authority was dropped unread; Host alone chose the route. Fix: a target that names another host or port than Host, or user information, is refused (RFC 9112, 3.2.2; RFC 9110, 4.2.4): neither can be the wrong one then. The path for the route is cut from the very target that servers get, so that both can't differ.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -16,6 +16,7 @@
 from kestrelplank.edge.request_head import (
     ATTEMPT_ID,
     HOP_BY_HOP_HEADERS,
+    HOST,
     SHARD_KEY,
     attempt_headers,
     authorizations,
@@ -23,6 +24,7 @@
     is_ambiguous,
     server_headers,
 )
+from kestrelplank.edge.request_target import origin_form, path_of
 from kestrelplank.edge.server_connections import AttemptResult, ServerRequest
 from kestrelplank.forwarding.errors import (
     BadRequestError,
@@ -70,6 +72,7 @@
         self._context, self._scope, self._receive, self._send = context, scope, receive, send
         self._headers: Headers = scope["headers"]
         self._fields = dict(self._headers)  # see `request_head.Fields`
+        self._target = b""  # as servers receive it; set once the request has been checked
         self._received_at = time.monotonic_ns()
         self._client_timeout_ns = client_timeout_ns(self._fields)  # counted from `_received_at`
         self._buffered_body_bytes = 0  # this request's part of the context's `buffered_body_bytes`
@@ -132,6 +135,7 @@
         """
         if is_ambiguous(self._headers, self._fields):
             raise BadRequestError
+        self._target = origin_form(self._scope["target"], self._fields.get(HOST, b""))
         try:
             async with asyncio.timeout(self._client_timeout_ns / SECOND):
                 return await self._read_body(self._context.max_body_bytes())
@@ -160,8 +164,8 @@
         fields, forwarder = self._fields, self._context.forwarder
         request = forwarder.admit(
             now,
-            host=fields.get(b"host", b"").decode("latin-1"),
-            path=self._scope["raw_path"].decode("ascii"),  # as servers get it, not percent-decoded
+            host=fields.get(HOST, b"").decode("latin-1"),
+            path=path_of(self._target),
             shard_key=fields.get(SHARD_KEY, b"").decode("latin-1") or None,
             client_timeout_ns=self._client_timeout_ns - (now - self._received_at),
             body_bytes=len(body),
@@ -175,21 +179,12 @@
         """Return the request for servers, without the headers that differ between attempts."""
         return ServerRequest(
             self._scope["method"].encode(),
-            self._target(),
+            self._target,
             server_headers(self._headers, self._fields, body, request),
             body,
             self._fields[ATTEMPT_ID],
         )
 
-    def _target(self) -> bytes:
-        """Return path and query as the client sent them, without the origin of an absolute target."""
-        target: bytes = self._scope["target"]
-        if target.startswith(b"/"):
-            return target
-        path: bytes = self._scope["raw_path"]
-        query: bytes = self._scope["query_string"]
-        return path + b"?" + query if query else path
-
     async def _wait_for_disconnect(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
@@ -330,7 +325,7 @@
             "Edge: request",
             extra={
                 "attempt": attempt_id.decode("latin-1"),
-                "path": self._scope["raw_path"].decode("latin-1"),
+                "path": path_of(self._target),
                 "route": request.route.host + request.route.path_prefix,
                 "configuration": f"{self._configuration_version:08x}",
                 "service": request.service,
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -120,3 +120,11 @@
     data = request("/safe/x", [*HEADERS, *UPGRADES[0]], method="GET") * 300
     statuses, received = run_on_one_connection(data, answers=300)
     assert statuses == [200] * 300 and len(received) == 300
+
+
+# Guards against a target that names one host and runs by the routes of another.
+@pytest.mark.parametrize(
+    "target", ["http://pay.example/safe/x", "http://me@shop.example/safe/x", "ftp://shop.example/safe/x"]
+)
+def test_an_absolute_target_with_another_authority_than_host_is_answered_400(target):
+    assert run_on_one_connection(request(target)) == ([400], [])
