Configuration: only a host with a port of digits in Host chooses a route, an IPv6 address too

What callers saw: Host: shop.example:password@nobody.example ran by the routes of shop.example, as did shop.example:abc and others; [::1] was found only with a port. Cause: the text behind the last colon was cut off as a port, whatever it was, also within an IPv6 address. For the first, that left user information with its host behind it cut off. Fix: Host is parsed whole (RFC 9110, 7.2); what is no host with a port has no route: 404. A Host that is spelled as the configuration has it is found without parsing.

--- a/kestrelplank/configuration/route_table.py
+++ b/kestrelplank/configuration/route_table.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
+from kestrelplank.configuration.authority import parse_authority
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
@@ -105,11 +106,15 @@
             routes.update((encoded_prefix(route.path_prefix), _route(host, route)) for route in host.host_routes)
 
     def route(self, host: str, path: str) -> Route | None:
-        """Return the host's route with the longest matching path prefix; a port in `host` is ignored.
+        """Return the host's route with the longest matching path prefix.
 
+        :param host: as `Host` names it; its case and a port are ignored.
         :param path: as it was sent, so that a percent-encoded slash is none, without query and fragment.
         """
-        routes = self.routes_by_host.get(host.rsplit(":", 1)[0].lower() if ":" in host else host.lower())
+        routes = self.routes_by_host.get(host)
+        if routes is None:
+            authority = parse_authority(host)
+            routes = None if authority is None else self.routes_by_host.get(authority.host)
         if routes is None:
             return None
         end = path.rfind("/")
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -124,6 +124,23 @@
     assert parsed.route("other.example", "/a/x") is None
 
 
+# Guards against ROUTE: any text behind the first or last colon was taken for a port, and user information for a host.
+@pytest.mark.parametrize(
+    "host", ["shop.example:abc", "shop.example:80:80", "shop.example:-1", "shop.example:\u0663", "shop.example:secret@pay.example", "shop.example:80, x", "me@shop.example", "shop.example/", ":80", "", "[shop.example]", "::1", "[::1", "[::1]x", "::1]:80"]
+)  # fmt: skip
+def test_a_host_that_is_no_host_with_a_port_has_no_route(host):
+    hosts = [{"host_name": name, "host_routes": [route("/a/", "upload")]} for name in ("shop.example", "[::1]")]
+    assert parse_configuration(encoded(virtual_hosts=hosts)).unwrap().route(host, "/a/x") is None
+
+
+@pytest.mark.parametrize(
+    "host, host_name", [("SHOP.example:", "shop.example"), ("shop.Example:65535", "shop.example"), ("[::1]", "[::1]"), ("[::1]:80", "[::1]"), ("[2001:DB8::2]:80", "[2001:db8::2]")]
+)  # fmt: skip
+def test_a_host_is_found_in_any_case_with_and_without_a_port(host, host_name):
+    hosts = [{"host_name": host_name, "host_routes": [route("/a/", "upload")]}]
+    assert parse_configuration(encoded(virtual_hosts=hosts)).unwrap().route(host, "/a/x").host == host_name
+
+
 def test_a_prefix_with_characters_that_no_uri_contains_matches_their_encoded_form():
     """Guards against prefixes that no path begins with, as paths are compared as they were sent."""
     hosts = [
