Edge: a request for an upgrade is answered on a connection that ends with it

Cause: llhttp reads nothing more after a request that ends its connection, so it ignored the head that was fed again. Fix: the parser starts anew before that head.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -53,7 +53,6 @@
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
         self.parser: RequestParser = RequestParser(self)
-        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)  # as uvicorn's, for pipelined requests
         self._limits = config.client_limits
         self._reading_head = False  # a request has started, and its head is incomplete
         self._head_bytes = 0
--- a/kestrelplank/http/request_parser.py
+++ b/kestrelplank/http/request_parser.py
@@ -31,6 +31,11 @@
     def __init__(self, protocol: RequestHead) -> None:
         super().__init__(protocol)
         self._head = protocol
+        self._permit_data_after_close()
+
+    def _permit_data_after_close(self) -> None:
+        """Ignore what follows a request with `Connection: close`, as uvicorn's own parser does: it is no error."""
+        self.set_dangerous_leniencies(lenient_data_after_close=True)
 
     def is_upgrade(self) -> bool:
         """Whether the head that has just been parsed asks for an upgrade.
@@ -53,7 +58,10 @@
                 super().feed_data(data)
             except httptools.HttpParserUpgrade as upgrade:
                 data = memoryview(data)[upgrade.args[0] :]
-                super().feed_data(self._head_without_upgrade())
+                head = self._head_without_upgrade()
+                super().__init__(self._head)  # otherwise `Connection: close` would end the parsing here
+                self._permit_data_after_close()
+                super().feed_data(head)
             else:
                 return
 
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -109,6 +109,16 @@
     assert not {"upgrade", "connection"} & set(received[0][1])
 
 
+# Guards against a parser that takes the end of such a connection for the end of its first request.
+@pytest.mark.parametrize("ends", [["Connection: close, Upgrade"], ["Connection: Upgrade", "Connection: close"]])
+def test_a_request_for_an_upgrade_on_a_connection_that_ends_is_served(ends):
+    data = request("/safe/x", [*HEADERS, "Upgrade: h2c", *ends, "Content-Length: 3"], "abc")
+    statuses, [(_, _, body)] = run_on_one_connection(data, answers=2)
+    assert (statuses, body) == ([200, None], b"abc")
+    statuses, [(_, _, body)] = run_on_one_connection(data.replace(b"HTTP/1.1", b"HTTP/1.0"), answers=2)
+    assert (statuses, body) == ([200, None], b"abc")
+
+
 # Guards against a parser that tries for ever: CONNECT asks for a tunnel, which nothing can make a plain request.
 @pytest.mark.parametrize("target", ["shop.example:80", "shop.example"])
 def test_connect_is_answered_400_and_not_run(target):
