Configuration: a negative limit, or a service without connections, is rejected

What callers saw: limits.max_header_bytes -1 was acknowledged, and then every request answered 431 (max_body_bytes -1: 413); max_connections 0 was acknowledged though servers of such a service accept nothing. Cause: these fields were checked for their type only. Fix: they are rejected with the field's name. 0 stays valid for limits. Evidence: before, 6 cases of test_an_invalid_document_is_rejected_with_the_name_of_the_field fail (the document is accepted); now 93 tests of tests/configuration and tests/control/test_operator_api.py pass.

--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -1,17 +1,19 @@
 """Validation of a document's values: known services, distinct routes and keys, time-outs and weights within bounds.
 
-Each function raises InvalidFieldError for the first invalid field, in this order: version, services, then hosts and
-routes in the order of the document, then tenants. No reason contains a tenant's key. Other fields, such as `limits` and
+Each function raises InvalidFieldError for the first invalid field, in this order: version, services, limits, then hosts
+and routes in the order of the document, then tenants. No reason contains a tenant's key. Other fields, such as
 `max_attempts`, are not checked here.
 """
 
 import math
 import re
+from dataclasses import fields
 from typing import NamedTuple
 
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
+    LimitsDocument,
     RouteDocument,
     ServiceDocument,
     TenantDocument,
@@ -45,6 +47,8 @@
             "config_version", f"{document.config_version!r} is not a hexadecimal number of 1 to 16 digits"
         )
     service_names = _validated_service_names(document.service_table)
+    _validate_services(document.service_table)
+    _validate_limits(document.limits)
     prefixes_by_host: dict[str, set[str]] = {}
     for index, host in enumerate(document.virtual_hosts):
         prefixes = prefixes_by_host.setdefault(host.host_name.lower(), set())
@@ -61,6 +65,22 @@
     return names
 
 
+def _validate_services(service_table: list[ServiceDocument]) -> None:
+    """Check that each service's servers accept a connection."""
+    for index, service in enumerate(service_table):
+        if service.max_connections < 1:
+            reason = f"{service.max_connections} is out of range; expected at least 1"
+            raise InvalidFieldError(f"service_table[{index}].max_connections", reason)
+
+
+def _validate_limits(limits: LimitsDocument) -> None:
+    """Check that no limit is negative."""
+    for field in fields(limits):
+        value = getattr(limits, field.name)
+        if value < 0:
+            raise InvalidFieldError(f"limits.{field.name}", f"{value} is out of range; expected at least 0")
+
+
 def _validate_host(host: HostDocument, path: str, service_names: set[str], prefixes: set[str]) -> None:
     """Check a host and its routes.
 
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -101,6 +101,18 @@
             },
             "twice",
         ),
+        (
+            {"service_table": [{"name": "views"}, {"name": "orders", "max_connections": 0}]},
+            "service_table[1].max_connections",
+        ),
+        (
+            {"service_table": [{"name": "views", "max_connections": -1}, {"name": "orders"}]},
+            "service_table[0].max_connections",
+        ),
+        ({"limits": {"max_header_bytes": -1}}, "limits.max_header_bytes"),
+        ({"limits": {"max_body_bytes": -1}}, "limits.max_body_bytes"),
+        ({"limits": {"header_timeout_s": -0.001}}, "limits.header_timeout_s"),
+        ({"limits": {"idle_timeout_s": -1}}, "limits.idle_timeout_s"),
         ({"config_version": 7}, "config_version"),
         ({"config_version": "not hex"}, "config_version"),
         ({"service_table": None}, "service_table"),
@@ -111,6 +123,13 @@
     assert expected in str(parse_configuration(encoded(**changes)).failure())
 
 
+def test_limits_of_0_and_one_connection_are_valid():
+    limits = dict.fromkeys(("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s"), 0)
+    services = [{"name": "views", "max_connections": 1}, {"name": "orders"}]
+    parsed = parse_configuration(encoded(limits=limits, service_table=services)).unwrap()
+    assert (parsed.max_body_bytes, parsed.services["views"].max_connections) == (0, 1)
+
+
 def test_a_document_truncated_at_any_byte_is_rejected():
     complete = encoded()
     for end in range(len(complete)):
