Configuration: routes of a host_name with a port or blanks are found by the host alone

What callers saw: a configuration with host_name "shop.example:8080" or " shop.example " was acknowledged, and every request for it answered 404. Cause: the name was compared as it stood with a Host whose port had been cut off. Fix: the table and the check for equal prefixes go by the host in the name, as requests do. Refusing such a name would refuse what the document's rules allow; two ports of a host share its prefixes, so one prefix twice is an error. Evidence: before, 6 of the new tests fail; now 116 tests of tests/configuration, test_route_enforcement.py and tests/test_docs.py pass.

--- a/kestrelplank/configuration/authority.py
+++ b/kestrelplank/configuration/authority.py
@@ -18,3 +18,9 @@
     """Return the host and port in `text`, or None if it is anything else."""
     match = _AUTHORITY.fullmatch(text.lower())
     return None if match is None else Authority(match[1], match[2] or "")
+
+
+def host_of(host_name: str) -> str:
+    """Return the host by which requests find the routes of a configured name: without blanks around it and its port."""
+    authority = parse_authority(host_name.strip())
+    return host_name.strip().lower() if authority is None else authority.host
--- a/kestrelplank/configuration/route_table.py
+++ b/kestrelplank/configuration/route_table.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 from urllib.parse import quote
 
-from kestrelplank.configuration.authority import parse_authority
+from kestrelplank.configuration.authority import host_of, parse_authority
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
@@ -100,9 +100,9 @@
         self.idle_timeout_ns = seconds_to_ns(limits.idle_timeout_s)
         self.header_timeout_ns = seconds_to_ns(limits.header_timeout_s)
         self.services = {service.name: _service(service) for service in document.service_table}
-        self.routes_by_host: dict[str, dict[str, Route]] = {}  # lower-case host, then encoded path prefix
+        self.routes_by_host: dict[str, dict[str, Route]] = {}  # `host_of` its name, then encoded path prefix
         for host in document.virtual_hosts:
-            routes = self.routes_by_host.setdefault(host.host_name.lower(), {})
+            routes = self.routes_by_host.setdefault(host_of(host.host_name), {})
             routes.update((encoded_prefix(route.path_prefix), _route(host, route)) for route in host.host_routes)
 
     def route(self, host: str, path: str) -> Route | None:
--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -10,6 +10,7 @@
 from dataclasses import fields
 from typing import NamedTuple
 
+from kestrelplank.configuration.authority import host_of
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
@@ -51,7 +52,7 @@
     _validate_limits(document.limits)
     prefixes_by_host: dict[str, set[str]] = {}
     for index, host in enumerate(document.virtual_hosts):
-        prefixes = prefixes_by_host.setdefault(host.host_name.lower(), set())
+        prefixes = prefixes_by_host.setdefault(host_of(host.host_name), set())
         _validate_host(host, f"virtual_hosts[{index}]", service_names, prefixes)
     if document.tenants is not None:
         _validate_tenants(document.tenants)
--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -164,6 +164,37 @@
     assert parse_configuration(encoded(virtual_hosts=hosts)).unwrap().route(host, "/a/x").host == host_name
 
 
+# Guards against a valid configuration whose routes no request ever finds.
+@pytest.mark.parametrize(
+    "host_name", ["shop.example:8080", " shop.example ", "\tShop.example:\n", "[::1]:80", " [::1]"]
+)
+def test_routes_of_a_host_name_with_a_port_or_blanks_are_found_by_the_host_alone(host_name):
+    hosts = [{"host_name": host_name, "host_routes": [route("/a/", "upload")]}]
+    parsed = parse_configuration(encoded(virtual_hosts=hosts)).unwrap()
+    host = "[::1]" if "[" in host_name else "shop.example"
+    for spelling in (host, f"{host}:8080", host.upper()):
+        assert parsed.route(spelling, "/a/x").host == host_name
+    assert parsed.route(host_name.strip(), "/a/x").host == host_name
+
+
+# Guards against two routes of which one is never found, as a port takes no part in the choice.
+def test_two_ports_of_a_host_share_its_prefixes():
+    hosts = [
+        {"host_name": "shop.example:80", "host_routes": [route("/a/", "upload"), route("/b/", "upload")]},
+        {"host_name": "shop.example:81", "host_routes": [route("/c/", "upload"), route("/b/", "upload")]},
+    ]
+    assert "virtual_hosts[1].host_routes[1].path_prefix" in str(
+        parse_configuration(encoded(virtual_hosts=hosts)).failure()
+    )
+    del hosts[1]["host_routes"][1]
+    parsed = parse_configuration(encoded(virtual_hosts=hosts)).unwrap()
+    assert {parsed.route("shop.example", f"{prefix}x").path_prefix for prefix in ("/a/", "/b/", "/c/")} == {
+        "/a/",
+        "/b/",
+        "/c/",
+    }
+
+
 def test_a_prefix_with_characters_that_no_uri_contains_matches_their_encoded_form():
     """Guards against prefixes that no path begins with, as paths are compared as they were sent."""
     hosts = [
