Edge: a request with two Host headers is answered 400 before a server is chosen

What callers saw: the route was chosen by the last of two Host headers; with a route for it, a server was connected to and the request failed only because h11 does not send two; without one, 404. Cause: Host was not among the headers that may occur once (RFC 9112, 3.2).

--- a/kestrelplank/edge/request_head.py
+++ b/kestrelplank/edge/request_head.py
@@ -11,7 +11,7 @@
 CONNECTION, HOST = b"connection", b"host"
 AUTHORIZATION, TENANT_NAME = b"authorization", b"x-tenant-name"
 # May occur at most once: with two values, the gateway and the server might use different ones.
-SINGLE_HEADERS = (ATTEMPT_ID, DEADLINE, SHARD_KEY)
+SINGLE_HEADERS = (HOST, ATTEMPT_ID, DEADLINE, SHARD_KEY)
 # RFC 9110, section 7.6.1, and the headers that state the length of a body: each hop sets its own.
 HOP_BY_HOP_HEADERS = {
     b"connection",
--- a/tests/edge/test_client_limits.py
+++ b/tests/edge/test_client_limits.py
@@ -156,3 +156,18 @@
         assert all(endpoint.failures == 0 for endpoint in harness.program.forwarder.endpoints.by_name.values())
 
     run_scenario(scenario, answer_all_requests)
+
+
+# Guards against a request that runs by the last of two hosts (RFC 9112, section 3.2): a server may go by the first.
+@pytest.mark.parametrize(
+    "hosts", [["shop.example", "pay.example"], ["pay.example", "shop.example"], ["shop.example"] * 2]
+)
+def test_two_host_headers_are_answered_400_whichever_has_a_route(hosts):
+    async def scenario(harness):
+        client = await harness.client()
+        lines = ["GET /safe/x HTTP/1.1", *(f"Host: {host}" for host in hosts), "X-Attempt-Id: a", "", ""]
+        client.writer.write("\r\n".join(lines).encode())
+        assert (await client.answer())[0] == 400
+        assert not harness.servers[0].connections
+
+    run_scenario(scenario, answer_all_requests)
