--- a/tests/configuration/test_parsing.py
+++ b/tests/configuration/test_parsing.py
@@ -101,6 +101,18 @@
             },
             "twice",
         ),
+        (
+            {"service_table": [{"name": "views"}, {"name": "orders", "max_connections": 0}]},
+            "service_table[1].max_connections",
+        ),
+        (
+            {"service_table": [{"name": "views", "max_connections": -1}, {"name": "orders"}]},
+            "service_table[0].max_connections",
+        ),
+        ({"limits": {"max_header_bytes": -1}}, "limits.max_header_bytes"),
+        ({"limits": {"max_body_bytes": -1}}, "limits.max_body_bytes"),
+        ({"limits": {"header_timeout_s": -0.001}}, "limits.header_timeout_s"),
+        ({"limits": {"idle_timeout_s": -1}}, "limits.idle_timeout_s"),
         ({"config_version": 7}, "config_version"),
         ({"config_version": "not hex"}, "config_version"),
         ({"service_table": None}, "service_table"),
@@ -118,6 +130,13 @@
     assert error.field == "virtual_hosts[0].host_routes[0].target_service"
 
 
+def test_limits_of_0_and_one_connection_are_valid():
+    limits = dict.fromkeys(("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s"), 0)
+    services = [{"name": "views", "max_connections": 1}, {"name": "orders"}]
+    parsed = parse_configuration(encoded(limits=limits, service_table=services)).unwrap()
+    assert (parsed.max_body_bytes, parsed.services["views"].max_connections) == (0, 1)
+
+
 def test_a_document_truncated_at_any_byte_is_rejected():
     complete = encoded()
     for end in range(len(complete)):
@@ -135,6 +154,54 @@
     assert parsed.route("other.example", "/a/x") is None
 
 
+# Guards against ROUTE: any text behind the first or last colon was taken for a port, and user information for a host.
+@pytest.mark.parametrize(
+    "host", ["shop.example:abc", "shop.example:80:80", "shop.example:-1", "shop.example:\u0663", "shop.example:secret@pay.example", "shop.example:80, x", "me@shop.example", "shop.example/", ":80", "", "[shop.example]", "::1", "[::1", "[::1]x", "::1]:80"]
+)  # fmt: skip
+def test_a_host_that_is_no_host_with_a_port_has_no_route(host):
+    hosts = [{"host_name": name, "host_routes": [route("/a/", "upload")]} for name in ("shop.example", "[::1]")]
+    assert parse_configuration(encoded(virtual_hosts=hosts)).unwrap().route(host, "/a/x") is None
+
+
+@pytest.mark.parametrize(
+    "host, host_name", [("SHOP.example:", "shop.example"), ("shop.Example:65535", "shop.example"), ("[::1]", "[::1]"), ("[::1]:80", "[::1]"), ("[2001:DB8::2]:80", "[2001:db8::2]")]
+)  # fmt: skip
+def test_a_host_is_found_in_any_case_with_and_without_a_port(host, host_name):
+    hosts = [{"host_name": host_name, "host_routes": [route("/a/", "upload")]}]
+    assert parse_configuration(encoded(virtual_hosts=hosts)).unwrap().route(host, "/a/x").host == host_name
+
+
+# Guards against a valid configuration whose routes no request ever finds.
+@pytest.mark.parametrize(
+    "host_name", ["shop.example:8080", " shop.example ", "\tShop.example:\n", "[::1]:80", " [::1]"]
+)
+def test_routes_of_a_host_name_with_a_port_or_blanks_are_found_by_the_host_alone(host_name):
+    hosts = [{"host_name": host_name, "host_routes": [route("/a/", "upload")]}]
+    parsed = parse_configuration(encoded(virtual_hosts=hosts)).unwrap()
+    host = "[::1]" if "[" in host_name else "shop.example"
+    for spelling in (host, f"{host}:8080", host.upper()):
+        assert parsed.route(spelling, "/a/x").host == host_name
+    assert parsed.route(host_name.strip(), "/a/x").host == host_name
+
+
+# Guards against two routes of which one is never found, as a port takes no part in the choice.
+def test_two_ports_of_a_host_share_its_prefixes():
+    hosts = [
+        {"host_name": "shop.example:80", "host_routes": [route("/a/", "upload"), route("/b/", "upload")]},
+        {"host_name": "shop.example:81", "host_routes": [route("/c/", "upload"), route("/b/", "upload")]},
+    ]
+    assert "virtual_hosts[1].host_routes[1].path_prefix" in str(
+        parse_configuration(encoded(virtual_hosts=hosts)).failure()
+    )
+    del hosts[1]["host_routes"][1]
+    parsed = parse_configuration(encoded(virtual_hosts=hosts)).unwrap()
+    assert {parsed.route("shop.example", f"{prefix}x").path_prefix for prefix in ("/a/", "/b/", "/c/")} == {
+        "/a/",
+        "/b/",
+        "/c/",
+    }
+
+
 def test_a_prefix_with_characters_that_no_uri_contains_matches_their_encoded_form():
     """Guards against prefixes that no path begins with, as paths are compared as they were sent."""
     hosts = [
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -109,6 +109,16 @@
     assert not {"upgrade", "connection"} & set(received[0][1])
 
 
+# Guards against a parser that takes the end of such a connection for the end of its first request.
+@pytest.mark.parametrize("ends", [["Connection: close, Upgrade"], ["Connection: Upgrade", "Connection: close"]])
+def test_a_request_for_an_upgrade_on_a_connection_that_ends_is_served(ends):
+    data = request("/safe/x", [*HEADERS, "Upgrade: h2c", *ends, "Content-Length: 3"], "abc")
+    statuses, [(_, _, body)] = run_on_one_connection(data, answers=2)
+    assert (statuses, body) == ([200, None], b"abc")
+    statuses, [(_, _, body)] = run_on_one_connection(data.replace(b"HTTP/1.1", b"HTTP/1.0"), answers=2)
+    assert (statuses, body) == ([200, None], b"abc")
+
+
 # Guards against a parser that tries for ever: CONNECT asks for a tunnel, which nothing can make a plain request.
 @pytest.mark.parametrize("target", ["shop.example:80", "shop.example"])
 def test_connect_is_answered_400_and_not_run(target):
@@ -120,3 +130,11 @@
     data = request("/safe/x", [*HEADERS, *UPGRADES[0]], method="GET") * 300
     statuses, received = run_on_one_connection(data, answers=300)
     assert statuses == [200] * 300 and len(received) == 300
+
+
+# Guards against a target that names one host and runs by the routes of another.
+@pytest.mark.parametrize(
+    "target", ["http://pay.example/safe/x", "http://me@shop.example/safe/x", "ftp://shop.example/safe/x"]
+)
+def test_an_absolute_target_with_another_authority_than_host_is_answered_400(target):
+    assert run_on_one_connection(request(target)) == ([400], [])
