--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -23,7 +23,7 @@
 
 HEALTH_PATH = "/health"
 WORK_S, LONG_WORK_S = (0.005, 0.06), (0.3, 1.4)
-LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.06, 0.02, 0.01
+LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.15, 0.02, 0.01
 
 
 def digest(body: bytes) -> str:
