--- a/kestrelplank/gateway/soak.py
+++ b/kestrelplank/gateway/soak.py
@@ -45,8 +45,9 @@
         version = f" version {fault.version}" if fault.version else ""
         duration = f" {fault.duration_s} s" if fault.duration_s else ""
         print(f"{fault.at_s:8.3f} s {fault.kind.value} {fault.target}{duration}{version}")
-    for name in ("seed", "requests", "served", "configurations", "acknowledged", "usage_reports", "usage"):
+    for name in ("seed", "requests", "served", "configurations", "acknowledged", "usage_reports"):
         print(f"{name.replace('_', ' ')}: {getattr(report, name)}")
+    print(f"usage: {report.usage.summary}")
     for title, counts in (("played", report.played), ("answers", report.answers), ("checked", report.checked)):
         print(f"{title}: {', '.join(f'{name} {count}' for name, count in counts.items())}")
     print(f"delays of the soak itself: {report.delays_s} s; memory of the processes: {report.max_memory_mb} MB")
