--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -94,8 +94,10 @@
         fields = dict(headers)
         rejection = self._rejection(fields) or self._shed()
         if rejection is not None:
-            call.status, call.ended_at = rejection[0], self._records.now()
-            await send_answer(send, *rejection)
+            status, answer_headers, answer_body = rejection
+            call.status, call.ended_at = status, self._records.now()
+            attempt_header = (b"x-attempt-id", call.attempt_id.encode("latin-1"))
+            await send_answer(send, status, [attempt_header, *answer_headers], answer_body)
             return
         call.executed = True
         if b"x-shard-key" in fields and self.service == "views":
