--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -113,7 +113,7 @@
         raise InvalidFieldError(f"{path}.target_service", f"{route.target_service!r} is not in service_table")
     if route.traffic_split is not None:
         _validate_traffic_split(route.traffic_split, f"{path}.traffic_split", service_names)
-    elif not route.target_service:
+    elif route.target_service is None:
         raise InvalidFieldError(f"{path}.target_service", "missing; expected target_service or traffic_split")
 
 
--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -23,7 +23,7 @@
 
 HEALTH_PATH = "/health"
 WORK_S, LONG_WORK_S = (0.005, 0.06), (0.3, 1.4)
-LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.06, 0.02, 0.01
+LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.15, 0.02, 0.01
 
 
 def digest(body: bytes) -> str:
@@ -94,8 +94,10 @@
         fields = dict(headers)
         rejection = self._rejection(fields) or self._shed()
         if rejection is not None:
-            call.status, call.ended_at = rejection[0], self._records.now()
-            await send_answer(send, *rejection)
+            status, answer_headers, answer_body = rejection
+            call.status, call.ended_at = status, self._records.now()
+            attempt_header = (b"x-attempt-id", call.attempt_id.encode("latin-1"))
+            await send_answer(send, status, [attempt_header, *answer_headers], answer_body)
             return
         call.executed = True
         if b"x-shard-key" in fields and self.service == "views":
--- a/kestrelplank/rehearsal/soak_usage_checks.py
+++ b/kestrelplank/rehearsal/soak_usage_checks.py
@@ -52,12 +52,29 @@
     return [call for call in records.usage_calls if call.status == HTTP_OK]
 
 
+class WindowFigures(msgspec.Struct):
+    """A window that fell due: how many requests of tenants ran, and how many were reported (None: no report)."""
+
+    window: int
+    ran: int
+    reported: int | None
+    within_tolerance: bool
+
+
 class UsageFigures(msgspec.Struct):
-    """How many windows fell due, and how many were reported in time, within the tolerance; a price, not a rule."""
+    """The windows that fell due. That each is reported in time, within the tolerance, is a price, not a rule."""
 
-    due: int = 0
-    reported: int = 0
-    within_tolerance: int = 0
+    windows: list[WindowFigures] = msgspec.field(default_factory=list)
+
+    @property
+    def summary(self) -> str:
+        """The figures in one line."""
+        reported = [window for window in self.windows if window.reported is not None]
+        counts = ", ".join(f"{window.reported} of {window.ran}" for window in self.windows)
+        within = sum(window.within_tolerance for window in reported)
+        return (
+            f"{len(self.windows)} windows due, {len(reported)} reported in time, {within} within tolerance ({counts})"
+        )
 
 
 def usage_figures(records: SoakRecords, wall_offset_s: float) -> UsageFigures:
@@ -70,18 +87,23 @@
         for call in calls:
             if call.executed and call.tenants:
                 truth[int((wall_offset_s + call.at) // BOUNDS.report_interval_s)][call.tenants[0]] += 1
-    reported = {call.window: call for call in reversed(_accepted(records))}
+    reports = {call.window: call for call in reversed(_accepted(records))}
     figures = UsageFigures()
     for window, counts in sorted(truth.items()):
         due_at = (window + 1) * BOUNDS.report_interval_s - wall_offset_s + BOUNDS.usage_delay_s
-        if due_at > records.ended_at:
-            continue
-        figures.due += 1
-        report = reported.get(window)
-        if report is not None and report.at <= due_at:
-            figures.reported += 1
-            figures.within_tolerance += all(
-                abs(report.counts.get(tenant, 0) - count) <= max(1.0, BOUNDS.usage_tolerance * count)
-                for tenant, count in counts.items()
-            )
+        if due_at <= records.ended_at:
+            report = reports.get(window)
+            counted = report.counts if report is not None and report.at <= due_at else None
+            figures.windows.append(_window_figures(window, counts, counted))
     return figures
+
+
+def _window_figures(window: int, counts: Counter[str], reported: dict[str, int] | None) -> WindowFigures:
+    """Compare a report with what ran; None for no report in time."""
+    if reported is None:
+        return WindowFigures(window, counts.total(), None, within_tolerance=False)
+    within = all(
+        abs(reported.get(tenant, 0) - counts[tenant]) <= max(1.0, BOUNDS.usage_tolerance * counts[tenant])
+        for tenant in sorted({*counts, *reported})
+    )
+    return WindowFigures(window, counts.total(), sum(reported.values()), within)
--- a/tests/rehearsal/test_soak_checks.py
+++ b/tests/rehearsal/test_soak_checks.py
@@ -316,7 +316,12 @@
     usage(records, 9, "control-0", 1, 0, ana=2)
     usage(records, 14, "control-0", 1, 1, ana=9)
     figures = usage_figures(records, wall_offset_s=0.0)
-    assert (figures.due, figures.reported, figures.within_tolerance) == (3, 2, 1)
+    assert [(w.ran, w.reported, w.within_tolerance) for w in figures.windows] == [
+        (2, 2, True),
+        (1, 9, False),
+        (1, None, False),
+    ]
+    assert figures.summary.startswith("3 windows due, 2 reported in time, 1 within tolerance")
 
 
 def test_logs_that_hold_a_key_are_found(tmp_path):
