Edge: blanks behind a header's value are not part of it

What callers saw: with a blank or tab behind a value, Host found no route (404), any other header made the request 400, as h11 does not send such a value, and an X-Attempt-Id would match no answer. Cause: httptools leaves them in the value; RFC 9110, 5.5, does not count them in. Fix: they are cut off where the head's size is counted, before anything reads the headers.

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -29,6 +29,7 @@
 UNREAD_POLL_INTERVAL_S = 0.05  # by which a time-out is postponed for the loop to read bytes that are in the kernel
 LINGER_S = 1.0  # before closing after an error answer: a close with unread bytes would reset the connection
 HEADERS_TOO_LARGE, REQUEST_TIMEOUT = 431, 408
+BLANKS = (b" ", b"\t")  # RFC 9110, section 5.6.3
 
 
 class DroppedHeaders(list[tuple[bytes, bytes]]):
@@ -140,7 +141,11 @@
             return
         self._reading_head = False
         self._clear_timer()
-        size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        size = len(self.url)
+        for index, (name, value) in enumerate(self.headers):
+            size += len(name) + len(value)
+            if value.endswith(BLANKS):  # httptools leaves the blanks behind a value, which are no part of it
+                self.headers[index] = name, value.rstrip(b" \t")
         app = self.app
         if self._is_too_large(size):
             self.app = status_only_application(HEADERS_TOO_LARGE)
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -138,3 +138,13 @@
 )
 def test_an_absolute_target_with_another_authority_than_host_is_answered_400(target):
     assert run_on_one_connection(request(target)) == ([400], [])
+
+
+# Guards against 400, 404 and 502 for a request with blanks behind a value, which are no part of it (RFC 9110, 5.5).
+@pytest.mark.parametrize("blanks", [" ", "\t", " \t  "])
+@pytest.mark.parametrize("number", range(len(HEADERS) + 1))
+def test_blanks_behind_a_header_value_are_not_part_of_it(blanks, number):
+    headers = [*HEADERS, "X-Own: a  b"]
+    headers[number] += blanks
+    statuses, [(_, fields, _)] = run_on_one_connection(request("/safe/x", headers))
+    assert statuses == [200] and fields["x-own"] == "a  b" and fields["x-attempt-id"] == "me"
