Soak: servers stop their work at the time that they were handed

The edge's attempt had timed out early (0.6 of the latency target of 0.5 s) and could not be repeated; it had handed this time to the server, which by the protocol stops there and the simulated one did not. That the edge ends such a request early although much of its time is left is another matter.

--- a/kestrelplank/rehearsal/soak_records.py
+++ b/kestrelplank/rehearsal/soak_records.py
@@ -45,6 +45,7 @@
 
     :param executed: whether it ran, not turned away.
     :param ended_at: when the answer was sent; None: still at work.
+    :param deadline_at: when the server stops its work, by the time that it was handed.
     """
 
     attempt_id: str
@@ -60,6 +61,11 @@
     status: int = 0
     answer_body: bytes = b""
     ended_at: float | None = None
+    deadline_at: float = float("inf")
+
+    def runs_at(self, at: float) -> bool:
+        """Whether the server is at work on it at that time."""
+        return self.executed and at < self.deadline_at and (self.ended_at is None or self.ended_at > at)
 
 
 @dataclass(slots=True)
