An attempt does not time out early while no retry is left

Callers saw 504 for a repeatable request 0.3 s after they sent it, with 1.7 s left, while its server was at work: the attempt timed out early so that another server might take it, but the retry budget was empty, and the request ended. An attempt now gets all of the time left unless the budget holds a retry. The test failed before: 600 ms in place of 1500 ms.

--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -242,12 +242,14 @@
     def _may_time_out_early(self, request: ForwardedRequest) -> bool:
         """Whether this attempt may time out before the deadline.
 
-        It may if another server and another attempt are left and the retry policy allows a retry after a time-out.
+        It may if another server, another attempt and a retry in the budget are left, and the retry policy allows a
+        retry after a time-out.
         """
         return (
             request.key is None
             and len(request.attempted_servers) + 1 < request.route.max_attempts
             and len(self.endpoints.services.get(request.service, ())) > 1
+            and self.retry_budget.has_retry(request.service)
             and is_idempotent(request.call_kind)
         )
 
--- a/kestrelplank/forwarding/retry_budget.py
+++ b/kestrelplank/forwarding/retry_budget.py
@@ -33,10 +33,13 @@
         capacity = self.capacity()
         self._balance[service] = min(capacity, self._balance.get(service, capacity) + self.RATIO_SHARE * self._ratio)
 
+    def has_retry(self, service: str) -> bool:
+        """Whether at least one retry is left in the service's balance."""
+        return self._balance.get(service, self.capacity()) >= 1
+
     def try_withdraw(self, service: str) -> bool:
         """Take one retry from the service's balance; return False if less than one is left."""
-        balance = self._balance.get(service, self.capacity())
-        if balance < 1:
+        if not self.has_retry(service):
             return False
-        self._balance[service] = balance - 1
+        self._balance[service] = self._balance.get(service, self.capacity()) - 1
         return True
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -323,6 +323,17 @@
     assert begin(new_forwarder())[1].timeout_ns == 1500 * MS  # a sharded request has no other server
 
 
+# Guards against 504 long before the deadline: an early time-out after which no retry was left ended the request.
+def test_an_attempt_does_not_time_out_early_while_no_retry_is_left():
+    forwarder = new_forwarder(
+        virtual_hosts=[{"host_name": "shop.example", "host_routes": [route("/c/", "idempotent", "orders")]}]
+    )
+    assert begin(forwarder, "/c/x", None)[1].timeout_ns < 1500 * MS
+    while forwarder.retry_budget.try_withdraw("orders"):
+        pass
+    assert begin(forwarder, "/c/x", None)[1].timeout_ns == 1500 * MS
+
+
 def test_among_equal_servers_the_one_with_idle_connections_is_chosen_until_it_is_loaded():
     forwarder = new_forwarder(
         virtual_hosts=[{"host_name": "shop.example", "host_routes": [route("/c/", "non_idempotent", "orders")]}]
