Rehearsal: a settings file is replaced at once, as a starting process may read it

A second fault's restart of the same machine was writing the file while the process of the first was reading it.

--- a/kestrelplank/rehearsal/gateway_processes.py
+++ b/kestrelplank/rehearsal/gateway_processes.py
@@ -120,7 +120,9 @@
     async def restart(self, machine: Machine) -> None:
         """Start the machine's process to join a gateway that already exists."""
         settings = machine.settings_path.read_text()
-        machine.settings_path.write_text(settings.replace("initial_boot = true", "initial_boot = false"))
+        changed = machine.settings_path.with_suffix(".new")
+        changed.write_text(settings.replace("initial_boot = true", "initial_boot = false"))
+        changed.replace(machine.settings_path)  # at once, as a process of this machine may be reading it
         await self.start(machine)
 
     def kill(self, machine: Machine) -> None:
