--- a/kestrelplank/consensus/log_entries.py
+++ b/kestrelplank/consensus/log_entries.py
@@ -51,7 +51,7 @@
     :param partition: number of the role's partition.
     :param holder: identity of the member.
     :param start_id: id of its process, see `member_messages.RoleReport`.
-    :param former_may_act: whether the former holder may not know yet that it has lost the role.
+    :param former_may_act: whether a former holder may act until it knows of its loss.
     """
 
     role: str
--- a/kestrelplank/consensus/member_messages.py
+++ b/kestrelplank/consensus/member_messages.py
@@ -112,12 +112,12 @@
 
 
 class ReleaseReason(StrEnum):
-    """Why a member has given a role up; the values are on the wire and in the log lines."""
+    """Why a member has given a role up; the values are on the wire and in log lines."""
 
-    RESTARTED = "its process was restarted"
-    STOPPING = "it is stopping"
-    REJECTED = "its fencing token was rejected"
-    UNREACHABLE = "what it has to call is out of its reach"
+    RESTARTED = "restarted"
+    STOPPING = "stopping"
+    REJECTED = "token rejected"
+    UNREACHABLE = "out of reach"
 
 
 class ReleasedRole(msgspec.Struct, frozen=True, array_like=True):
--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -265,7 +265,7 @@
 
     def status(self, now: int) -> MemberStatus:
         """Return the status of this member for operators, without edge machines."""
-        return member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        return member_status(now, self._replica, self.lifecycle, self._servers, self._assigners, self._roles)
 
     # Effects of the consensus node (`consensus.effects`), which are events here.
 
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -43,8 +43,10 @@
 from kestrelplank.http.critical_tasks import CriticalTasks
 from kestrelplank.http.server import create_server
 from kestrelplank.http.socket_options import listening_socket
+from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import PlatformSettings
 from kestrelplank.sharding.effects import ServerCallResult
+from kestrelplank.state.role_table import RoleId
 from kestrelplank.storage.disk_thread import DiskThread
 from kestrelplank.storage.log_file import LogFile
 from kestrelplank.time_units import SECOND, seconds_to_ns
@@ -63,6 +65,9 @@
 OPERATOR_DRAIN_S = 1
 """How long calls in flight may take to finish when the program stops."""
 
+ROLE_BY_DUTY = {"usage": USAGE_REPORT, "usage_report": USAGE_REPORT}
+"""The singleton role for each name in `platform.cloud_api.duties`."""
+
 log = logging.getLogger("control")
 
 
@@ -83,6 +88,14 @@
     return await ControlProgram(settings, random, disk, file, member).run(stop)
 
 
+def configured_roles(duties: list[str]) -> tuple[RoleId, ...]:
+    """Return the singleton roles that the platform's settings list; unknown names are logged and ignored."""
+    unknown = [name for name in duties if name not in ROLE_BY_DUTY]
+    if unknown:
+        log.warning("Control: platform.cloud_api.duties: ignored, as unknown: %s", ", ".join(unknown))
+    return tuple(dict.fromkeys(ROLE_BY_DUTY[name] for name in duties if name in ROLE_BY_DUTY))
+
+
 def stop_on_signals() -> asyncio.Event:
     """Return an event that SIGTERM or SIGINT sets. SIGHUP is ignored, as settings are only read at the start."""
     stop = asyncio.Event()
@@ -106,6 +119,8 @@
         machine_losses=settings.fault_tolerance.machine_losses,
         stop_grace_ns=seconds_to_ns(settings.bounds.grace_s),
         max_key_lease_ns=seconds_to_ns(settings.bounds.max_hold_s),
+        roles=configured_roles(settings.cloud_api.duties),
+        role_lease_ns=seconds_to_ns(settings.bounds.lease_s),
     )
     folder, address = local.data_directory or f"/tmp/{local.node_name}", f"{host}:{port}"
 
--- a/kestrelplank/control/singleton_roles.py
+++ b/kestrelplank/control/singleton_roles.py
@@ -36,6 +36,11 @@
         self._stop_requested_at: int | None = None
         self._holder.handle_applied(now)
 
+    @property
+    def configured(self) -> tuple[RoleId, ...]:
+        """The roles that the platform's settings list."""
+        return self._roles
+
     # Acting in a role.
 
     def token(self, now: int, role: RoleId) -> int | None:
@@ -48,7 +53,7 @@
         """Give up a role that is held under that token, for good, and tell the leader at once."""
         if self._holder.release(role, token, reason):
             self._held.pop(role, None)
-            self._replica.log(f"role {role}: given up under token {token}, as {reason}")
+            self._replica.log(f"role {role}: given up under token {token} ({reason})")
             self._send_report(now)
 
     def begin_stop(self, now: int) -> None:
@@ -105,7 +110,7 @@
                 return
             self._assigner.handle_proposed(planned, index)
             self._replica.log(
-                f"role {planned.role}: assigned to {planned.command.holder} under token {index}, as {planned.reason}"
+                f"role {planned.role}: assigned to {planned.command.holder} under token {index}: {planned.reason}"
             )
             planned = self._assigner.plan(now, members, self._replica.voters())
 
--- a/kestrelplank/control/status.py
+++ b/kestrelplank/control/status.py
@@ -8,7 +8,9 @@
 from kestrelplank.control.shard_assigner import ShardAssigner
 from kestrelplank.control.shard_assigners import ShardAssigners
 from kestrelplank.control.shard_record import ShardRecord
+from kestrelplank.control.singleton_roles import SingletonRoles
 from kestrelplank.sharding.key_range import KeyRange
+from kestrelplank.state.role_table import RoleId
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.server_list import ServerList
 
@@ -69,6 +71,21 @@
     last_heard_s: float
 
 
+class RoleStatus(msgspec.Struct, frozen=True):
+    """A singleton role as this member knows it.
+
+    :param holder: identity of the member to which it is assigned; "": it was never assigned.
+    :param token: fencing token of that assignment; 0: it was never assigned.
+    :param may_act: whether this member may act in it at this moment.
+    """
+
+    role: str
+    partition: int
+    holder: str
+    token: int
+    may_act: bool
+
+
 class MemberStatus(msgspec.Struct, frozen=True):
     """A control member.
 
@@ -87,6 +104,7 @@
     :param server_count: how many servers the platform lists.
     :param server_list_age_s: the age of that list; None if none has arrived.
     :param edges: the edge machines in session, by name.
+    :param roles: the configured singleton roles.
     """
 
     member: str
@@ -108,6 +126,7 @@
     server_list_age_s: float | None
     services: dict[str, ServiceStatus]
     edges: dict[str, EdgeStatus] = {}
+    roles: list[RoleStatus] = []
 
 
 def member_status(
@@ -116,6 +135,7 @@
     lifecycle: MemberLifecycle,
     servers: ServerList,
     assigners: ShardAssigners,
+    roles: SingletonRoles,
 ) -> MemberStatus:
     """Return the status of the member with these components, without edge machines."""
     node = replica.node
@@ -143,9 +163,18 @@
             service: service_status(now, assigners.leading_assigner(now, service), replica.record(service))
             for service in replica.sharded_services()
         },
+        roles=[role_status(now, replica, roles, role) for role in roles.configured],
     )
 
 
+def role_status(now: int, replica: Replica, roles: SingletonRoles, role: RoleId) -> RoleStatus:
+    """Return the status of a singleton role."""
+    assignment = replica.state.roles.get(role)
+    holder, token = (assignment.holder, assignment.token) if assignment else ("", 0)
+    may_act = roles.token(now, role) is not None
+    return RoleStatus(role.role, role.partition, holder, token, may_act)
+
+
 def peer_status(now: int, peer: Progress, commit_index: int) -> PeerStatus:
     """Return the status of another member.
 
--- a/kestrelplank/gateway/status.py
+++ b/kestrelplank/gateway/status.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from kestrelplank.command_output import ExitCode, print_json
-from kestrelplank.control.status import MemberStatus, ServiceStatus
+from kestrelplank.control.status import MemberStatus, RoleStatus, ServiceStatus
 from kestrelplank.gateway.control_client import fetch_status
 
 
@@ -19,6 +19,8 @@
         print(f"peer {name}: match index {peer.match_index}, last heard {peer.last_heard_s} s ago{behind}")
     for name, edge in member.edges.items():
         print(f"edge {name}: configuration {edge.configuration_version}, last heard {edge.last_heard_s} s ago")
+    for role in member.roles:
+        print_role(role)
     for name, service in member.services.items():
         print_service(name, service)
     return ExitCode.DONE
@@ -38,6 +40,12 @@
     print(f"servers: {member.server_count}, list {member.server_list_age_s} s old")
 
 
+def print_role(role: RoleStatus) -> None:
+    """Print who holds a singleton role."""
+    holder = f"held by {role.holder} under token {role.token}" if role.holder else "never assigned"
+    print(f"role {role.role}/{role.partition}: {holder}{', this member may act' if role.may_act else ''}")
+
+
 def print_service(name: str, service: ServiceStatus) -> None:
     """Print the state of one sharded service."""
     assigned_here = ", assigned here" if service.assigned_here else ""
--- a/kestrelplank/roles/role_assigner.py
+++ b/kestrelplank/roles/role_assigner.py
@@ -7,7 +7,13 @@
 from kestrelplank.consensus.member_messages import ReleasedRole, ReleaseReason, RoleReport
 from kestrelplank.consensus.membership_planning import KnownMember
 from kestrelplank.roles.role_history import RoleHistory
-from kestrelplank.roles.timing import CANDIDATE_TIMEOUT_NS, ELECTION_WAIT_NS, HOLDER_TIMEOUT_NS, REPORT_TIMEOUT_NS
+from kestrelplank.roles.timing import (
+    CANDIDATE_TIMEOUT_NS,
+    ELECTION_WAIT_NS,
+    HANDOVER_WAIT_NS,
+    HOLDER_TIMEOUT_NS,
+    REPORT_TIMEOUT_NS,
+)
 from kestrelplank.state.role_table import RoleAssignment, RoleId, RoleTable
 from kestrelplank.time_units import SECOND
 
@@ -28,7 +34,7 @@
     """A role that needs a holder.
 
     :param reason: why, for the log line.
-    :param former_may_act: whether the present holder may not know yet that it loses the role.
+    :param former_may_act: whether the present holder, or one before it, may act until it knows of its loss.
     """
 
     reason: str
@@ -102,7 +108,7 @@
             assignment = self._table.get(role)
             if proposed is not None and (assignment is None or assignment.token < proposed.log_index):
                 continue
-            vacancy = self._vacancy(now, role, assignment, known)
+            vacancy = self._vacancy(now, assignment, known)
             chosen = None if vacancy is None else self._choose(now, role, assignment, known)
             if vacancy is not None and chosen is not None:
                 start_id = self._reports[chosen].report.start_id
@@ -112,19 +118,22 @@
 
     # Whether a role needs a holder.
 
-    def _vacancy(
-        self, now: int, role: RoleId, assignment: RoleAssignment | None, known: dict[str, KnownMember]
-    ) -> Vacancy | None:
+    def _vacancy(self, now: int, assignment: RoleAssignment | None, known: dict[str, KnownMember]) -> Vacancy | None:
         if assignment is None:
-            return Vacancy("it had no holder", former_may_act=False)
+            return Vacancy("it had no holder", False)
         released = self._release_of(assignment)
         if released is not None:
-            due = now - self._history.assigned_at(role) >= self._lease_ns
-            if due or released.reason not in VOLUNTARY_RELEASES:
-                return Vacancy(f"{assignment.holder} gave it up, as {released.reason}", former_may_act=False)
-            return None
+            return self._vacancy_after_release(now, assignment, released)
         reason = holder_failure(now, assignment.holder, known.get(assignment.holder))
-        return None if reason is None else Vacancy(reason, former_may_act=True)
+        return None if reason is None else Vacancy(reason, True)
+
+    def _vacancy_after_release(self, now: int, assignment: RoleAssignment, released: ReleasedRole) -> Vacancy | None:
+        """Return the vacancy, for which the holder before the one that gave up may have to be waited for still."""
+        held_for_ns = now - self._history.assigned_at(assignment.role_id)
+        if released.reason in VOLUNTARY_RELEASES and held_for_ns < self._lease_ns:
+            return None
+        former_may_act = assignment.former_may_act and held_for_ns < HANDOVER_WAIT_NS
+        return Vacancy(f"{assignment.holder} gave it up ({released.reason})", former_may_act)
 
     def _release_of(self, assignment: RoleAssignment) -> ReleasedRole | None:
         """Return the holder's release of this very assignment, if it has reported one."""
--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -48,9 +48,15 @@
 
 @checked_dataclass
 class CloudApi:
-    """`platform.cloud_api`: the API through which the platform lists the servers."""
+    """`platform.cloud_api`: the API of the platform.
+
+    `duties` are the kinds of calls that only one member makes at a time; all together make at most `duty_rate_s` calls
+    a second.
+    """
 
     address: str
+    duties: list[str] = field(default_factory=list)
+    duty_rate_s: int | float = 1
 
 
 @checked_dataclass
@@ -62,6 +68,8 @@
     retry_budget_ratio: int | float = 0.2
     retry_allowance: int | float = 30
     max_hold_s: int | float = 10
+    fencing_enabled: bool = False
+    lease_s: int | float = 3
 
 
 @checked_dataclass
@@ -153,6 +161,10 @@
         raise InvalidSettingsError(
             f"expected a number greater than 0, got {max_hold_s}", field="policy_terms.bounds.max_hold_s"
         )
+    if settings.bounds.lease_s < 0:
+        raise InvalidSettingsError(
+            f"expected 0 or more, got {settings.bounds.lease_s}", field="policy_terms.bounds.lease_s"
+        )
     losses = settings.fault_tolerance.machine_losses
     if losses < 0:
         raise InvalidSettingsError(
--- a/kestrelplank/state/role_table.py
+++ b/kestrelplank/state/role_table.py
@@ -29,7 +29,7 @@
     :param holder: identity of the member that holds the role.
     :param start_id: id of that member's process: a restarted one does not hold the role.
     :param token: fencing token, the log index of the entry: it grows, and no two assignments share one.
-    :param former_may_act: whether the former holder may not know yet that it has lost the role.
+    :param former_may_act: whether a former holder may act until it knows of its loss.
     """
 
     role: str
