--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -214,7 +214,8 @@
         self.lifecycle.tick(now)
         if self.node.leads(now):
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
-            self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
+            if self._roles.configured:
+                self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
         self._replica.compact_if_due(log_size_bytes)
         return self._take_effects(now)
--- a/tests/control/test_program_start.py
+++ b/tests/control/test_program_start.py
@@ -9,6 +9,7 @@
 
 from kestrelplank.control import program
 from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
 from kestrelplank.storage.log_file import LogFile
 
@@ -69,3 +70,10 @@
     monkeypatch.setattr(program, "LogFile", FailingLog)
     monkeypatch.setattr(program, "START_RETRY_INTERVAL_S", 0)
     assert exit_code_after_sigterm(settings, loaded) == 0 and not failures
+
+
+def test_unknown_duties_are_ignored_with_one_log_line(caplog):
+    assert program.configured_roles(["usage", "invoices", "usage", "audits"]) == (USAGE_REPORT,)
+    assert [record.getMessage() for record in caplog.records] == [
+        "Control: platform.cloud_api.duties: ignored, as unknown: invoices, audits"
+    ]
--- a/tests/settings/test_platform.py
+++ b/tests/settings/test_platform.py
@@ -37,10 +37,19 @@
     assert settings.listen_address("frontend") == ("10.0.0.1", 8080) and settings.internal_port() == 7540
     assert settings.bounds.grace_s == 7 and settings.bounds.retry_budget_ratio == 0.2
     assert settings.fault_tolerance.machine_losses == 2 and settings.local_system.quorum_member
+    assert settings.cloud_api.duties == [] and settings.bounds.lease_s == 3 and not settings.bounds.fencing_enabled
     with pytest.raises(InvalidSettingsError, match="listen_addresses.readiness: missing"):
         settings.listen_address("readiness")
 
 
+def test_duties_and_their_bounds_are_read(tmp_path):
+    text = GOOD.replace("rate_per_s = 54.0", 'duties = ["usage"]\nduty_rate_s = 2.5')
+    (tmp_path / "node.toml").write_text(text.replace("grace_s = 7", "fencing_enabled = true\nlease_s = 4"))
+    settings = load(str(tmp_path / "node.toml"))
+    assert settings.cloud_api.duties == ["usage"] and settings.cloud_api.duty_rate_s == 2.5
+    assert settings.bounds.fencing_enabled and settings.bounds.lease_s == 4
+
+
 @pytest.mark.parametrize(
     "old, new, message",
     [
@@ -48,6 +57,8 @@
         ('zone = "hall"', "zone = 3", "local_system.zone: 3 is not of type str"),
         ("grace_s = 7", 'grace_s = "7"', "policy_terms.bounds.grace_s"),
         ("losses = 2", "losses = -1", "policy_terms.fault_tolerance.machine_losses: expected 0 or more, got -1"),
+        ("grace_s = 7", "lease_s = -1", "policy_terms.bounds.lease_s: expected 0 or more, got -1"),
+        ("rate_per_s = 54.0", "duties = [5]", "platform.cloud_api.duties"),
         ('"10.0.0.9:80"', '"10.0.0.9"', "network.seed_nodes[0]"),
         ("[7540, 7555]", "[]", "internal_port_range"),
         ("[7540, 7555]", '["a"]', "internal_port_range[0]"),
