--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -229,7 +229,8 @@
         self.lifecycle.tick(now)
         if self.node.leads(now):
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
-            self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
+            if self._roles.configured:
+                self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
         if self._usage is not None:
             self._usage.tick(now, wall_time_ns)
@@ -302,7 +303,7 @@
 
     def status(self, now: int) -> MemberStatus:
         """Return the status of this member for operators, without edge machines."""
-        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners, self._roles)
         return status if self._usage is None else msgspec.structs.replace(status, usage=self._usage.status(now))
 
     # Effects of the consensus node (`consensus.effects`), which are events here.
--- a/kestrelplank/gateway/status.py
+++ b/kestrelplank/gateway/status.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from kestrelplank.command_output import ExitCode, print_json
-from kestrelplank.control.status import MemberStatus, ServiceStatus
+from kestrelplank.control.status import MemberStatus, RoleStatus, ServiceStatus
 from kestrelplank.gateway.control_client import fetch_status
 
 
@@ -20,6 +20,8 @@
     for name, edge in member.edges.items():
         behind = "" if edge.behind_s is None else f", behind for {edge.behind_s} s"
         print(f"edge {name}: configuration {edge.configuration_version}, last heard {edge.last_heard_s} s ago{behind}")
+    for role in member.roles:
+        print_role(role)
     for name, service in member.services.items():
         print_service(name, service)
     return ExitCode.DONE
@@ -39,6 +41,12 @@
     print(f"servers: {member.server_count}, list {member.server_list_age_s} s old")
 
 
+def print_role(role: RoleStatus) -> None:
+    """Print who holds a singleton role."""
+    holder = f"held by {role.holder} under token {role.token}" if role.holder else "never assigned"
+    print(f"role {role.role}/{role.partition}: {holder}{', this member may act' if role.may_act else ''}")
+
+
 def print_service(name: str, service: ServiceStatus) -> None:
     """Print the state of one sharded service."""
     assigned_here = ", assigned here" if service.assigned_here else ""
