Edge: a server's 5xx reaches the client if its retry brings no answer

What callers saw: an idempotent request that a server had answered with 5xx, and whose retry found no connection, was turned away, reset or not answered in time, got 502 or 504 of the gateway in place of the server's answer. Cause: the last attempt's outcome decided what the client gets; where the retry found no free connection, the forwarder did return the 5xx, but the exchange had kept the unsent attempt's result only, and answered 502 as by a defect. Fix: the request knows that it has such an answer, and the exchange keeps the last one that counts as run.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -47,6 +47,7 @@
 
 RETRY_AFTER_NS = SECOND // 2  # `Retry-After` for a body that was not accepted, a shutdown or an internal error
 BODILESS_STATUSES = (204, 304)
+ANSWER_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)  # attempts whose answer the client may get
 log = logging.getLogger("edge")
 
 
@@ -78,7 +79,7 @@
         self._buffered_body_bytes = 0  # this request's part of the context's `buffered_body_bytes`
         self._request: ForwardedRequest | None = None  # None until it is admitted
         self._configuration_version = 0  # that of its route; 0 until it is admitted
-        self._last_result: AttemptResult | None = None
+        self._server_answer: Answer | None = None  # the last that counts as run
         self._attempts: list[AttemptTrace] = []
         self._answered = False
 
@@ -218,9 +219,11 @@
         context, endpoint = self._context, step.endpoint
         if request.last_outcome is not None:
             context.counters.add(UPSTREAM_RQ_RETRY)
-        result = self._last_result = await self._send_attempt(request, step, server_request, disconnected)
+        result = await self._send_attempt(request, step, server_request, disconnected)
         now = time.monotonic_ns()
         self._record_attempt(endpoint.server, result, now - request.sent_at)
+        if result.outcome in ANSWER_OUTCOMES:
+            self._server_answer = result.answer
         if disconnected.done():
             context.forwarder.client_disconnected(request)
         next_step = context.forwarder.attempt_ended(now, request, result.outcome, result.load())
@@ -280,8 +283,8 @@
 
     async def _forward_answer(self) -> None:
         """Forward the server's answer to the client, without its hop-by-hop headers."""
-        assert self._last_result is not None and self._last_result.answer is not None  # the step is `ForwardAnswer`
-        answer: Answer = self._last_result.answer
+        answer = self._server_answer
+        assert answer is not None  # the step is `ForwardAnswer`
         headers = [
             (lower_name, value)
             for name, value in answer.headers
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -339,14 +339,14 @@
     def _refuse(self, request: ForwardedRequest, error: type[RequestError], retry_after_ns: int = 0) -> Step:
         """End the request without a further attempt: with `error`, unless an attempt may have run.
 
-        If one may have run, the client gets the last server's 5xx answer, or else 504 or 502.
+        If one may have run, the client gets the last 5xx answer of a server, or else 504 or 502.
 
         :param retry_after_ns: the error's `retry_after_ns` before jitter.
         """
         if not request.may_have_run:
             request.refuse()
             return Refuse(error(self._jittered(retry_after_ns)))
-        if request.last_outcome is CallOutcome.SERVER_ERROR:
+        if request.has_error_answer:
             return self._forward_answer(request)
         request.refuse()
         if request.last_outcome is CallOutcome.TIMEOUT:
--- a/kestrelplank/forwarding/request.py
+++ b/kestrelplank/forwarding/request.py
@@ -82,6 +82,7 @@
         "sent_at",
         "last_outcome",
         "may_have_run",
+        "has_error_answer",
         "client_gone",
     )
 
@@ -105,6 +106,7 @@
         self.sent_at = 0  # when the last attempt was started
         self.last_outcome: CallOutcome | None = None  # of the last attempt that was not discarded
         self.may_have_run = False  # an attempt ended without proof that it has not run
+        self.has_error_answer = False  # a server has answered with a 5xx: the client gets it if no retry is answered
         self.client_gone = False  # the client has disconnected: further steps are not carried out
 
     @property
@@ -136,13 +138,15 @@
         self.endpoint, self.last_outcome = None, outcome
         if verdict.execution is not Execution.NOT_EXECUTED:
             self.may_have_run = True
+        if outcome is CallOutcome.SERVER_ERROR:
+            self.has_error_answer = True
         if verdict.counts_as_attempt:
             self.attempted_servers = (*self.attempted_servers, server)
         else:
             self.unsent_attempts += 1
 
     def forward_answer(self) -> None:
-        """Record that the client gets the last server's answer."""
+        """Record that the client gets a server's answer, the last one there is."""
         self.state = RequestState.ANSWERED
 
     def refuse(self) -> None:
--- a/kestrelplank/forwarding/steps.py
+++ b/kestrelplank/forwarding/steps.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """Forward the answer of the last attempt to the client."""
+    """Forward the last answer of a server that counts as run to the client; later attempts may have brought none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -518,3 +518,39 @@
         assert harness.servers[0].request_lines() == [b"POST /safe/x?a HTTP/1.1"]
 
     run_scenario(scenario, answer_all_requests)
+
+
+# Guards against 502 or 504 in place of the answer that a server has made, for whatever reason its retry brings none.
+@pytest.mark.parametrize("retry", ["not run", "no connection", "none free", "reset", "truncated"])
+def test_client_gets_the_5xx_answer_whose_retry_brings_none(retry):
+    arrived = []
+
+    async def script(server, connection):
+        fields, _ = await connection.request()
+        arrived.append(server)
+        if len(arrived) == 1:
+            connection.write(answer(fields, b"failed", 500))
+            await connection.request()
+        elif retry == "not run":
+            connection.write(answer(fields, status=503, more="X-Not-Executed: 1\r\n"))
+            await connection.request()
+        elif retry == "truncated":
+            connection.write(answer(fields, b"other")[:-3])
+        else:
+            connection.reset()
+
+    async def scenario(harness):
+        connections = harness.program.connections
+        dial, acquire = connections._dial, connections._acquire
+
+        async def dial_once(pool, address, timeout_s):
+            if retry == "no connection" and arrived:
+                return pool.dial_failed()
+            return await dial(pool, address, timeout_s)
+
+        connections._dial = dial_once
+        connections._acquire = lambda *args: (None, None) if retry == "none free" and arrived else acquire(*args)
+        status, fields, body = await harness.send_request(IDEMPOTENT)
+        assert (status, fields["x-attempt-id"], body) == (500, "me", b"failed")
+
+    run_scenario(scenario, script, script)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -141,6 +141,20 @@
     assert forwarder.attempt_ended(NOW + MS, request, CallOutcome.SERVER_ERROR) == ForwardAnswer()
 
 
+# Guards against a server's answer that the client does not get: the retry's end was answered in its place.
+@pytest.mark.parametrize("outcome", [CallOutcome.NOT_EXECUTED, CallOutcome.CONNECT_FAIL, CallOutcome.RESET, CallOutcome.TIMEOUT, CallOutcome.MALFORMED, CallOutcome.NO_CONNECTION_FREE])  # fmt: skip
+def test_a_5xx_answer_is_forwarded_if_its_retry_brings_none(outcome):
+    forwarder = new_forwarder()
+    request, _ = begin(forwarder, key="5")
+    step = forwarder.attempt_ended(NOW + MS, request, CallOutcome.SERVER_ERROR)
+    now = NOW + MS
+    while not isinstance(step, Refuse | ForwardAnswer):
+        now += 100 * MS
+        is_sent = isinstance(step, Send)
+        step = forwarder.attempt_ended(now, request, outcome) if is_sent else forwarder.next_step(now, request)
+    assert step == ForwardAnswer()
+
+
 def test_a_request_for_a_moving_key_waits_for_the_new_holder():
     forwarder = new_forwarder()
     request, step = begin(forwarder)
