--- a/kestrelplank/rehearsal/soak_operator.py
+++ b/kestrelplank/rehearsal/soak_operator.py
@@ -22,10 +22,10 @@
     def __init__(self, processes: SoakProcesses, records: SoakRecords, random: Random) -> None:
         self._processes, self._records, self._random = processes, records, random
 
-    async def send(self, planned: PlannedConfiguration, first_member: Machine) -> bool:
+    async def send(self, planned: PlannedConfiguration, first_member: Machine, give_up_s: float = GIVE_UP_S) -> bool:
         """Send a configuration, unchanged again after no clear answer; return whether it was acknowledged."""
         member, pause_s = first_member, FIRST_PAUSE_S
-        until = self._records.now() + GIVE_UP_S
+        until = self._records.now() + give_up_s
         while self._records.now() < until:
             sent = ConfigurationCall(planned, member.settings_path.stem, self._records.now())
             self._records.configurations.append(sent)
