Soak: servers lose some answers, and send some that belong to no request

Without these, an edge that repeated a request after a lost answer, or took a surplus answer for the next request's, would pass.

--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -1,4 +1,4 @@
-"""A server of a soak: it records each request as it arrived, and now and then sheds, fails or takes long."""
+"""A server of a soak: it records each request as it arrived; some it sheds, fails, answers late, twice or not at all."""
 
 import asyncio
 import hashlib
@@ -24,6 +24,8 @@
 HEALTH_PATH = "/health"
 WORK_S, LONG_WORK_S = (0.005, 0.06), (0.3, 1.4)
 LONG_SHARE, SHED_SHARE, FAILURE_SHARE = 0.15, 0.02, 0.01
+LOST_ANSWER_SHARE, SURPLUS_ANSWER_SHARE = 0.01, 0.01
+SURPLUS_ANSWER = b"HTTP/1.1 200 OK\r\nx-attempt-id: 0\r\nx-server-seal: 0\r\ncontent-length: 7\r\n\r\nsurplus"
 
 
 def digest(body: bytes) -> str:
@@ -104,7 +106,13 @@
             self._record_conflict(int(fields[b"x-shard-key"]), asyncio.get_running_loop().time())
         status, answer_headers = await self._work(call)
         call.ended_at = self._records.now()
+        draw, transport = self._random.random(), scope["connection"].transport
+        if draw < LOST_ANSWER_SHARE:
+            transport.abort()
+            return
         await send_answer(send, status, answer_headers, call.answer_body)
+        if draw > 1 - SURPLUS_ANSWER_SHARE and not transport.is_closing():
+            transport.write(SURPLUS_ANSWER)
 
     def _record(self, scope: Scope, headers: Headers, body: bytes) -> ServerCall:
         fields, query = dict(headers), scope["query_string"].decode("latin-1")
