--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -1,4 +1,4 @@
-"""A server of a soak: it records each request as it arrived; some it sheds, fails, answers late, twice or not at all."""
+"""A server of a soak: it records each request as it came; some it sheds, fails, answers late, twice or not at all."""
 
 import asyncio
 import hashlib
