--- a/kestrelplank/configuration/validation.py
+++ b/kestrelplank/configuration/validation.py
@@ -1,24 +1,27 @@
 """Validation of a document's values: known services, distinct routes and keys, time-outs and weights within bounds.
 
-Each function raises InvalidFieldError for the first invalid field, in this order: version, services, then hosts and
-routes in the order of the document, then tenants. No reason contains a tenant's key. Other fields, such as `limits` and
+Each function raises InvalidFieldError for the first invalid field, in this order: version, services, limits, then hosts
+and routes in the order of the document, then tenants. No reason contains a tenant's key. Other fields, such as
 `max_attempts`, are not checked here.
 """
 
 import math
 import re
+from dataclasses import fields
 from typing import NamedTuple
 
+from kestrelplank.configuration.authority import host_of
 from kestrelplank.configuration.document import (
     ConfigurationDocument,
     HostDocument,
+    LimitsDocument,
     RouteDocument,
     ServiceDocument,
     TenantDocument,
     TrafficSplitDocument,
 )
 from kestrelplank.configuration.errors import InvalidFieldError
-from kestrelplank.configuration.route_table import RouteType
+from kestrelplank.configuration.route_table import RouteType, encoded_prefix
 
 MAX_ROUTE_TIMEOUT_S = 600
 ROUTE_TYPES = tuple(RouteType)
@@ -45,9 +48,11 @@
             "config_version", f"{document.config_version!r} is not a hexadecimal number of 1 to 16 digits"
         )
     service_names = _validated_service_names(document.service_table)
+    _validate_services(document.service_table)
+    _validate_limits(document.limits)
     prefixes_by_host: dict[str, set[str]] = {}
     for index, host in enumerate(document.virtual_hosts):
-        prefixes = prefixes_by_host.setdefault(host.host_name.lower(), set())
+        prefixes = prefixes_by_host.setdefault(host_of(host.host_name), set())
         _validate_host(host, f"virtual_hosts[{index}]", service_names, prefixes)
     if document.tenants is not None:
         _validate_tenants(document.tenants)
@@ -61,6 +66,22 @@
     return names
 
 
+def _validate_services(service_table: list[ServiceDocument]) -> None:
+    """Check that each service's servers accept a connection."""
+    for index, service in enumerate(service_table):
+        if service.max_connections < 1:
+            reason = f"{service.max_connections} is out of range; expected at least 1"
+            raise InvalidFieldError(f"service_table[{index}].max_connections", reason)
+
+
+def _validate_limits(limits: LimitsDocument) -> None:
+    """Check that no limit is negative."""
+    for field in fields(limits):
+        value = getattr(limits, field.name)
+        if value < 0:
+            raise InvalidFieldError(f"limits.{field.name}", f"{value} is out of range; expected at least 0")
+
+
 def _validate_host(host: HostDocument, path: str, service_names: set[str], prefixes: set[str]) -> None:
     """Check a host and its routes.
 
@@ -72,10 +93,11 @@
     for index, route in enumerate(host.host_routes):
         route_path = f"{path}.host_routes[{index}]"
         _validate_route(route, route_path, service_names)
-        if route.path_prefix in prefixes:
+        prefix = encoded_prefix(route.path_prefix)
+        if prefix in prefixes:
             reason = f"{route.path_prefix!r} is given twice for host {host.host_name!r}; prefixes must be distinct"
             raise InvalidFieldError(f"{route_path}.path_prefix", reason)
-        prefixes.add(route.path_prefix)
+        prefixes.add(prefix)
 
 
 def _validate_route(route: RouteDocument, path: str, service_names: set[str]) -> None:
@@ -87,7 +109,7 @@
         raise InvalidFieldError(f"{path}.timeout_s", reason)
     if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
         raise InvalidFieldError(f"{path}.path_prefix", f"{route.path_prefix!r} must begin and end with a slash")
-    if route.target_service is not None and route.target_service not in service_names:
+    if route.target_service and route.target_service not in service_names:
         raise InvalidFieldError(f"{path}.target_service", f"{route.target_service!r} is not in service_table")
     if route.traffic_split is not None:
         _validate_traffic_split(route.traffic_split, f"{path}.traffic_split", service_names)
--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -17,6 +17,7 @@
 from kestrelplank.edge.request_head import (
     ATTEMPT_ID,
     HOP_BY_HOP_HEADERS,
+    HOST,
     SHARD_KEY,
     attempt_headers,
     authorizations,
@@ -24,6 +25,7 @@
     is_ambiguous,
     server_headers,
 )
+from kestrelplank.edge.request_target import origin_form, path_of
 from kestrelplank.edge.server_connections import AttemptResult, ServerRequest
 from kestrelplank.forwarding.errors import (
     BadRequestError,
@@ -71,10 +73,12 @@
         self._context, self._scope, self._receive, self._send = context, scope, receive, send
         self._headers: Headers = scope["headers"]
         self._fields = dict(self._headers)  # see `request_head.Fields`
+        self._target = b""  # as servers receive it; set once the request has been checked
         self._received_at = time.monotonic_ns()
         self._client_timeout_ns = client_timeout_ns(self._fields)  # counted from `_received_at`
         self._buffered_body_bytes = 0  # this request's part of the context's `buffered_body_bytes`
         self._request: ForwardedRequest | None = None  # None until it is admitted
+        self._configuration_version = 0  # that of its route; 0 until it is admitted
         self._last_result: AttemptResult | None = None
         self._attempts: list[AttemptTrace] = []
         self._answered = False
@@ -132,6 +136,7 @@
         """
         if is_ambiguous(self._headers, self._fields):
             raise BadRequestError
+        self._target = origin_form(self._scope["target"], self._fields.get(HOST, b""))
         try:
             async with asyncio.timeout(self._client_timeout_ns / SECOND):
                 return await self._read_body(self._context.max_body_bytes())
@@ -157,36 +162,30 @@
                 return b"".join(chunks)
 
     def _admit(self, now: int, body: bytes) -> ForwardedRequest:
-        fields = self._fields
-        return self._context.forwarder.admit(
+        fields, forwarder = self._fields, self._context.forwarder
+        request = forwarder.admit(
             now,
-            host=fields.get(b"host", b"").decode("latin-1"),
-            path=self._scope["path"],
+            host=fields.get(HOST, b"").decode("latin-1"),
+            path=path_of(self._target),
             shard_key=fields.get(SHARD_KEY, b"").decode("latin-1") or None,
             client_timeout_ns=self._client_timeout_ns - (now - self._received_at),
             body_bytes=len(body),
             authorizations=authorizations(self._headers),
         )
+        if forwarder.view.configuration is not None:
+            self._configuration_version = forwarder.view.configuration.key.version
+        return request
 
     def _server_request(self, request: ForwardedRequest, body: bytes) -> ServerRequest:
         """Return the request for servers, without the headers that differ between attempts."""
         return ServerRequest(
             self._scope["method"].encode(),
-            self._target(),
+            self._target,
             server_headers(self._headers, self._fields, body, request),
             body,
             self._fields[ATTEMPT_ID],
         )
 
-    def _target(self) -> bytes:
-        """Return path and query as the client sent them, without the origin of an absolute target."""
-        target: bytes = self._scope["target"]
-        if target.startswith(b"/"):
-            return target
-        path: bytes = self._scope["raw_path"]
-        query: bytes = self._scope["query_string"]
-        return path + b"?" + query if query else path
-
     async def _wait_for_disconnect(self) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
@@ -330,7 +329,9 @@
             "Edge: request",
             extra={
                 "attempt": attempt_id.decode("latin-1"),
-                "path": self._scope["path"],
+                "path": path_of(self._target),
+                "route": request.route.host + request.route.path_prefix,
+                "configuration": f"{self._configuration_version:08x}",
                 "service": request.service,
                 "tenant": request.tenant.name if request.tenant else None,
                 "key": request.key,
--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -5,11 +5,12 @@
 - The idle time-out of a connection is the longer of the limit now and the limit when it became idle. Until a
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
-- A request to change the protocol (`Upgrade`) is ignored.
-- Trailers of a chunked body are discarded (RFC 9110, section 6.5.1): they never count as headers.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
+- A request for an upgrade is served as one without it (`http.request_parser`).
+- Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
 
-`tests/edge/test_client_limits.py` and `tests/edge/test_hard_cases.py` have a test for each of these.
+`tests/edge/test_client_limits.py`, `tests/edge/test_hard_cases.py` and `tests/edge/test_request_forwarding.py` have a
+test for each of these.
 """
 
 import asyncio
@@ -28,6 +29,17 @@
 UNREAD_POLL_INTERVAL_S = 0.05  # by which a time-out is postponed for the loop to read bytes that are in the kernel
 LINGER_S = 1.0  # before closing after an error answer: a close with unread bytes would reset the connection
 HEADERS_TOO_LARGE, REQUEST_TIMEOUT = 431, 408
+BLANKS = (b" ", b"\t")  # RFC 9110, section 5.6.3
+
+
+class DroppedHeaders(list[tuple[bytes, bytes]]):
+    """Headers that are not kept."""
+
+    def append(self, _header: tuple[bytes, bytes]) -> None:
+        """Drop the header."""
+
+
+DROPPED_HEADERS = DroppedHeaders()
 
 
 class ClientProtocol(HttpToolsProtocol):
@@ -41,7 +53,7 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
-        self.parser = RequestParser(self)  # type: ignore[assignment] # it has all methods that uvicorn calls
+        self.parser: RequestParser = RequestParser(self)
         self._limits = config.client_limits
         self._reading_head = False  # a request has started, and its head is incomplete
         self._head_bytes = 0
@@ -120,19 +132,20 @@
         if self._limits.header_timeout_s is not None:
             self._set_timer(self.loop.time() + self._limits.header_timeout_s, self._on_head_timeout)
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers of a chunked body, which the parser reports here too, are discarded."""
-        if self._reading_head:
-            super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Pass the request to the application, or answer it with 431 if its head is too large.
 
         The scope gets the request's target as it was sent: ASGI's path and query lack an empty query.
         """
+        if self.parser.is_upgrade():
+            return
         self._reading_head = False
         self._clear_timer()
-        size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+        size = len(self.url)
+        for index, (name, value) in enumerate(self.headers):
+            size += len(name) + len(value)
+            if value.endswith(BLANKS):  # httptools leaves the blanks behind a value, which are no part of it
+                self.headers[index] = name, value.rstrip(b" \t")
         app = self.app
         if self._is_too_large(size):
             self.app = status_only_application(HEADERS_TOO_LARGE)
@@ -140,10 +153,21 @@
             super().on_headers_complete()
         finally:
             self.app = app
+        self.headers = DROPPED_HEADERS  # the parser adds trailers to them; those of the request are in the scope
         self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         if self._stopping:
             self.cycle.keep_alive = False
 
+    def on_message_complete(self) -> None:
+        """Complete the body; if a trailer was `Connection: close`, the parser ignores all that follows."""
+        if self.parser.is_upgrade():
+            return
+        super().on_message_complete()
+        if not self.parser.should_keep_alive():
+            self.cycle.keep_alive = False
+            if self.cycle.response_complete:
+                self.transport.close()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed bytes with 400, unless the client could take that for the answer to another request."""
         body_is_malformed = self._request_in_progress and self.cycle.more_body and not self.cycle.response_started
