Settings: bounds of reports are checked only where the platform wants reports

Seen: by reading. With 'duties = []' and, say, 'duty_rate_s = 0' no program starts, where nothing was to change. Cause: report_interval_s, usage_delay_s and duty_rate_s must be positive, whether or not anybody reads them. Evidence: the new test failed before (InvalidSettingsError at load) and passes now; with a duty each is still rejected.

--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -162,10 +162,13 @@
     positive = {
         "policy_terms.bounds.max_hold_s": settings.bounds.max_hold_s,
         "policy_terms.bounds.revoke_s": settings.bounds.revoke_s,
-        "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
-        "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
-        "platform.cloud_api.duty_rate_s": settings.cloud_api.duty_rate_s,
     }
+    if settings.cloud_api.duties:  # otherwise nobody reads these
+        positive |= {
+            "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
+            "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
+            "platform.cloud_api.duty_rate_s": settings.cloud_api.duty_rate_s,
+        }
     for name, value in positive.items():
         if value <= 0:
             raise InvalidSettingsError(f"expected a number greater than 0, got {value}", field=name)
--- a/tests/settings/test_platform.py
+++ b/tests/settings/test_platform.py
@@ -50,6 +50,24 @@
     assert settings.bounds.fencing_enabled and settings.bounds.lease_s == 4
 
 
+NO_REPORTS = "duty_rate_s = 0", "report_interval_s = 0", "usage_delay_s = 0"
+
+
+# Guards against programs that do not start, for a bound on reports that nobody wants.
+def test_bounds_of_reports_are_checked_only_where_the_platform_wants_reports(tmp_path):
+    rate, *bounds = NO_REPORTS
+    without = GOOD.replace("rate_per_s = 54.0", f"duties = []\n{rate}").replace("grace_s = 7", "\n".join(bounds))
+    (tmp_path / "node.toml").write_text(without)
+    assert load(str(tmp_path / "node.toml")).cloud_api.duty_rate_s == 0
+    for line in NO_REPORTS:
+        name, sound = line.removesuffix(" = 0"), without.replace("duties = []", 'duties = ["usage_report"]')
+        for other in NO_REPORTS:
+            sound = sound if other == line else sound.replace(other, other.replace("= 0", "= 1"))
+        (tmp_path / "node.toml").write_text(sound)
+        with pytest.raises(InvalidSettingsError, match=f"{name}: expected a number greater than 0, got 0"):
+            load(str(tmp_path / "node.toml"))
+
+
 @pytest.mark.parametrize(
     "old, new, message",
     [
