Usage: one list of names says whether the platform wants usage reports

Seen: by reading. With duties = ["usage"], the name that docs/roles.md gave, a member is assigned the role, the log gets entries, and no edge counts and nobody reports: each report is missed. Cause: control/program knew two names for the duty, usage/policy (edge, collector, reporter) one of them. Evidence: the new test failed for 'usage' before (usage_policy was None) and passes now.

--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -55,7 +55,7 @@
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, LoadReport, ToMember, decode_at_member
 from kestrelplank.transport.wire import FrameConnection
 from kestrelplank.usage.messages import UsageCounts
-from kestrelplank.usage.policy import usage_policy
+from kestrelplank.usage.policy import USAGE_REPORT_DUTIES, usage_policy
 from kestrelplank.usage.usage_reporter import CallResult, PlatformCall
 from kestrelplank.wall_clock import wall_time_ns
 
@@ -71,7 +71,7 @@
 OPERATOR_DRAIN_S = 1
 """How long calls in flight may take to finish when the program stops."""
 
-ROLE_BY_DUTY = {"usage": USAGE_REPORT, "usage_report": USAGE_REPORT}
+ROLE_BY_DUTY = dict.fromkeys(USAGE_REPORT_DUTIES, USAGE_REPORT)
 """The singleton role for each name in `platform.cloud_api.duties`."""
 
 log = logging.getLogger("control")
--- a/kestrelplank/usage/policy.py
+++ b/kestrelplank/usage/policy.py
@@ -5,7 +5,7 @@
 from kestrelplank.settings.platform import PlatformSettings
 from kestrelplank.time_units import SECOND, seconds_to_ns
 
-USAGE_REPORT_DUTY = "usage_report"  # in the platform's settings
+USAGE_REPORT_DUTIES = ("usage", "usage_report")  # names of the reports in `platform.cloud_api.duties`
 
 REPORTING_TIME_NS = 3 * SECOND  # part of the delay that is reserved for sending a fixed window
 
@@ -31,7 +31,7 @@
 
 def usage_policy(settings: PlatformSettings) -> UsagePolicy | None:
     """Return the policy in the settings; None if the platform wants no usage reports."""
-    if USAGE_REPORT_DUTY not in settings.cloud_api.duties:
+    if not any(duty in USAGE_REPORT_DUTIES for duty in settings.cloud_api.duties):
         return None
     bounds = settings.bounds
     return UsagePolicy(
--- a/tests/control/test_program_start.py
+++ b/tests/control/test_program_start.py
@@ -12,6 +12,7 @@
 from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
 from kestrelplank.storage.log_file import LogFile
+from kestrelplank.usage.policy import usage_policy
 
 IP = "127.0.0.1"
 
@@ -72,6 +73,14 @@
     assert exit_code_after_sigterm(settings, loaded) == 0 and not failures
 
 
+# Guards against a role that is assigned and reports nothing, as only one of two readers knows the platform's name for it.
+@pytest.mark.parametrize("duty", program.ROLE_BY_DUTY)
+def test_each_duty_that_has_a_role_turns_its_reports_on(settings, duty):
+    settings.cloud_api.duties.append(duty)
+    assert program.configured_roles(settings.cloud_api.duties) == (USAGE_REPORT,)
+    assert usage_policy(settings) is not None
+
+
 def test_unknown_duties_are_ignored_with_one_log_line(caplog):
     assert program.configured_roles(["usage", "invoices", "usage", "audits"]) == (USAGE_REPORT,)
     assert [record.getMessage() for record in caplog.records] == [
