--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -6,8 +6,10 @@
 import asyncio
 import os
 import signal
+import time
 
 import pytest
+from configuration.test_parsing import route
 from edge.stage import answer, answer_all_requests, request_head, run_scenario
 
 NON_IDEMPOTENT, IDEMPOTENT = "/once/x", "/safe/x"
@@ -554,3 +556,30 @@
         assert (status, fields["x-attempt-id"], body) == (500, "me", b"failed")
 
     run_scenario(scenario, script, script)
+
+
+# Guards against 504 long before the deadline: two attempts time out early, and one retry is left for both of them.
+def test_no_request_ends_at_its_early_time_out_though_another_has_taken_the_last_retry():
+    client_timeout_s = 1.5
+    silent = [route("/safe/", "idempotent", "views", timeout_s=15, target_latency_s=0.5, max_attempts=2)]
+
+    async def accept_only(_server, connection):
+        while True:
+            await connection.request()
+
+    async def scenario(harness):
+        harness.configure(virtual_hosts=[{"host_name": "shop.example", "host_routes": silent}])
+        budget = harness.program.forwarder.retry_budget
+        while budget.try_withdraw("views"):
+            pass
+        while not budget.has_retry("views"):
+            budget.deposit("views")
+        started_at = time.monotonic()
+
+        async def duration_of(attempt):
+            await harness.send_request("/safe/x", b"", attempt, int(client_timeout_s * 1000))
+            return time.monotonic() - started_at
+
+        return await asyncio.gather(*map(duration_of, ("one", "two")))
+
+    assert min(run_scenario(scenario, *[accept_only] * 3)) >= 0.9 * client_timeout_s
