Edge: a body in a transfer coding other than chunked is answered 400

What callers saw: with Transfer-Encoding: gzip, chunked the server got the compressed bytes with a Content-Length and no word of the coding, so another body than the client meant. Cause: the header is dropped as one for a single connection, but only its chunked part is decoded. Fix: any other coding, and a second Transfer-Encoding header, is refused (RFC 9112, 6.1). Evidence: found by hand.

--- a/kestrelplank/edge/request_head.py
+++ b/kestrelplank/edge/request_head.py
@@ -9,9 +9,10 @@
 ATTEMPT_ID, DEADLINE, SHARD_KEY = b"x-attempt-id", b"x-deadline-remaining", b"x-shard-key"
 TARGET_INSTANCE = b"x-target-instance"
 CONNECTION, HOST = b"connection", b"host"
+TRANSFER_ENCODING, CHUNKED = b"transfer-encoding", b"chunked"
 AUTHORIZATION, TENANT_NAME = b"authorization", b"x-tenant-name"
 # May occur at most once: with two values, the gateway and the server might use different ones.
-SINGLE_HEADERS = (HOST, ATTEMPT_ID, DEADLINE, SHARD_KEY)
+SINGLE_HEADERS = (HOST, ATTEMPT_ID, DEADLINE, SHARD_KEY, TRANSFER_ENCODING)
 # RFC 9110, section 7.6.1, and the headers that state the length of a body: each hop sets its own.
 HOP_BY_HOP_HEADERS = {
     b"connection",
@@ -38,7 +39,12 @@
 
 
 def is_ambiguous(headers: Headers, fields: Fields) -> bool:
-    """Whether a header of `SINGLE_HEADERS` occurs twice, or `X-Attempt-Id` is missing or empty."""
+    """Whether a header of `SINGLE_HEADERS` occurs twice, `X-Attempt-Id` is missing or empty, or the body is encoded.
+
+    Servers get a body with its length; a transfer coding other than `chunked` would still be on it.
+    """
+    if fields.get(TRANSFER_ENCODING, CHUNKED).lower() != CHUNKED:
+        return True
     names = [name for name, _ in headers if name in SINGLE_HEADERS]
     return len(names) != len(set(names)) or not fields.get(ATTEMPT_ID)
 
--- a/tests/edge/test_request_forwarding.py
+++ b/tests/edge/test_request_forwarding.py
@@ -148,3 +148,17 @@
     headers[number] += blanks
     statuses, [(_, fields, _)] = run_on_one_connection(request("/safe/x", headers))
     assert statuses == [200] and fields["x-own"] == "a  b" and fields["x-attempt-id"] == "me"
+
+
+# Guards against a body that a server gets in a coding of which it is not told.
+@pytest.mark.parametrize("codings", [["gzip, chunked"], ["gzip", "chunked"], ["Chunked;q=1"]])
+def test_a_body_in_another_transfer_coding_than_chunked_is_answered_400(codings):
+    headers = [*HEADERS, *(f"Transfer-Encoding: {coding}" for coding in codings)]
+    assert run_on_one_connection(request("/safe/x", headers, CHUNKED)) == ([400], [])
+
+
+def test_the_name_of_the_transfer_coding_is_taken_in_any_case():
+    statuses, [(_, _, body)] = run_on_one_connection(
+        request("/safe/x", [*HEADERS, "Transfer-Encoding: CHUNKED"], CHUNKED)
+    )
+    assert (statuses, body) == ([200], b"abc")
