--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -137,7 +137,7 @@
 
         The scope gets the request's target as it was sent: ASGI's path and query lack an empty query.
         """
-        if self.parser.is_upgrade():
+        if self.parser.should_upgrade():
             return
         self._reading_head = False
         self._clear_timer()
@@ -160,7 +160,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the body; if a trailer was `Connection: close`, the parser ignores all that follows."""
-        if self.parser.is_upgrade():
+        if self.parser.should_upgrade():
             return
         super().on_message_complete()
         if not self.parser.should_keep_alive():
--- a/kestrelplank/http/request_parser.py
+++ b/kestrelplank/http/request_parser.py
@@ -11,10 +11,6 @@
 CONNECT, UPGRADE = b"CONNECT", b"upgrade"
 
 
-class ConnectUnsupportedError(Exception):
-    """A request for a tunnel, which this server does not open."""
-
-
 class RequestHead(Protocol):
     """What the parser's callbacks have stored of the current request's head."""
 
@@ -23,7 +19,7 @@
 
 
 class RequestParser(httptools.HttpRequestParser):
-    """A parser whose `protocol` ignores `on_headers_complete` and `on_message_complete` while `is_upgrade` is true.
+    """A parser whose `protocol` ignores `on_headers_complete` and `on_message_complete` while `should_upgrade` is true.
 
     Both are called again for the same request, as are the callbacks before them.
     """
@@ -37,26 +33,17 @@
         """Ignore what follows a request with `Connection: close`, as uvicorn's own parser does: it is no error."""
         self.set_dangerous_leniencies(lenient_data_after_close=True)
 
-    def is_upgrade(self) -> bool:
-        """Whether the head that has just been parsed asks for an upgrade.
-
-        :raises ConnectUnsupportedError: it asks for a tunnel.
-        """
-        if not self.should_upgrade():
-            return False
-        if self.get_method() == CONNECT:
-            raise ConnectUnsupportedError
-        return True
-
     def feed_data(self, data: bytes | bytearray | memoryview) -> None:  # type: ignore[override] # no arrays are parsed
         """Parse bytes of requests.
 
-        :raises httptools.HttpParserError: they are malformed.
+        :raises httptools.HttpParserError: they are malformed, or ask for a tunnel, which can't be ignored.
         """
         while True:
             try:
                 super().feed_data(data)
             except httptools.HttpParserUpgrade as upgrade:
+                if self.get_method() == CONNECT:
+                    raise httptools.HttpParserError("CONNECT is not supported") from upgrade
                 data = memoryview(data)[upgrade.args[0] :]
                 head = self._head_without_upgrade()
                 super().__init__(self._head)  # otherwise `Connection: close` would end the parsing here
--- a/tests/edge/test_request_fuzz.py
+++ b/tests/edge/test_request_fuzz.py
@@ -187,7 +187,7 @@
 
 def leave_upgrades_to_httptools(monkeypatch):
     """Defect: a request for an upgrade ends with its head, and so does the connection's parsing."""
-    monkeypatch.setattr(RequestParser, "is_upgrade", lambda self: False)
+    monkeypatch.setattr(RequestParser, "should_upgrade", lambda self: False)
     monkeypatch.setattr(RequestParser, "feed_data", httptools.HttpRequestParser.feed_data)
 
 
