--- a/kestrelplank/gateway/soak.py
+++ b/kestrelplank/gateway/soak.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from kestrelplank.command_output import ExitCode, print_error, print_json
-from kestrelplank.rehearsal.soak import SoakNotReadyError, play
+from kestrelplank.rehearsal.soak import SoakIncompleteError, play
 from kestrelplank.rehearsal.soak_report import SoakReport
 from kestrelplank.rehearsal.soak_script import SoakForm
 from kestrelplank.settings.errors import InvalidSettingsError
@@ -19,7 +19,7 @@
     check_form(form)
     try:
         report = play(seed, form)
-    except SoakNotReadyError as err:
+    except SoakIncompleteError as err:
         print_error(err)
         return ExitCode.PROBLEM_FOUND
     if as_json:
--- a/kestrelplank/rehearsal/soak.py
+++ b/kestrelplank/rehearsal/soak.py
@@ -36,8 +36,8 @@
 LOOP_CHECK_S, LOOP_DELAY_S = 0.05, 0.05  # a loop later than this can't tell a late process from a late look
 
 
-class SoakNotReadyError(Exception):
-    """The gateway did not become ready."""
+class SoakIncompleteError(Exception):
+    """The gateway did not become ready, or the soak was stopped by a signal."""
 
 
 class Soak:
@@ -68,7 +68,8 @@
     async def run(self) -> SoakReport:
         """Run the soak, and return its report; no process is left, also after a failure or when cancelled.
 
-        :raises SoakNotReadyError: the gateway did not become ready.
+        :raises SoakIncompleteError: the gateway did not become ready.
+        :raises asyncio.CancelledError: this process got SIGTERM.
         """
         this_task = asyncio.current_task()
         assert this_task is not None
@@ -113,7 +114,7 @@
                 self._begin()
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
-        raise SoakNotReadyError("the gateway did not become ready")
+        raise SoakIncompleteError("the gateway did not become ready")
 
     def _begin(self) -> None:
         """Let the time of the records begin now; what came before keeps its place, at negative times."""
@@ -154,7 +155,7 @@
 def play(seed: int, form: SoakForm) -> SoakReport:
     """Run a soak; the logs of its processes are kept if it fails.
 
-    :raises SoakNotReadyError: the gateway did not become ready; the message names the folder of the logs.
+    :raises SoakIncompleteError: it was not played to its end; the message names the folder of the logs.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"kestrelplank-soak-{seed}-"))
     keep = True
@@ -163,8 +164,10 @@
         keep = report.failed
         report.kept_logs = str(folder) if keep else None
         return report
-    except SoakNotReadyError as err:
-        raise SoakNotReadyError(f"{err}; logs are in {folder}") from err
+    except SoakIncompleteError as err:
+        raise SoakIncompleteError(f"{err}; logs are in {folder}") from err
+    except asyncio.CancelledError as err:
+        raise SoakIncompleteError(f"stopped by a signal; logs are in {folder}") from err
     finally:
         if not keep:
             shutil.rmtree(folder, ignore_errors=True)
