--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -65,7 +65,7 @@
             status = HTTPStatus.OK if self.state == "ready" else HTTPStatus.SERVICE_UNAVAILABLE
             await send_answer(send, status, [(b"x-instance-id", self.name.encode())], b"")
         else:
-            await self._answer_request(scope, body, send)
+            await self._answer_request(scope, body, receive, send)
 
     # Keys.
 
@@ -90,7 +90,7 @@
 
     # Requests.
 
-    async def _answer_request(self, scope: Scope, body: bytes, send: Send) -> None:
+    async def _answer_request(self, scope: Scope, body: bytes, receive: Receive, send: Send) -> None:
         headers: Headers = scope["headers"]
         call = self._record(scope, headers, body)
         fields = dict(headers)
@@ -109,6 +109,7 @@
         draw, transport = self._random.random(), scope["connection"].transport
         if draw < LOST_ANSWER_SHARE:
             transport.abort()
+            await receive()  # the disconnect
             return
         await send_answer(send, status, answer_headers, call.answer_body)
         if draw > 1 - SURPLUS_ANSWER_SHARE and not transport.is_closing():
