--- a/tests/roles/test_model.py
+++ b/tests/roles/test_role_model.py
@@ -26,7 +26,7 @@
 shorter); entries are committed as they are proposed (what an assignment rests on stays true); waits count from the commit
 (members count from when they apply the entry, which is later); drift of clocks (`test_role_assigner.py`).
 
-States by bounds (assignments, faults, releases, partitions), as `python tests/roles/test_model.py 3 1 1 2` counts them:
+States by bounds (assignments, faults, releases, partitions), as `python tests/roles/test_role_model.py 3 1 1 2` counts them:
 
     1 1 1 2      1,708   all
     2 0 0 1     10,778   all
