--- a/kestrelplank/gateway/status.py
+++ b/kestrelplank/gateway/status.py
@@ -4,6 +4,7 @@
 
 from kestrelplank.command_output import ExitCode, print_json
 from kestrelplank.control.status import MemberStatus, ServiceStatus
+from kestrelplank.control.usage_status import UsageStatus
 from kestrelplank.gateway.control_client import fetch_status
 
 
@@ -21,6 +22,8 @@
         print(f"edge {name}: configuration {edge.configuration_version}, last heard {edge.last_heard_s} s ago")
     for name, service in member.services.items():
         print_service(name, service)
+    if member.usage is not None:
+        print_usage(member.usage)
     return ExitCode.DONE
 
 
@@ -49,3 +52,10 @@
         )
     for server, speeds in service.learned_speeds.items():
         print(f"  learned speeds of {server}: {', '.join(map(str, speeds))}")
+
+
+def print_usage(usage: UsageStatus) -> None:
+    """Print which windows of usage are fixed and reported, and how late the oldest report is."""
+    due = "nothing due" if usage.overdue_s is None else f"the oldest due for {usage.overdue_s} s"
+    print(f"usage: fixed through window {usage.fixed_through}, reported through {usage.reported_through}, ", end="")
+    print(f"{usage.unreported} unreported, {due}; {usage.edges} edges, {usage.late_counts} late counts")
