--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -299,7 +299,7 @@
 
     def status(self, now: int) -> MemberStatus:
         """Return the status of this member for operators, without edge machines."""
-        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners, self._roles)
         return status if self._usage is None else msgspec.structs.replace(status, usage=self._usage.status(now))
 
     # Effects of the consensus node (`consensus.effects`), which are events here.
