--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -226,7 +226,8 @@
         self.lifecycle.tick(now)
         if self.node.leads(now):
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
-            self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
+            if self._roles.configured:
+                self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
         if self._usage is not None:
             self._usage.tick(now, wall_time_ns)
