--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -53,7 +53,7 @@
 from kestrelplank.storage.log_file import LogFile
 from kestrelplank.time_units import SECOND, seconds_to_ns
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, LoadReport, ToMember, decode_at_member
-from kestrelplank.transport.wire import FrameConnection, encode_frame
+from kestrelplank.transport.wire import FrameConnection
 from kestrelplank.usage.messages import UsageCounts
 from kestrelplank.usage.policy import usage_policy
 from kestrelplank.usage.usage_reporter import CallResult, PlatformCall
@@ -274,7 +274,7 @@
             case Persist():
                 self._log_writer.write(effect)
             case PushToEdges():
-                self._inbound.send_to_edges(encode_frame(effect.message))
+                self._inbound.send_to_edges(effect.message)
             case CallServer():
                 self._call_server(effect)
             case ReportUsage():
@@ -335,10 +335,14 @@
                 assert_never(message)
 
     def _handle_edge_heartbeat(self, now: int, connection: MemberConnection, heartbeat: EdgeHeartbeat) -> None:
-        if not self._inbound.handle_edge_heartbeat(now, connection, heartbeat.edge, heartbeat.configuration_version):
+        session = self._inbound.handle_edge_heartbeat(
+            now, connection, heartbeat.edge, heartbeat.configuration_version, self._member.state.version
+        )
+        if session is None:
             return
-        for answer in self._member.handle_edge_heartbeat(now, heartbeat, self._inbound.edge_count):
-            connection.send(answer)
+        edge_count, sent_version = self._inbound.edge_count, session.sent_version
+        for answer in self._member.handle_edge_heartbeat(now, heartbeat, edge_count, sent_version):
+            self._inbound.send_to_edge(session, answer)
 
     def _handle_usage_counts(self, now: int, connection: MemberConnection, counts: UsageCounts) -> None:
         reply = self._member.handle_usage_counts(now, counts)
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -93,7 +93,7 @@
         self.roles = RoleTable()
         self.usage = UsageLedger()
         self._sharded_services: frozenset[str] | None = frozenset()  # None: unknown, so any service may be
-        self._parsed: Configuration | None = None
+        self._parsed: Configuration | None = None  # while `_parse_pending`, of the former order
         self._parse_pending = False
 
     @property
@@ -183,8 +183,9 @@
     def _set_configuration(self, order: PutConfiguration | None) -> None:
         self._configuration = order
         self._sharded_services = frozenset() if order is None else sharded_services(order.text)
-        self._parsed = None
         self._parse_pending = order is not None
+        if order is None:
+            self._parsed = None
 
     def _may_have_record(self, service: str) -> bool:
         return self._sharded_services is None or service in self._sharded_services
@@ -194,7 +195,7 @@
     """Return the services that a configuration shards, without parsing the rest; None if the text can't be decoded."""
     try:
         outline = msgspec.json.decode(text, type=ConfigurationOutline)
-    except (msgspec.DecodeError, RecursionError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return frozenset(service.name for service in outline.service_table if service.sharded)
 
--- a/kestrelplank/transport/edge_view.py
+++ b/kestrelplank/transport/edge_view.py
@@ -7,6 +7,7 @@
 from kestrelplank.configuration.route_table import Configuration
 from kestrelplank.consensus.member_messages import ServerListUpdate
 from kestrelplank.time_units import MILLISECOND, SECOND
+from kestrelplank.transport.configuration_arrival import ConfigurationArrival, Delivery
 from kestrelplank.transport.key_range_table import KeyRangeTable
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
@@ -20,7 +21,7 @@
 
 SESSION_TIMEOUT_NS = 1500 * MILLISECOND  # without a message; the session is then ended and reopened
 CONFIRMATION_MAX_AGE_NS = SECOND  # since this edge sent the heartbeat that the confirmation answers
-SEED_FALLBACK_DELAY_NS = SECOND  # without a message from any member; the seeds are then dialled too
+SEED_FALLBACK_DELAY_NS = SECOND  # without a heartbeat of a current member; the seeds are then dialled too
 
 
 class Change(Enum):
@@ -54,8 +55,8 @@
       (`test_a_key_range_delta_is_applied_only_to_its_base_version`).
 
     :param name: this machine's name.
-    :param seeds: control addresses, dialled until a member has sent the membership, and again while no member sends
-        messages.
+    :param seeds: control addresses, dialled until a current member has sent the membership, and again while no current
+        member sends heartbeats.
     """
 
     def __init__(self, name: str, seeds: tuple[str, ...]) -> None:
@@ -63,22 +64,23 @@
         self.members: tuple[str, ...] = ()  # control addresses of the newest membership known
         self.epoch, self.term, self.leader = -1, -1, ""
         self.configuration: Configuration | None = None
+        self.configuration_arrival: ConfigurationArrival | None = None
+        self.rejected_configurations = 0  # updates with a text that this release can't parse
         self.key_ranges: dict[str, KeyRangeTable] = {}  # by service
         self.servers = ServerList()
         self.edge_count = 1  # edge machines that share the servers, including this one
-        self._member_heard_at: int | None = None
+        self._announced_versions: dict[str, int | None] = {}  # by member: the version in its last heartbeat
+        self._current_member_heard_at: int | None = None
         # When this machine sent the last heartbeat whose answer confirmed the configuration; None: there is none.
         self._confirmed_at: int | None = None
 
     def receive(self, now: int, member: str, message: ViewUpdate) -> Change | None:
         """Update the view from a message of the member at that address; return the part that changed, if any."""
-        if member in self.members:
-            self._member_heard_at = now
         match message:
             case MemberHeartbeat():
                 return self._handle_heartbeat(now, member, message)
             case ConfigurationUpdate():
-                return self._handle_configuration(message)
+                return self._handle_configuration(now, member, message)
             case KeyRangesUpdate():
                 return self._handle_key_ranges(message)
             case KeyRangesDelta():
@@ -90,6 +92,7 @@
 
     def _handle_heartbeat(self, now: int, member: str, heartbeat: MemberHeartbeat) -> Change | None:
         """Update members and leader, and record whether the configuration is confirmed."""
+        self._announced_versions[member] = heartbeat.configuration_version
         if heartbeat.epoch < self.epoch:
             return None  # from a former membership: it can't confirm, and its data is older
         self.edge_count = max(1, heartbeat.edge_count)
@@ -99,7 +102,8 @@
         if changed:
             self.epoch, self.members = heartbeat.epoch, heartbeat.voters
         if member in self.members:
-            self._member_heard_at = now  # `receive` did not if this heartbeat added the member
+            if heartbeat.is_current:
+                self._current_member_heard_at = now
             if self._confirms_configuration(now, heartbeat):
                 self._confirmed_at = max(heartbeat.heartbeat_sent_at, self._confirmed_at or 0)
         return Change.MEMBERS if changed else None
@@ -112,13 +116,20 @@
         in_force = heartbeat.configuration_version
         return in_force is None or in_force <= self.configuration.key.version
 
-    def _handle_configuration(self, update: ConfigurationUpdate) -> Change | None:
+    def _handle_configuration(self, now: int, member: str, update: ConfigurationUpdate) -> Change | None:
         if self.configuration is not None and update.version <= self.configuration.key.version:
             return None
         configuration = parse_configuration(update.text, self.configuration).value_or(None)
         if configuration is None:
+            self.rejected_configurations += 1
             return None
         self.configuration = configuration
+        # A member that answers a heartbeat names the version before it sends the update.
+        answers = self._announced_versions.get(member) == update.version
+        delivery = Delivery.ANSWER if answers else Delivery.PUSH
+        self.configuration_arrival = ConfigurationArrival(
+            update.version, member, delivery, self.confirmation_age_ns(now)
+        )
         return Change.CONFIGURATION
 
     def _handle_key_ranges(self, update: KeyRangesUpdate) -> Change | None:
@@ -160,11 +171,20 @@
 
     def is_confirmed(self, now: int, max_age_ns: int) -> bool:
         """Whether a current member has confirmed the configuration in answer to a heartbeat of at most that age."""
-        return self._confirmed_at is not None and now - self._confirmed_at <= max_age_ns
+        age_ns = self.confirmation_age_ns(now)
+        return age_ns is not None and age_ns <= max_age_ns
+
+    def confirmation_age_ns(self, now: int) -> int | None:
+        """Return the time since the heartbeat whose answer last confirmed the configuration; None: there is none."""
+        return None if self._confirmed_at is None else now - self._confirmed_at
 
     def addresses_to_dial(self, now: int) -> tuple[str, ...]:
-        """Return the control addresses to connect to: the members, and also the seeds if no member sends messages."""
-        if self._member_heard_at is not None and now - self._member_heard_at < SEED_FALLBACK_DELAY_NS:
+        """Return the control addresses to connect to: the members, and also the seeds if no current member is heard.
+
+        A member that is cut off from the others may know only voters that have been replaced.
+        """
+        heard_at = self._current_member_heard_at
+        if heard_at is not None and now - heard_at < SEED_FALLBACK_DELAY_NS:
             return self.members
         return tuple(dict.fromkeys((*self.members, *self.seeds)))
 
--- a/tests/transport/test_edge_view.py
+++ b/tests/transport/test_edge_view.py
@@ -4,6 +4,7 @@
 
 from kestrelplank.consensus.member_messages import ServerListUpdate
 from kestrelplank.time_units import SECOND
+from kestrelplank.transport.configuration_arrival import ConfigurationArrival, Delivery
 from kestrelplank.transport.edge_view import CONFIRMATION_MAX_AGE_NS, SEED_FALLBACK_DELAY_NS, Change, EdgeView
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
@@ -124,6 +125,18 @@
     assert view.addresses_to_dial(SEED_FALLBACK_DELAY_NS) == ("d:1", "c:1")
 
 
+# Guards against an edge that keeps an older configuration: the only member that it talks to is cut off from the others,
+# and it never dials the seeds, which know the voters that have replaced them.
+def test_a_member_that_is_not_current_does_not_keep_an_edge_from_the_seeds():
+    view, cut_off, replaced = EdgeView("edge-1", ("a:1", "d:1")), "a:1", ("b:1", "c:1")
+    for now in range(0, 4 * SEED_FALLBACK_DELAY_NS, SEED_FALLBACK_DELAY_NS // 4):
+        view.receive(now, cut_off, heartbeat(5, is_current=False, heartbeat_sent_at=now))
+        view.receive(now, cut_off, configuration(5))
+        assert view.addresses_to_dial(now) == (cut_off, *replaced, "d:1")
+    view.receive(now, "d:1", heartbeat(9, voters=("d:1", "e:1"), epoch=3))
+    assert view.addresses_to_dial(now) == ("d:1", "e:1")
+
+
 def test_reports_are_sent_to_the_leader_of_the_newest_term():
     view = EdgeView("edge-1", MEMBERS)
     assert view.assigner_address("views") is None
@@ -143,9 +156,23 @@
     assert view.key_ranges["views"].holder_of(7).server == "s"
 
 
-def test_an_invalid_configuration_is_ignored():
+def test_an_invalid_configuration_is_ignored_and_counted():
     view = EdgeView("edge-1", MEMBERS)
     assert view.receive(0, "a:1", ConfigurationUpdate(9, b"{")) is None and view.configuration is None
+    assert view.rejected_configurations == 1 and view.configuration_arrival is None
+
+
+def test_the_arrival_of_a_configuration_says_who_sent_it_why_and_how_late_it_may_be():
+    view = view_with_configuration(5)
+    assert view.configuration_arrival == ConfigurationArrival(5, "a:1", Delivery.PUSH, None)
+    view.receive(SECOND, "a:1", heartbeat(5, heartbeat_sent_at=SECOND - 3))
+    view.receive(SECOND, "b:1", heartbeat(5, heartbeat_sent_at=SECOND - 9))
+    view.receive(2 * SECOND, "b:1", heartbeat(6))  # names it, but the update of another member comes first
+    view.receive(2 * SECOND, "a:1", configuration(6))
+    assert view.configuration_arrival == ConfigurationArrival(6, "a:1", Delivery.PUSH, SECOND + 3)
+    view.receive(3 * SECOND, "b:1", heartbeat(7, heartbeat_sent_at=3 * SECOND))
+    view.receive(3 * SECOND, "b:1", configuration(7))
+    assert view.configuration_arrival == ConfigurationArrival(7, "b:1", Delivery.ANSWER, 2 * SECOND + 3)
 
 
 def test_a_key_range_delta_is_applied_only_to_its_base_version():
