--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -206,12 +206,15 @@
         """Record an edge machine's report on the load of servers and keys."""
         self._assigners.handle_load_report(now, report)
 
-    def handle_edge_heartbeat(self, now: int, heartbeat: EdgeHeartbeat, edge_count: int) -> list[ToEdge]:
+    def handle_edge_heartbeat(
+        self, now: int, heartbeat: EdgeHeartbeat, edge_count: int, sent_version: int | None = None
+    ) -> list[ToEdge]:
         """Return the messages that answer an edge machine's heartbeat.
 
         :param edge_count: the number of edge machines in session.
+        :param sent_version: of the newest configuration sent on the connection of the heartbeat; None: none was.
         """
-        return self._edge_updates.handle_edge_heartbeat(now, heartbeat, edge_count)
+        return self._edge_updates.handle_edge_heartbeat(now, heartbeat, edge_count, sent_version)
 
     def tick(self, now: int, log_size_bytes: int = 0, wall_time_ns: int | None = None) -> list[Effect]:
         """Do all timed work that is due. Must be called at least every 50 ms.
@@ -226,7 +229,8 @@
         self.lifecycle.tick(now)
         if self.node.leads(now):
             self._reconciler.tick(now, stopping=self.lifecycle.stopping)
-            self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
+            if self._roles.configured:
+                self._roles.assign(now, self._reconciler.candidates(now, stopping=self.lifecycle.stopping))
             self._assigners.tick(now)
         if self._usage is not None:
             self._usage.tick(now, wall_time_ns)
@@ -299,7 +303,7 @@
 
     def status(self, now: int) -> MemberStatus:
         """Return the status of this member for operators, without edge machines."""
-        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners)
+        status = member_status(now, self._replica, self.lifecycle, self._servers, self._assigners, self._roles)
         return status if self._usage is None else msgspec.structs.replace(status, usage=self._usage.status(now))
 
     # Effects of the consensus node (`consensus.effects`), which are events here.
--- a/kestrelplank/control/program.py
+++ b/kestrelplank/control/program.py
@@ -48,11 +48,12 @@
 from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import PlatformSettings
 from kestrelplank.sharding.effects import ServerCallResult
+from kestrelplank.state.role_table import RoleId
 from kestrelplank.storage.disk_thread import DiskThread
 from kestrelplank.storage.log_file import LogFile
 from kestrelplank.time_units import SECOND, seconds_to_ns
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, LoadReport, ToMember, decode_at_member
-from kestrelplank.transport.wire import FrameConnection, encode_frame
+from kestrelplank.transport.wire import FrameConnection
 from kestrelplank.usage.messages import UsageCounts
 from kestrelplank.usage.policy import usage_policy
 from kestrelplank.usage.usage_reporter import CallResult, PlatformCall
@@ -70,6 +71,9 @@
 OPERATOR_DRAIN_S = 1
 """How long calls in flight may take to finish when the program stops."""
 
+ROLE_BY_DUTY = {"usage": USAGE_REPORT, "usage_report": USAGE_REPORT}
+"""The singleton role for each name in `platform.cloud_api.duties`."""
+
 log = logging.getLogger("control")
 
 
@@ -90,6 +94,14 @@
     return await ControlProgram(settings, random, disk, file, member).run(stop)
 
 
+def configured_roles(duties: list[str]) -> tuple[RoleId, ...]:
+    """Return the singleton roles that the platform's settings list; unknown names are logged and ignored."""
+    unknown = [name for name in duties if name not in ROLE_BY_DUTY]
+    if unknown:
+        log.warning("Control: platform.cloud_api.duties: ignored, as unknown: %s", ", ".join(unknown))
+    return tuple(dict.fromkeys(ROLE_BY_DUTY[name] for name in duties if name in ROLE_BY_DUTY))
+
+
 def stop_on_signals() -> asyncio.Event:
     """Return an event that SIGTERM or SIGINT sets. SIGHUP is ignored, as settings are only read at the start."""
     stop = asyncio.Event()
@@ -114,7 +126,7 @@
         machine_losses=settings.fault_tolerance.machine_losses,
         stop_grace_ns=seconds_to_ns(settings.bounds.grace_s),
         max_key_lease_ns=seconds_to_ns(settings.bounds.max_hold_s),
-        roles=() if usage is None else (USAGE_REPORT,),
+        roles=configured_roles(settings.cloud_api.duties),
         role_lease_ns=seconds_to_ns(settings.bounds.lease_s),
         usage=usage,
     )
@@ -262,7 +274,7 @@
             case Persist():
                 self._log_writer.write(effect)
             case PushToEdges():
-                self._inbound.send_to_edges(encode_frame(effect.message))
+                self._inbound.send_to_edges(effect.message)
             case CallServer():
                 self._call_server(effect)
             case ReportUsage():
@@ -323,10 +335,14 @@
                 assert_never(message)
 
     def _handle_edge_heartbeat(self, now: int, connection: MemberConnection, heartbeat: EdgeHeartbeat) -> None:
-        if not self._inbound.handle_edge_heartbeat(now, connection, heartbeat.edge, heartbeat.configuration_version):
+        session = self._inbound.handle_edge_heartbeat(
+            now, connection, heartbeat.edge, heartbeat.configuration_version, self._member.state.version
+        )
+        if session is None:
             return
-        for answer in self._member.handle_edge_heartbeat(now, heartbeat, self._inbound.edge_count):
-            connection.send(answer)
+        edge_count, sent_version = self._inbound.edge_count, session.sent_version
+        for answer in self._member.handle_edge_heartbeat(now, heartbeat, edge_count, sent_version):
+            self._inbound.send_to_edge(session, answer)
 
     def _handle_usage_counts(self, now: int, connection: MemberConnection, counts: UsageCounts) -> None:
         reply = self._member.handle_usage_counts(now, counts)
--- a/kestrelplank/settings/platform.py
+++ b/kestrelplank/settings/platform.py
@@ -71,6 +71,7 @@
     revoke_s: int | float = 5
     report_interval_s: int | float = 5
     usage_delay_s: int | float = 10
+    fencing_enabled: bool = False
     lease_s: int | float = 3
 
 
@@ -163,12 +164,15 @@
         "policy_terms.bounds.revoke_s": settings.bounds.revoke_s,
         "policy_terms.bounds.report_interval_s": settings.bounds.report_interval_s,
         "policy_terms.bounds.usage_delay_s": settings.bounds.usage_delay_s,
-        "policy_terms.bounds.lease_s": settings.bounds.lease_s,
         "platform.cloud_api.duty_rate_s": settings.cloud_api.duty_rate_s,
     }
     for name, value in positive.items():
         if value <= 0:
             raise InvalidSettingsError(f"expected a number greater than 0, got {value}", field=name)
+    if settings.bounds.lease_s < 0:
+        raise InvalidSettingsError(
+            f"expected 0 or more, got {settings.bounds.lease_s}", field="policy_terms.bounds.lease_s"
+        )
     losses = settings.fault_tolerance.machine_losses
     if losses < 0:
         raise InvalidSettingsError(
--- a/tests/state/test_control_state.py
+++ b/tests/state/test_control_state.py
@@ -10,6 +10,7 @@
 
 from kestrelplank.configuration.parsing import parse_configuration
 from kestrelplank.consensus.log_entries import (
+    AssignRole,
     ChangeMembership,
     Entry,
     Noop,
@@ -19,6 +20,7 @@
 from kestrelplank.consensus.membership import Membership
 from kestrelplank.decode import MalformedError
 from kestrelplank.state.control_state import NO_CHANGE, ApplyResult, ControlState
+from kestrelplank.state.role_table import RoleAssignment
 
 MEMBERS = ChangeMembership(Membership(2, ("a:1/first", "b:1/first")))
 
@@ -127,6 +129,20 @@
     assert state.parsed.key.version == 7
 
 
+def test_the_next_version_reuses_the_index_of_an_unchanged_tenant_list():
+    def tenants_order(version, *tenants):
+        text = encoded(version=f"{version:08x}", tenants=list(tenants))
+        return PutConfiguration(version, parse_configuration(text).unwrap().key.digest, text)
+
+    first, second = {"name": "acme", "api_keys": ["first"]}, {"name": "acme", "api_keys": ["second"]}
+    state, _ = applied(tenants_order(5, first))
+    index = state.parsed.tenants
+    state.apply(Entry(2, 1, tenants_order(6, first)))
+    assert state.parsed.key.version == 6 and state.parsed.tenants is index
+    state.apply(Entry(3, 1, tenants_order(7, second)))
+    assert state.parsed.tenants is not index and state.parsed.tenants.find(b"first") is None
+
+
 def test_unparsable_configuration_is_in_force_and_drops_no_record():
     state, _ = applied(FIVE, VIEWS, PutConfiguration(6, "d", b"{not whole"))
     assert state.version == 6 and state.parsed is None and state.records == {"views": b"v"}
@@ -194,6 +210,29 @@
             ControlState().restore(snapshot[:end])
 
 
+def test_newest_assignment_of_each_role_survives_a_snapshot():
+    state = ControlState()
+    for index, holder in enumerate(("a:1/x", "b:1/x", "a:1/y"), 5):
+        state.apply(Entry(index, 1, AssignRole("usage_report", 0, holder, 9, True)))
+    state.apply(Entry(8, 1, AssignRole("probe", 1, "b:1/x", 9, False)))
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    assert list(restored.roles.assignments.values()) == [
+        RoleAssignment("probe", 1, "b:1/x", 9, 8, False),
+        RoleAssignment("usage_report", 0, "a:1/y", 9, 7, True),
+    ]
+    assert restored.snapshot() == state.snapshot()
+
+
+def test_snapshot_without_roles_has_the_bytes_of_older_releases_and_clears_the_roles():
+    without = applied(BOTH_SHARDED, VIEWS)[0].snapshot()
+    assert len(msgspec.msgpack.decode(without)) == 3
+    state = ControlState()
+    state.apply(Entry(5, 1, AssignRole("usage_report", 0, "a:1/x", 9, True)))
+    state.restore(without)
+    assert not state.roles.assignments
+
+
 @given(some.integers(0, 1 << 32), some.integers(0, 30))
 def test_version_never_decreases_and_state_stays_bounded(seed, cut):
     random = Random(seed)
@@ -204,6 +243,7 @@
         VIEWS_2,
         ORDERS,
         PutRecord("carts", b"c"),
+        AssignRole("usage_report", 0, "a:1/x", 9, True),
         FIVE,
         OTHER_FIVE,
         BOTH_SHARDED,
