--- a/kestrelplank/rehearsal/gateway_processes.py
+++ b/kestrelplank/rehearsal/gateway_processes.py
@@ -108,14 +108,12 @@
 
     async def start(self, machine: Machine) -> None:
         """Start the machine's process."""
-        self._running[machine] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "kestrelplank.gateway",
-            machine.role.value,
-            f"--settings={machine.settings_path}",
-            f"--level={self._log_level}",
-        )
+        self._running[machine] = await asyncio.create_subprocess_exec(*self.command(machine))
+
+    def command(self, machine: Machine) -> list[str]:
+        """Return the program and arguments of the machine's process."""
+        program = [sys.executable, "-m", "kestrelplank.gateway", machine.role.value]
+        return [*program, f"--settings={machine.settings_path}", f"--level={self._log_level}"]
 
     async def restart(self, machine: Machine) -> None:
         """Start the machine's process to join a gateway that already exists."""
--- a/kestrelplank/rehearsal/simulated_server.py
+++ b/kestrelplank/rehearsal/simulated_server.py
@@ -85,12 +85,16 @@
         if body is None:
             return
         if scope["path"] in (GRANT_PATH, RELEASE_PATH):
-            call = msgspec.json.decode(body, type=GrantCall)
-            status = self.grant(call) if scope["path"] == GRANT_PATH else self.release(call)
-            await send_answer(send, status, [(b"x-handover", b"h")], b"")
+            await self.answer_key_call(scope["path"], body, send)
         else:
             await send_answer(send, *await self.request(dict(scope["headers"]), body))
 
+    async def answer_key_call(self, path: str, body: bytes, send: Send) -> None:
+        """Answer a call that grants or releases keys, made at `GRANT_PATH` or `RELEASE_PATH`."""
+        call = msgspec.json.decode(body, type=GrantCall)
+        status = self.grant(call) if path == GRANT_PATH else self.release(call)
+        await send_answer(send, status, [(b"x-handover", b"h")], b"")
+
     # Keys.
 
     def holds_key(self, key: int, now: float) -> bool:
--- a/kestrelplank/rehearsal/soak_processes.py
+++ b/kestrelplank/rehearsal/soak_processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import sys
 from pathlib import Path
 
 import msgspec
@@ -68,16 +67,7 @@
     async def _start_process(self, machine: Machine) -> asyncio.subprocess.Process:
         """Start a process, with its log appended to a file."""
         with (self.logs / f"{machine.settings_path.stem}.log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "kestrelplank.gateway",
-                machine.role.value,
-                f"--settings={machine.settings_path}",
-                f"--level={self._log_level}",
-                stdout=log,
-                stderr=log,
-            )
+            return await asyncio.create_subprocess_exec(*self.command(machine), stdout=log, stderr=log)
 
     async def _watch(self, machine: Machine, process: asyncio.subprocess.Process) -> None:
         """Record an end that was not asked for."""
--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -6,8 +6,6 @@
 from http import HTTPStatus
 from random import Random
 
-import msgspec
-
 from kestrelplank.http.asgi import Headers, Receive, Scope, Send
 from kestrelplank.rehearsal.asgi import receive_body, send_answer
 from kestrelplank.rehearsal.observations import Observations
@@ -58,9 +56,7 @@
         if body is None:
             return
         if scope["path"] in (GRANT_PATH, RELEASE_PATH):
-            call = msgspec.json.decode(body, type=GrantCall)
-            status = self.grant(call) if scope["path"] == GRANT_PATH else self.release(call)
-            await send_answer(send, status, [(b"x-handover", b"h")], b"")
+            await self.answer_key_call(scope["path"], body, send)
         elif scope["path"] == HEALTH_PATH:
             status = HTTPStatus.OK if self.state == "ready" else HTTPStatus.SERVICE_UNAVAILABLE
             await send_answer(send, status, [(b"x-instance-id", self.name.encode())], b"")
