--- a/review/standins.py
+++ b/review/standins.py
@@ -349,6 +349,7 @@
         entries = [self._entry(server) for server in self._servers if self._is_listed(server)]
         page = entries[begin : begin + self.page_size]
         token = f"p-{begin + self.page_size}" if begin + self.page_size < len(entries) else None
+        self._record.write(f"platform lists {' '.join(str(entry['server_id']) for entry in page)}")
         answer = json.dumps({"instances": page, "next_token": token}).encode()
         return 200, {"Content-Type": "application/json"}, answer
 
@@ -373,10 +374,14 @@
 
 
 class SlowPath:
-    """A proxy on the way to the platform; what the platform answers arrives `delay_s` later, in order."""
+    """A proxy between a machine and the platform; what the platform answers arrives `delay_s` later, in order.
 
-    def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+    :param name: of the machine.
+    """
+
+    def __init__(self, record: Record, name: str, address: tuple[str, int], target: tuple[str, int]) -> None:
         self.address, self._target = address, target
+        self._record, self._name = record, name
         self.delay_s = 0.02
 
     async def start(self) -> None:
@@ -402,7 +407,10 @@
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, delayed: bool) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                made_at = self._record.now()
                 await asyncio.sleep(self.delay_s if delayed else 0)
+                if delayed:
+                    self._record.write(f"the platform's answer of {made_at:.3f} arrives at {self._name}")
                 writer.write(data)
                 await writer.drain()
 
