--- a/review/standins.py
+++ b/review/standins.py
@@ -475,9 +475,10 @@
         """Write the settings files and start all processes."""
         for number, machine in enumerate(self.machines):
             machine.settings.write_text(self._settings(machine, number, platform_addresses[machine.name]))
-            await self._start(machine)
+            await self.start_process(machine)
 
-    async def _start(self, machine: Machine) -> None:
+    async def start_process(self, machine: Machine) -> None:
+        """Start the machine's process by the command of the deploy file."""
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env |= {"KESTRELPLANK_SETTINGS": str(machine.settings), "PYTHONPATH": str(ROOT / "target" / "deps")}
         log = (self._folder / f"{machine.name}.log").open("ab")
