--- a/review/standins.py
+++ b/review/standins.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import NamedTuple
@@ -26,6 +26,7 @@
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 CALL_ERRORS = (OSError, EOFError, ValueError, TimeoutError, asyncio.IncompleteReadError)
 REASONS = {200: "OK", 400: "Bad Request", 409: "Conflict", 421: "Misdirected Request", 503: "Service Unavailable"}
+CLOSE_POLL_S = 0.01
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -92,7 +93,14 @@
                 first, headers = await read_head(reader)
                 method, path, _ = first.split(" ")
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                status, answer_headers, answer = await self._handler(method, path, headers, body)
+                handling = asyncio.ensure_future(self._handler(method, path, headers, body))
+                try:
+                    while not (await asyncio.wait((handling,), timeout=CLOSE_POLL_S))[0]:
+                        if reader.at_eof() or reader.exception() is not None or writer.is_closing():
+                            return  # the caller has closed the connection: its request is dropped
+                    status, answer_headers, answer = handling.result()
+                finally:
+                    handling.cancel()
                 writer.write(encoded(f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}", answer_headers, answer))
                 await writer.drain()
         except (*CALL_ERRORS, asyncio.CancelledError):  # cancelled: the script ends
@@ -148,8 +156,22 @@
     running: dict[int, int] = field(default_factory=dict)  # requests at work, by key
 
 
+@dataclass
+class Run:
+    """A request's run at a server, and when its work is done, or was dropped as its connection was closed."""
+
+    attempt: str
+    life: str
+    began_at: float
+    done_at: float
+    dropped_at: float | None = None
+
+
 class Server:
-    """A server of one service. It works on `slots` requests at a time and turns away what it can't queue."""
+    """A server of one service. It works on `slots` requests at a time and turns away what it can't queue.
+
+    The work of a request takes 10 to 30 ms, or what its query asks for, as in `?work-ms=1500`.
+    """
 
     slots, queue = 2, 8
     work_s = (0.01, 0.03)
@@ -157,6 +179,7 @@
     def __init__(self, record: Record, service: str, address: tuple[str, int], zone: str, *, sharded: bool) -> None:
         self.record, self.service, self.address, self.zone, self.sharded = record, service, address, zone, sharded
         self.lives: list[Life] = []
+        self.runs: list[Run] = []
         self._http: HttpServer | None = None
         self._free_slots = asyncio.Semaphore(self.slots)
         self._waiting = 0
@@ -200,7 +223,7 @@
             return self._grant(life, json.loads(body))
         if path == "/api/release":
             return await self._release(life, json.loads(body))
-        return await self._request(life, headers, body)
+        return await self._request(life, path, headers, body)
 
     # Keys.
 
@@ -245,24 +268,41 @@
 
     # Requests.
 
-    async def _request(self, life: Life, headers: Headers, body: bytes) -> Answer:
+    @contextlib.asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        """Wait for a slot, and hold it."""
+        self._waiting += 1
+        try:
+            await self._free_slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            yield
+        finally:
+            self._free_slots.release()
+
+    async def _request(self, life: Life, path: str, headers: Headers, body: bytes) -> Answer:
         attempt, key_text = headers.get("x-attempt-id", ""), headers.get("x-shard-key")
         if not attempt:
             return 400, {"X-Not-Executed": "1"}, b""
         own = {"X-Attempt-Id": attempt}
         if self._waiting >= self.queue:
             return 503, {**own, "X-Not-Executed": "1"}, b""
-        self._waiting += 1
-        async with self._free_slots:
-            self._waiting -= 1
+        async with self._slot():
             if self.sharded and (key_text is None or not self.holds_key(int(key_text))):
                 self.record.write(f"server {life.name} answers 421 to request {attempt}: it doesn't hold {key_text}")
                 return 421, {**own, "X-Not-Executed": "1"}, b""
             key = int(key_text or 0)
+            work_s = float(path.partition("work-ms=")[2] or 0) / 1000 or random.uniform(*self.work_s)
             self.record.write(f"server {life.name} ({self.service}) runs request {attempt} key {key_text}")
+            run = Run(attempt, life.name, self.record.now(), self.record.now() + work_s)
+            self.runs.append(run)
             life.running[key] = life.running.get(key, 0) + 1
             try:
-                await asyncio.sleep(random.uniform(*self.work_s))
+                await asyncio.sleep(work_s)
+            except asyncio.CancelledError:
+                run.dropped_at = self.record.now()
+                raise
             finally:
                 life.running[key] -= 1
         load = f"{self.slots - self._free_slots._value + 1},{self._waiting},{self.slots}"  # noqa: SLF001
