--- a/review/3/case.py
+++ b/review/3/case.py
@@ -112,7 +112,7 @@
             run, seconds = at_work[-1], sent.answered_at - sent.sent_at
             record.write(
                 f"LOST: {sent.attempt} is answered {sent.status} by the edge after {seconds:.3f} s;"
-                f" {run.life} was at work on it and would have been done {run.done_at - sent.answered_at:.3f} s later"
+                f" {run.life} was at work on it, and {run.done_at - sent.answered_at:.3f} s of the work were left"
             )
     record.write(f"{broken} of {len(answered)} requests were broken off and answered by the edge")
     return BROKEN if broken and TROUBLE else HELD
--- a/review/standins.py
+++ b/review/standins.py
@@ -25,7 +25,14 @@
 Answer = tuple[int, Headers, bytes]
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 CALL_ERRORS = (OSError, EOFError, ValueError, TimeoutError, asyncio.IncompleteReadError)
-REASONS = {200: "OK", 400: "Bad Request", 409: "Conflict", 421: "Misdirected Request", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    409: "Conflict",
+    421: "Misdirected Request",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 CLOSE_POLL_S = 0.01
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -288,6 +295,7 @@
         own = {"X-Attempt-Id": attempt}
         if self._waiting >= self.queue:
             return 503, {**own, "X-Not-Executed": "1"}, b""
+        stop_at = self.record.now() + float(headers.get("x-deadline-remaining", "30000")) / 1000
         async with self._slot():
             if self.sharded and (key_text is None or not self.holds_key(int(key_text))):
                 self.record.write(f"server {life.name} answers 421 to request {attempt}: it doesn't hold {key_text}")
@@ -295,11 +303,14 @@
             key = int(key_text or 0)
             work_s = float(path.partition("work-ms=")[2] or 0) / 1000 or random.uniform(*self.work_s)
             self.record.write(f"server {life.name} ({self.service}) runs request {attempt} key {key_text}")
+            remaining_s = stop_at - self.record.now()
+            if remaining_s <= 0:
+                return 503, {**own, "X-Not-Executed": "1"}, b""
             run = Run(attempt, life.name, self.record.now(), self.record.now() + work_s)
             self.runs.append(run)
             life.running[key] = life.running.get(key, 0) + 1
             try:
-                await asyncio.sleep(work_s)
+                await asyncio.sleep(min(work_s, remaining_s))
             except asyncio.CancelledError:
                 run.dropped_at = self.record.now()
                 raise
@@ -307,6 +318,8 @@
                 life.running[key] -= 1
         load = f"{self.slots - self._free_slots._value + 1},{self._waiting},{self.slots}"  # noqa: SLF001
         seal = {"X-Server-Seal": f"{life.name}.{len(body)}", "X-Server-Load": load}
+        if work_s > remaining_s:  # "A conductor stops its work at the value that it is handed."
+            return 504, {**own, **seal}, b"stopped at the deadline"
         return 200, {**own, **seal}, f"{self.service} {attempt}".encode()
 
 
@@ -323,24 +336,26 @@
 def double_holds(servers: Iterable[Server], longer_than_s: float) -> list[DoubleHold]:
     """Return where two servers that were up held the same keys for longer than that, the longest first."""
     by_life: dict[str, list[Hold]] = {}
+    now = 0.0
     for server in servers:
+        now = server.record.now()
         for life in server.lives:
             by_life[life.name] = joined(life.holds)
     found = []
     names = sorted(by_life)
     for number, one in enumerate(names):
         for other in names[number + 1 :]:
-            found += overlaps(by_life[one], by_life[other], longer_than_s)
+            found += overlaps(by_life[one], by_life[other], now, longer_than_s)
     return sorted(found, key=lambda double: double.begins_at - double.ends_at)
 
 
-def overlaps(holds: list[Hold], others: list[Hold], longer_than_s: float) -> list[DoubleHold]:
-    """Return the overlaps of two lives' holds."""
+def overlaps(holds: list[Hold], others: list[Hold], now: float, longer_than_s: float) -> list[DoubleHold]:
+    """Return the overlaps of two lives' holds until now."""
     found = []
     for hold in holds:
         for other in others:
             first, last = max(hold.first, other.first), min(hold.last, other.last)
-            since, until = max(hold.since, other.since), min(hold.until, other.until)
+            since, until = max(hold.since, other.since), min(hold.until, other.until, now)
             if first <= last and until - since > longer_than_s:
                 found.append(DoubleHold(first, last, (hold.life, other.life), since, until))
     return found
@@ -722,13 +737,16 @@
     record.write(f"TROUBLE={'1' if TROUBLE else '0'}")
 
     async def limited(temporary: Path) -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # all processes are ended then too
         async with asyncio.timeout(limit_s):
             return await script(record, temporary)
 
     with tempfile.TemporaryDirectory() as temporary:
         try:
             result = asyncio.run(limited(Path(temporary)))
-        except (CouldNotRunError, TimeoutError) as err:
+        except (CouldNotRunError, TimeoutError, asyncio.CancelledError) as err:
             record.write(f"could not run: {err!r}")
             result = COULD_NOT_RUN
     words = {BROKEN: "the rule is broken", HELD: "the rule holds", COULD_NOT_RUN: "the case could not run"}
