Control: a sharded service that leaves and comes back keeps its servers and versions

Cause: the record and the leader's assigner were dropped with the service, though servers go by leases and fencing tokens that ran on, and edges by versions. The next assigner took all keys for unowned, and its versions began anew in the same term.

Change: the record stays in the replicated state, and the assigner is suspended: it sends nothing, keeps leases, tokens and version, and goes on when the service is back, under this leader; a later leader starts from the record. After ten minutes and the longest lease the leader proposes an empty record, which removes it; members of older releases ignore that entry. A first record that comes too late to be taken is forgotten by the leader as well.

test_entries_result_in_the_expected_state demanded that a record is dropped with its service, which is the fault; it now demands that it stays, and that only an empty record removes it, and the bound of the state is checked after each of 30 random entries.

--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -353,7 +353,7 @@
     def _handle_configuration_in_force(self, now: int, order: PutConfiguration) -> None:
         self._replica.log(f"configuration {order.version:08x} is in force: its entry is committed")
         self._replica.emit(WriteConfigurationCopy(order.version, order.text))
-        self._assigners.retain_only(self._replica.sharded_services())
+        self._assigners.handle_configuration()
         if self.node.leads(now):
             self._replica.emit(PushToEdges(ConfigurationUpdate(order.version, order.text)))
 
--- a/kestrelplank/control/replica.py
+++ b/kestrelplank/control/replica.py
@@ -81,6 +81,10 @@
             if isinstance(event, consensus.Persist):
                 self._compaction_number = event.number
 
+    def has_applied_all(self) -> bool:
+        """Whether every entry of this member's log is applied to the state."""
+        return self.node.applied_index == self.node.log.last_index
+
     # Committed state.
 
     def voters(self) -> tuple[str, ...]:
--- a/kestrelplank/control/shard_assigner.py
+++ b/kestrelplank/control/shard_assigner.py
@@ -55,7 +55,7 @@
 class ShardAssigner:
     """Assigns the keys of one service to its servers while this member leads.
 
-    :param term: the leader's term.
+    :param since: the leader's term, and the number of the last record of the service in that term; 0: none.
     :param record: the newest record in the log.
     :param latency_target_ns: the target for the service's response times.
     :param seed: seed of the placement's random numbers.
@@ -66,7 +66,7 @@
         self,
         now: int,
         service: str,
-        term: int,
+        since: KeyRangesVersion,
         record: ShardRecord,
         servers: list[ShardServer],
         latency_target_ns: int,
@@ -74,12 +74,11 @@
         max_lease_ns: int = DEFAULT_MAX_LEASE_NS,
     ) -> None:
         self.service = service
-        self.key_ranges = KeyRanges(now, term, record.ranges, record.max_lease_ns)
+        self.key_ranges = KeyRanges(now, since.term, record.ranges, record.max_lease_ns)
         self._lease_terms = LeaseTermsPolicy(max_lease_ns)
         self.key_ranges.handle_server_list(now, servers)
         self.placement = Placement(now, seed, self.key_ranges, latency_target_ns, record.learned_speeds)
-        self._term = term
-        self._record_number = 0
+        self._term, self.last_record_number = since.term, since.record
         self._committed = record
         self._proposed: ShardRecord | None = None
         self._version = record.version
@@ -171,9 +170,9 @@
         return [self._push_releasing(releasing), *effects] if releasing else effects
 
     def _propose(self, due: RecordKeyRanges) -> CommitRecord:
-        self._record_number += 1
+        self.last_record_number += 1
         learned_speeds = self.placement.learned_speeds()
-        self._proposed = ShardRecord(self._term, self._record_number, due.ranges, learned_speeds, due.max_lease_ns)
+        self._proposed = ShardRecord(self._term, self.last_record_number, due.ranges, learned_speeds, due.max_lease_ns)
         return CommitRecord(encode_record(self._proposed))
 
     def _push_releasing(self, releasing: list[KeyRange]) -> PushKeyRanges:
--- a/kestrelplank/state/control_state.py
+++ b/kestrelplank/state/control_state.py
@@ -1,7 +1,8 @@
 """The replicated state machine of the control members, to which the entries of the log are applied in order.
 
 No I/O, no clock, no randomness: members that applied the same entries have the same state, and their snapshots have the
-same bytes. The configuration in force bounds the state: one configuration, and one record for each service it shards.
+same bytes. The state is bounded: one configuration, and one record for each service that it shards, or that an earlier
+one sharded and whose record the leader has not removed yet.
 """
 
 from collections.abc import Mapping
@@ -20,6 +21,8 @@
 SNAPSHOT_FORMAT = 1
 REQUIRED_SNAPSHOT_FIELDS = 3  # later ones have defaults
 NO_VERSION = -1
+REMOVED_RECORD = b""
+"""Record that removes the service's record. Older releases ignore it, as they have no record of such a service."""
 
 
 class SnapshotContent(msgspec.Struct, frozen=True, array_like=True):
@@ -56,20 +59,20 @@
     """The changes made by one entry.
 
     :param in_force: the configuration that the entry put in force.
-    :param dropped: services whose records were removed because that configuration does not shard them.
     :param recorded_service: the service whose record the entry set.
+    :param removed_service: the service whose record the entry removed.
     :param unreported_windows: windows of usage that were dropped without a report, as too many were waiting.
     """
 
     in_force: PutConfiguration | None = None
-    dropped: tuple[str, ...] = ()
     recorded_service: str | None = None
+    removed_service: str | None = None
     unreported_windows: tuple[int, ...] = ()
 
     @property
     def changed(self) -> bool:
         """Whether the entry changed anything."""
-        return self.in_force is not None or self.recorded_service is not None
+        return (self.in_force, self.recorded_service, self.removed_service) != (None, None, None)
 
 
 NO_CHANGE = ApplyResult()
@@ -85,6 +88,8 @@
     - Members that applied the same entries have snapshots with the same bytes, also after a restore:
       `test_snapshot_contains_the_complete_state`.
     - A snapshot that can't be decoded changes nothing: `test_undecodable_snapshot_changes_nothing`.
+    - A record stays when its service leaves the configuration, as servers may hold its keys and edge machines have its
+      version: `test_record_of_a_service_that_left_the_configuration_stays_until_it_is_removed`.
     """
 
     def __init__(self) -> None:
@@ -119,7 +124,7 @@
 
     @property
     def records(self) -> Mapping[str, bytes]:
-        """The record of each sharded service that has one."""
+        """The record of each service that has one, whether or not the configuration in force shards it."""
         return MappingProxyType(self._records)
 
     def is_in_force(self, order: PutConfiguration) -> bool:
@@ -169,17 +174,24 @@
         if self.is_decided(order):
             return NO_CHANGE
         self._set_configuration(order)
-        dropped = tuple(service for service in sorted(self._records) if not self._may_have_record(service))
-        for service in dropped:
-            del self._records[service]
-        return ApplyResult(in_force=order, dropped=dropped)
+        return ApplyResult(in_force=order)
 
     def _put_record(self, command: PutRecord) -> ApplyResult:
-        if not self._may_have_record(command.service):
+        if command.record == REMOVED_RECORD:
+            return self._remove_record(command.service)
+        # A record that was proposed before its service left the configuration still replaces the former one.
+        if not self._may_be_sharded(command.service) and command.service not in self._records:
             return NO_CHANGE
         self._records[command.service] = command.record
         return ApplyResult(recorded_service=command.service)
 
+    def _remove_record(self, service: str) -> ApplyResult:
+        """Remove the record of a service; nothing changes if the service may be back in the configuration."""
+        if self._may_be_sharded(service) or service not in self._records:
+            return NO_CHANGE
+        del self._records[service]
+        return ApplyResult(removed_service=service)
+
     def _set_configuration(self, order: PutConfiguration | None) -> None:
         self._configuration = order
         self._sharded_services = frozenset() if order is None else sharded_services(order.text)
@@ -187,7 +199,8 @@
         if order is None:
             self._parsed = None
 
-    def _may_have_record(self, service: str) -> bool:
+    def _may_be_sharded(self, service: str) -> bool:
+        """Whether the configuration in force shards the service, as far as its text can be decoded."""
         return self._sharded_services is None or service in self._sharded_services
 
 
