Control: a new leader's versions of key ranges are above its predecessor's announcements

Cause: announcements of releases are numbered from 1 by each leader above the version of the same record. An edge that had one of a leader that was killed took its successor's key ranges for older ones, or for the base of its successor's first change.

Change: the versions of a new leader begin with its own term.

--- a/kestrelplank/control/shard_assigner.py
+++ b/kestrelplank/control/shard_assigner.py
@@ -81,7 +81,8 @@
         self._term, self.last_record_number = since.term, since.record
         self._committed = record
         self._proposed: ShardRecord | None = None
-        self._version = record.version
+        # Above the record's: edge machines may have announcements of a former leader that this one doesn't know.
+        self._version = since
 
     @property
     def version(self) -> KeyRangesVersion:
