Edge: an early time-out ends an attempt only as its retry starts, and not on SIGTERM

Cause: an attempt was given its early time-out if a retry was left when it started. The retry was taken when that time-out was over, by the first to ask; so were the other server, its capacity and the connection. The server was handed no more time.

Change: a server is handed the time until the deadline. When the early time-out is over, Forwarder.retry_early asks for another server with capacity, a connection and a retry in the budget, and takes them in the same call; else the attempt goes on and asks again each 60 ms. If the connection of the retry fails, the request is sent until its deadline. An edge that shuts down ends no attempt early, as a server may reject the retry. An attempt that is overdue counts once as a failure of its server, as before. The sending of an attempt is a module of its own, edge/attempt.

test_an_attempt_does_not_time_out_early_while_no_retry_is_left asked when the attempt starts, which is the fault; its place takes test_an_attempt_goes_on_after_its_early_time_out_unless_its_retry_can_start, for each of five things that a retry needs.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -11,6 +11,7 @@
 from typing import TypedDict, assert_never
 from zlib import crc32
 
+from kestrelplank.edge.attempt import make_attempt
 from kestrelplank.edge.attempt_counting import counted_attempt
 from kestrelplank.edge.counters import UPSTREAM_RQ_PENDING, UPSTREAM_RQ_RETRY
 from kestrelplank.edge.exchange_context import ExchangeContext
@@ -19,7 +20,6 @@
     HOP_BY_HOP_HEADERS,
     HOST,
     SHARD_KEY,
-    attempt_headers,
     authorizations,
     client_timeout_ns,
     is_ambiguous,
@@ -221,45 +221,26 @@
         if request.last_outcome is not None:
             context.counters.add(UPSTREAM_RQ_RETRY)
         tenant = request.tenant.name if request.tenant else None
+        sent_at = request.sent_at
         with counted_attempt(context.usage, tenant, request.call_kind) as counted:
-            result = await self._send_attempt(request, step, server_request, disconnected)
-            counted.outcome = result.outcome
-        now = time.monotonic_ns()
-        self._record_attempt(endpoint.server, result, now - request.sent_at)
+            ended = await make_attempt(context, request, step, server_request, disconnected)
+            counted.outcome = ended.result.outcome
+        now, result = time.monotonic_ns(), ended.result
+        self._record_attempt(endpoint.server, result, now - sent_at)
         if result.outcome in ANSWER_OUTCOMES:
             self._server_answer = result.answer
-        if disconnected.done():
-            context.forwarder.client_disconnected(request)
-        next_step = context.forwarder.attempt_ended(now, request, result.outcome, result.load())
+        next_step = ended.retry or self._after_attempt(now, request, result, disconnected)
         endpoint.idle_connections = context.connections.idle_count(endpoint.address)
         context.wake_pending()  # a waiting request can use the freed capacity
         return next_step
 
-    async def _send_attempt(
-        self, request: ForwardedRequest, step: Send, server_request: ServerRequest, disconnected: asyncio.Future[None]
-    ) -> AttemptResult:
-        """Send the request to a server and return the result.
-
-        If the client disconnects meanwhile, an attempt at a request that may run again is aborted by a reset of its
-        connection; one that must not run twice is awaited once its first byte has been sent.
-        """
-        forwarder, endpoint = self._context.forwarder, step.endpoint
-        sending = asyncio.ensure_future(
-            self._context.connections.send(
-                endpoint.address,
-                server_request.with_headers(attempt_headers(endpoint.server, step.timeout_ns)),
-                step.timeout_ns,
-                forwarder.max_connections(request),
-                should_send=lambda: not disconnected.done(),
-            )
-        )
-        try:
-            await asyncio.wait((sending, disconnected), return_when=asyncio.FIRST_COMPLETED)
-            if not sending.done() and forwarder.may_abandon(request):
-                return AttemptResult(CallOutcome.ABANDONED)
-            return await sending
-        finally:
-            sending.cancel()
+    def _after_attempt(
+        self, now: int, request: ForwardedRequest, result: AttemptResult, disconnected: asyncio.Future[None]
+    ) -> Step:
+        """Tell the forwarder how the attempt ended, and return its next step."""
+        if disconnected.done():
+            self._context.forwarder.client_disconnected(request)
+        return self._context.forwarder.attempt_ended(now, request, result.outcome, result.load())
 
     def _record_attempt(self, server: str, result: AttemptResult, duration_ns: int) -> None:
         """Count the attempt by its outcome and store it for the trace."""
--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -117,6 +117,7 @@
         :param delay_s: between the two phases.
         """
         self.readiness.begin_drain()
+        self.forwarder.shutting_down = True
         await asyncio.sleep(delay_s)
         await self.close()
         await self.server.wait_until_answered(FINAL_ANSWERS_S / 2)  # the other half is for the process to exit
--- a/kestrelplank/forwarding/endpoints.py
+++ b/kestrelplank/forwarding/endpoints.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from kestrelplank.forwarding.endpoint import Endpoint, ServerLoad
+from kestrelplank.forwarding.endpoint import Endpoint
 from kestrelplank.load_balancing.outlier_ejection import OutlierEjection
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.server_list import READY, ListedServer
@@ -98,10 +98,7 @@
         """Return the names of the servers that are ejected now."""
         return [name for name, endpoint in self.by_name.items() if self.is_ejected(now, endpoint)]
 
-    def attempt_ended(
-        self, now: int, endpoint: Endpoint, succeeded: bool, duration_ns: int, load: ServerLoad | None
-    ) -> None:
-        """Record the end of an attempt (`Endpoint.attempt_ended`); eject the server after consecutive failures."""
+    def record_outcome(self, now: int, endpoint: Endpoint, *, succeeded: bool) -> None:
+        """Record whether the server served an attempt; eject it after consecutive failures."""
         if endpoint.listed:
             self._ejection.record_attempt(now, endpoint.number, succeeded)
-        endpoint.attempt_ended(now, succeeded, duration_ns, load)
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -4,9 +4,10 @@
 other (`forwarding.steps`) until the client has its answer:
 
     admit ─> next_step ─> Send ─> attempt_ended ─┬─> ForwardAnswer
-                │  ▲                 │           │
-                │  └── Wait          │ retry     ├─> Refuse
-                └────────────────────┴───────────┘
+                │  ▲        │ ▲      │           │
+                │  └── Wait │ └──────┤ retry     ├─> Refuse
+                │           └─> retry_early      │
+                └────────────────────────────────┘
 
 The states between the steps are those of `forwarding.request.RequestState`. `forwarding.retry_policy` decides whether a
 request may be retried; attempts, deadline and retry budget limit that further.
@@ -44,17 +45,18 @@
 
 # Deadline.
 ANSWER_MARGIN_NS = 30 * MILLISECOND  # kept before the deadline for an answer of the gateway's own
-MIN_ATTEMPT_DIVISOR = 10  # an attempt needs at min_connections latency target / 10 before the deadline
+MIN_ATTEMPT_DIVISOR = 10  # an attempt needs at least latency target / 10 before the deadline
 
 # Attempts.
 MAX_UNSENT_ATTEMPTS = 4  # of one request, whose connections failed; not counted towards `max_attempts`
 # Nothing was sent, for a reason unrelated to the server.
 NOT_STARTED_OUTCOMES = (CallOutcome.NO_CONNECTION_FREE, CallOutcome.UNSENDABLE, CallOutcome.NOT_SENT)
 HEALTHY_SERVER_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.NOT_EXECUTED)  # not failures of the server
-# An attempt that another server may repeat times out early: after this multiple of the server's average latency, but
-# not before this fraction of the latency target.
+# An attempt that another server may repeat may be retried early: after this multiple of the server's average latency,
+# but not before this fraction of the latency target.
 EARLY_TIMEOUT_LATENCIES = 4
 EARLY_TIMEOUT_TARGET_FRACTION = 0.6
+EARLY_RETRY_INTERVAL_NS = 60 * MILLISECOND  # between two calls of `retry_early` for one attempt
 
 # Waiting.
 CAPACITY_POLL_INTERVAL_NS = 60 * MILLISECOND  # how often a waiting request checks a server's capacity
@@ -81,6 +83,9 @@
     - Route and key of a request are judged by the same version of the configuration
       (`test_route_and_key_are_judged_by_the_same_version`).
     - States follow `TRANSITIONS` (`test_request_states_follow_the_transition_table`).
+    - An attempt is ended early only if its retry starts in the same call
+      (`test_an_attempt_goes_on_after_its_early_time_out_unless_its_retry_can_start`), and never while this edge shuts
+      down (`test_no_attempt_is_ended_early_while_the_edge_shuts_down`).
     - Every attempt that is started is ended or discarded
       (`test_a_request_without_a_free_connection_waits_and_is_not_counted_as_an_attempt`), also after
       the client has disconnected (`test_no_attempt_is_started_after_the_client_has_disconnected`).
@@ -107,6 +112,7 @@
         self._max_unconfirmed_ns = max_unconfirmed_ns
         self.endpoints = Endpoints(random, zone)
         self.retry_budget = RetryBudget(retry_ratio, retry_allowance)
+        self.shutting_down = False  # set by the owner: clients are owed the answers that servers are working on
         self._splitter = TrafficSplitter(random)
         self.requested_keys: dict[str, list[int]] = {}  # by service, since the last report
 
@@ -171,21 +177,25 @@
 
     def next_step(self, now: int, request: ForwardedRequest) -> Step:
         """Decide where the request goes: after its admission, after a wait, and before a retry."""
-        min_remaining_ns = max(ANSWER_MARGIN_NS, request.route.latency_target_ns // MIN_ATTEMPT_DIVISOR)
-        if now + min_remaining_ns >= request.deadline_at:
+        if now + _min_attempt_ns(request) >= request.deadline_at:
             return self._refuse(request, DeadlineTooNearError)
         if request.key is None:
             return self._to_any_server(now, request)
         return self._to_key_holder(now, request, request.key)
 
     def _to_any_server(self, now: int, request: ForwardedRequest) -> Step:
-        endpoint = self.endpoints.choose(now, request.service, request.attempted_servers, request.body_bytes)
+        endpoint = self._choose(now, request, request.attempted_servers)
+        if endpoint is None and request.ended_early:
+            endpoint = self._choose(now, request, ())  # its client is owed an answer until the deadline
         if endpoint is None:
             return self._refuse(request, NoServerError, request.route.latency_target_ns // 2)
         if not endpoint.has_capacity(now, self.view.edge_count):
             return self._wait_for_capacity(now, request, endpoint)
         return self._start_attempt(now, request, endpoint)
 
+    def _choose(self, now: int, request: ForwardedRequest, excluded: tuple[str, ...]) -> Endpoint | None:
+        return self.endpoints.choose(now, request.service, excluded, request.body_bytes)
+
     def _to_key_holder(self, now: int, request: ForwardedRequest, key: int) -> Step:
         ranges = self.view.key_ranges.get(request.service)
         holder = ranges.holder_of(key) if ranges else None
@@ -217,8 +227,13 @@
         return Wait(until)
 
     def _wait_for_capacity(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> Step:
-        """Wait for capacity at the server while the latency target can still be met, then refuse."""
+        """Wait for capacity at the server while the latency target can still be met, then refuse.
+
+        A request whose attempt was ended early waits until its deadline, as that attempt might have been answered.
+        """
         until = request.received_at + request.route.latency_target_ns - int(endpoint.latency_s * SECOND)
+        if request.ended_early:
+            until = request.deadline_at - _min_attempt_ns(request)
         if now >= until:
             expected_wait_ns = int(endpoint.expected_wait_s(now) * SECOND)
             return self._refuse(request, ServersFullError, min(request.route.latency_target_ns, expected_wait_ns) // 2)
@@ -227,31 +242,51 @@
 
     # 4. Attempts and their time-outs.
 
-    def _start_attempt(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> Step:
-        """Send the request; the time-out is the time left, or less where another server may repeat the attempt."""
+    def _start_attempt(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> Send:
+        """Send the request, with all the time left until its deadline."""
         request.start_attempt(now, endpoint)
         endpoint.attempt_started()
-        timeout_ns = request.deadline_at - now
-        if self._may_time_out_early(request):
-            latency_based_ns = int(EARLY_TIMEOUT_LATENCIES * endpoint.latency_s * SECOND)
-            timeout_ns = min(
-                timeout_ns, max(latency_based_ns, int(EARLY_TIMEOUT_TARGET_FRACTION * request.route.latency_target_ns))
-            )
-        return Send(endpoint, timeout_ns)
-
-    def _may_time_out_early(self, request: ForwardedRequest) -> bool:
-        """Whether this attempt may time out before the deadline.
-
-        It may if another server, another attempt and a retry in the budget are left, and the retry policy allows a
-        retry after a time-out.
+        return Send(endpoint, request.deadline_at - now, self._early_timeout_ns(request, endpoint))
+
+    def _early_timeout_ns(self, request: ForwardedRequest, endpoint: Endpoint) -> int | None:
+        """Return when the attempt may be retried early; None if the policy or the route's attempts forbid it."""
+        attempts = len(request.attempted_servers) + 1
+        if request.key is not None or attempts >= request.route.max_attempts or not is_idempotent(request.call_kind):
+            return None
+        latency_based_ns = int(EARLY_TIMEOUT_LATENCIES * endpoint.latency_s * SECOND)
+        return max(latency_based_ns, int(EARLY_TIMEOUT_TARGET_FRACTION * request.route.latency_target_ns))
+
+    def retry_early(self, now: int, request: ForwardedRequest) -> Send | None:
+        """End the attempt in flight, whose early time-out is over, and start its retry; None: the attempt goes on.
+
+        Other requests compete for all that a retry needs: a server with capacity, a connection, a retry in the budget.
+        So it is taken here, where the attempt is ended, and not counted on when the attempt starts.
         """
-        return (
-            request.key is None
-            and len(request.attempted_servers) + 1 < request.route.max_attempts
-            and len(self.endpoints.services.get(request.service, ())) > 1
-            and self.retry_budget.has_retry(request.service)
-            and is_idempotent(request.call_kind)
-        )
+        endpoint = request.endpoint
+        assert endpoint is not None  # an attempt is in flight
+        if request.client_gone or now + _min_attempt_ns(request) >= request.deadline_at:
+            return None
+        if not self.retry_budget.has_retry(request.service):
+            return None  # many attempts are slow: this one says little about its server
+        self._record_overdue(now, request, endpoint)
+        other = self._choose(now, request, (*request.attempted_servers, endpoint.server))
+        if self.shutting_down or other is None or not self._can_start(now, request, other):
+            return None
+        self.retry_budget.try_withdraw(request.service)
+        self._end_attempt(now, request, endpoint, CallOutcome.TIMEOUT, None)
+        request.ended_early = True
+        return self._start_attempt(now, request, other)
+
+    def _record_overdue(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> None:
+        """Count the attempt as a failure of its server, once, so that other requests avoid the server."""
+        if not request.overdue:
+            request.overdue = True
+            self.endpoints.record_outcome(now, endpoint, succeeded=False)
+
+    def _can_start(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> bool:
+        """Whether the server has capacity, and this edge a connection to it that is free or may be opened."""
+        free_connection = endpoint.in_flight < self.max_connections(request)
+        return free_connection and endpoint.has_capacity(now, self.view.edge_count)
 
     def max_connections(self, request: ForwardedRequest) -> int:
         """Return how many connections this edge may have to a server of the service; all edges have equal shares."""
@@ -284,15 +319,25 @@
         assert endpoint is not None  # an attempt is in flight
         if outcome in NOT_STARTED_OUTCOMES:
             return self._handle_unsent(now, request, endpoint, outcome)
+        result = self._end_attempt(now, request, endpoint, outcome, load)
+        if result.retry is RetryTarget.NONE or not self._may_retry(now, request, result):
+            return self._give_up(request, outcome)
+        return self.next_step(now, request)
+
+    def _end_attempt(
+        self, now: int, request: ForwardedRequest, endpoint: Endpoint, outcome: CallOutcome, load: ServerLoad | None
+    ) -> Verdict:
+        """Record the end of the attempt at its server and in the request; return the policy's verdict on it."""
         if self._is_inconclusive(now, request, endpoint, outcome):
             endpoint.attempt_abandoned()
         else:
-            self.endpoints.attempt_ended(now, endpoint, outcome in HEALTHY_SERVER_OUTCOMES, now - request.sent_at, load)
+            succeeded = outcome in HEALTHY_SERVER_OUTCOMES
+            if succeeded or not request.overdue:
+                self.endpoints.record_outcome(now, endpoint, succeeded=succeeded)
+            endpoint.attempt_ended(now, succeeded, now - request.sent_at, load)
         result = verdict(request.call_kind, outcome)
         request.end_attempt(endpoint.server, outcome, result)
-        if result.retry is RetryTarget.NONE or not self._may_retry(now, request, result):
-            return self._give_up(request, outcome)
-        return self.next_step(now, request)
+        return result
 
     @staticmethod
     def _is_inconclusive(now: int, request: ForwardedRequest, endpoint: Endpoint, outcome: CallOutcome) -> bool:
@@ -374,3 +419,8 @@
                     endpoint.reset_stats()
             reports[service] = self.requested_keys.pop(service, []), servers
         return reports
+
+
+def _min_attempt_ns(request: ForwardedRequest) -> int:
+    """Return the time before the deadline without which no attempt is started."""
+    return max(ANSWER_MARGIN_NS, request.route.latency_target_ns // MIN_ATTEMPT_DIVISOR)
--- a/kestrelplank/forwarding/request.py
+++ b/kestrelplank/forwarding/request.py
@@ -83,6 +83,8 @@
         "last_outcome",
         "may_have_run",
         "has_error_answer",
+        "overdue",
+        "ended_early",
         "client_gone",
     )
 
@@ -107,6 +109,8 @@
         self.last_outcome: CallOutcome | None = None  # of the last attempt that was not discarded
         self.may_have_run = False  # an attempt ended without proof that it has not run
         self.has_error_answer = False  # a server has answered with a 5xx: the client gets it if no retry is answered
+        self.overdue = False  # the attempt in flight was counted as a failure of its server, which is slow to answer
+        self.ended_early = False  # this edge has ended an attempt that its server may have been working on
         self.client_gone = False  # the client has disconnected: further steps are not carried out
 
     @property
@@ -125,7 +129,7 @@
     def start_attempt(self, now: int, endpoint: Endpoint) -> None:
         """Record that an attempt is sent to the server."""
         self.state = RequestState.IN_FLIGHT
-        self.endpoint, self.sent_at = endpoint, now
+        self.endpoint, self.sent_at, self.overdue = endpoint, now, False
 
     def discard_attempt(self) -> None:
         """Record that nothing was sent of the attempt, so that it does not count."""
--- a/kestrelplank/forwarding/steps.py
+++ b/kestrelplank/forwarding/steps.py
@@ -11,10 +11,12 @@
     """Send the request to `endpoint`, then call `Forwarder.attempt_ended`.
 
     :param timeout_ns: of the attempt from now on; sent to the server as the remaining time.
+    :param early_timeout_ns: call `Forwarder.retry_early` while the attempt goes on after that time; None: never.
     """
 
     endpoint: Endpoint
     timeout_ns: int
+    early_timeout_ns: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
