Forwarding: admission and Retry-After in modules of their own

Change: what one version of the configuration decides (route, tenant, service) is forwarding/admission, the waits that clients are told are forwarding/retry_after; no behaviour changes.

--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -16,28 +16,26 @@
 from collections.abc import Sequence
 from random import Random
 
-from kestrelplank.configuration.route_table import Configuration, Service
-from kestrelplank.forwarding.authentication import authenticate
+from kestrelplank.configuration.route_table import Service
+from kestrelplank.forwarding.admission import Admissions
 from kestrelplank.forwarding.endpoint import Endpoint, EndpointStats, ServerLoad
 from kestrelplank.forwarding.endpoints import Endpoints
 from kestrelplank.forwarding.errors import (
     AttemptTimeoutError,
     BadRequestError,
-    ConfigurationUnconfirmedError,
     DeadlineTooNearError,
     NoKeyHolderError,
     NoServerError,
     NotReadyError,
     OutcomeUnknownError,
     RequestError,
-    RouteNotFoundError,
     ServersFullError,
 )
-from kestrelplank.forwarding.request import Admission, ForwardedRequest
+from kestrelplank.forwarding.request import ForwardedRequest
+from kestrelplank.forwarding.retry_after import NO_HOLDER_RETRY_AFTER_NS, NOT_READY_RETRY_AFTER_NS, jittered
 from kestrelplank.forwarding.retry_budget import RetryBudget
 from kestrelplank.forwarding.retry_policy import CallOutcome, RetryTarget, Verdict, is_idempotent, verdict
 from kestrelplank.forwarding.steps import ForwardAnswer, Refuse, Send, Step, Wait
-from kestrelplank.forwarding.traffic_split import TrafficSplitter
 from kestrelplank.time_units import MILLISECOND, SECOND
 from kestrelplank.transport.edge_view import EdgeView
 
@@ -65,11 +63,6 @@
 CONNECTION_SHARE = 0.8  # of a server's connection limit, divided among all edges
 WANTED_CONNECTIONS = 2  # per edge, where the server's limit allows: one in use, one being opened
 
-# Retry-After.
-NOT_READY_RETRY_AFTER_NS = 300 * MILLISECOND
-NO_HOLDER_RETRY_AFTER_NS = 250 * MILLISECOND
-RETRY_AFTER_JITTER = 0.5  # so that clients do not retry at the same time
-
 
 class Forwarder:
     """All requests of one edge machine.
@@ -109,11 +102,10 @@
         max_unconfirmed_ns: int | None = None,
     ) -> None:
         self._random, self.view, self._drain_ns = random, view, drain_ns
-        self._max_unconfirmed_ns = max_unconfirmed_ns
         self.endpoints = Endpoints(random, zone)
         self.retry_budget = RetryBudget(retry_ratio, retry_allowance)
         self.shutting_down = False  # set by the owner: clients are owed the answers that servers are working on
-        self._splitter = TrafficSplitter(random)
+        self._admissions = Admissions(random, view, max_unconfirmed_ns)
         self.requested_keys: dict[str, list[int]] = {}  # by service, since the last report
 
     # 1. Admission: configuration, route, tenant, service, shard key, deadline.
@@ -136,33 +128,13 @@
         """
         configuration = self.view.configuration  # one version judges the whole request
         if configuration is None:
-            raise NotReadyError(self._jittered(NOT_READY_RETRY_AFTER_NS))
-        admission = self._admission(now, configuration, host, path, authorizations)
+            raise NotReadyError(jittered(self._random, NOT_READY_RETRY_AFTER_NS))
+        admission = self._admissions.decide(now, configuration, host, path, authorizations)
         key = self._shard_key(admission.service, shard_key)
         self.retry_budget.deposit(admission.service.name)
         deadline_at = now + min(client_timeout_ns, admission.route.timeout_ns)
         return ForwardedRequest(admission, key, now, deadline_at, body_bytes)
 
-    def _admission(
-        self, now: int, configuration: Configuration, host: str, path: str, authorizations: Sequence[bytes]
-    ) -> Admission:
-        """Return the configuration's decisions: first the route, then the tenant, then the service."""
-        route = configuration.route(host, path)
-        if route is None:
-            raise RouteNotFoundError
-        has_tenants = configuration.tenants is not None
-        if has_tenants and (authorizations or not route.public_access):
-            self._require_confirmation(now)
-        tenant = authenticate(configuration, route, authorizations)
-        service = configuration.services[self._splitter.choose(configuration, route)]
-        return Admission(route, service, has_tenants, tenant)
-
-    def _require_confirmation(self, now: int) -> None:
-        """Raise `ConfigurationUnconfirmedError` if the configuration has been unconfirmed for too long."""
-        limit_ns = self._max_unconfirmed_ns
-        if limit_ns is not None and not self.view.is_confirmed(now, limit_ns):
-            raise ConfigurationUnconfirmedError(self._jittered(NOT_READY_RETRY_AFTER_NS))
-
     def _shard_key(self, service: Service, shard_key: str | None) -> int | None:
         """Return the shard key, and record it for the load report; None if the service is not sharded."""
         if not service.sharded:
@@ -392,7 +364,7 @@
         """
         if not request.may_have_run:
             request.refuse()
-            return Refuse(error(self._jittered(retry_after_ns)))
+            return Refuse(error(jittered(self._random, retry_after_ns)))
         if request.has_error_answer:
             return self._forward_answer(request)
         request.refuse()
@@ -400,9 +372,6 @@
             return Refuse(AttemptTimeoutError())
         return Refuse(OutcomeUnknownError())
 
-    def _jittered(self, retry_after_ns: int) -> int:
-        return int(retry_after_ns * (1 + RETRY_AFTER_JITTER * self._random.random()))
-
     # Statistics, for the member that assigns key ranges.
 
     def take_load_reports(self) -> dict[str, tuple[list[int], dict[str, EndpointStats]]]:
