--- a/kestrelplank/sharding/lease_terms.py
+++ b/kestrelplank/sharding/lease_terms.py
@@ -12,6 +12,7 @@
 
 LONG_LEASE_NS = 9 * SECOND  # the platform allows 10 s by its own clock
 LONG_RENEWAL_INTERVAL_NS = 5 * SECOND // 2
+# Between deployments of 264 ranges, where short leases hold, and of 760, where they ran out for a reason not known yet.
 MAX_RANGES_WITH_SHORT_LEASES = 500
 DEGRADED_COOLDOWN_NS = 3 * SECOND  # leases stay long for this time after all voters respond again
 MIN_RENEWALS_PER_LEASE = 3
--- a/kestrelplank/state/zone_load.py
+++ b/kestrelplank/state/zone_load.py
@@ -1,4 +1,7 @@
-"""Per-zone sums that assigners exchange, and their combination."""
+"""Per-zone sums that assigners exchange, and their combination.
+
+Only sums are exchanged, never single nodes, so that the messages stay small.
+"""
 
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
