Control: a service that is back has its keys granted in the call that brings its configuration

Change: suspended assigners go on as soon as all committed entries are applied, and not at the next tick.

--- a/kestrelplank/control/member.py
+++ b/kestrelplank/control/member.py
@@ -311,6 +311,8 @@
     def _take_effects(self, now: int) -> list[Effect]:
         """Handle the consensus node's effects, then return all effects of the current call."""
         self._handle_consensus_events(now)
+        self._assigners.resume(now)
+        self._handle_consensus_events(now)
         return self._replica.take_effects()
 
     def _handle_consensus_events(self, now: int) -> None:
--- a/kestrelplank/control/shard_assigners.py
+++ b/kestrelplank/control/shard_assigners.py
@@ -85,17 +85,32 @@
     # Events.
 
     def tick(self, now: int) -> None:
-        """Do the leader's work that is due; start or resume assigners for services that have none."""
+        """Do the leader's work that is due; start assigners for services that have none."""
         self._remove_unused_records(now)
+        self.resume(now)
         if self._servers.fetched_at is None:
             return
         for service in self._replica.sharded_services():
             assigner = self.by_service.get(service)
             if assigner is None:
-                assigner = self._resume_assigner(service) or self._start_assigner(now, service)
-                self._replica.emit(PushToEdges(assigner.full_update()))
+                assigner = self._start_assigner(now, service)
             self._tick(now, assigner)
 
+    def resume(self, now: int) -> None:
+        """Let suspended assigners go on whose services are back, so that these are served at once.
+
+        Called only when all committed entries known here are applied.
+        """
+        if not self._suspended or not self._replica.node.leads(now):
+            return
+        for service in self._replica.sharded_services():
+            assigner = self._suspended.pop(service, None)
+            if assigner is not None:
+                self.by_service[service] = assigner
+                self._replica.log(f"{service}: assigning its key ranges again, as the configuration shards it again")
+                self._replica.emit(PushToEdges(assigner.full_update()))
+                self._tick(now, assigner)
+
     def handle_call_ended(self, now: int, call: CallServer, result: ServerCallResult) -> None:
         """Handle the result of a grant or release."""
         assigner = self._assigner_of(call.service)
@@ -155,14 +170,7 @@
             self._max_key_lease_ns,
         )
         self._replica.log(f"{service}: assigning its key ranges, as this member leads term {term}")
-        return assigner
-
-    def _resume_assigner(self, service: str) -> ShardAssigner | None:
-        """Return the service's suspended assigner, which goes on; None if there is none."""
-        assigner = self._suspended.pop(service, None)
-        if assigner is not None:
-            self.by_service[service] = assigner
-            self._replica.log(f"{service}: assigning its key ranges again, as the configuration shards it again")
+        self._replica.emit(PushToEdges(assigner.full_update()))
         return assigner
 
     def _assigner_of(self, service: str) -> ShardAssigner | None:
--- a/tests/control/test_departed_services.py
+++ b/tests/control/test_departed_services.py
@@ -93,6 +93,19 @@
     assert holders_of_leases(system) == holders_at_edge(system) == before
 
 
+# Guards against requests refused by servers whose leases have ended while the service was away.
+def test_servers_get_their_keys_again_as_soon_as_the_configuration_is_in_force():
+    system = start_with_load(27)
+    system.submit_order(system.leader(), 2, **ABSENT)
+    system.run_for(LEASE_S + 2)
+    assert not any(holders_of_leases(system).values())
+    system.submit_order(system.leader(), 3)
+    while system.edge.configuration.key.version < 3:
+        system.step()
+    system.step()  # a call takes 3 ms
+    assert holders_of_leases(system) == holders_at_edge(system)
+
+
 # Guards against requests that edges go on sending to former holders: versions of the key ranges began anew.
 def test_an_edge_follows_changes_of_a_service_that_came_back():
     system = start_with_load(22)
