Control: the sharded services are listed once a tick

Cause: the removal of unused records listed all services of the configuration again, 20 times a second on the leader. Change: tick lists them once and passes them on; no behaviour changes.

--- a/kestrelplank/control/shard_assigners.py
+++ b/kestrelplank/control/shard_assigners.py
@@ -86,11 +86,12 @@
 
     def tick(self, now: int) -> None:
         """Do the leader's work that is due; start assigners for services that have none."""
-        self._remove_unused_records(now)
+        services = self._replica.sharded_services()
+        self._remove_unused_records(now, services)
         self.resume(now)
         if self._servers.fetched_at is None:
             return
-        for service in self._replica.sharded_services():
+        for service in services:
             assigner = self.by_service.get(service)
             if assigner is None:
                 assigner = self._start_assigner(now, service)
@@ -177,12 +178,14 @@
         """Return the service's assigner, suspended or not; None if there is none."""
         return self.by_service.get(service) or self._suspended.get(service)
 
-    def _remove_unused_records(self, now: int) -> None:
+    def _remove_unused_records(self, now: int, services: list[str]) -> None:
         """Propose to remove the records of services that left the configuration long ago, so that the state is bounded.
 
         None is proposed while an entry is not applied: a configuration before the removal could bring the service back.
+
+        :param services: those that the configuration in force shards.
         """
-        absent = sorted(self._replica.state.records.keys() - self._replica.sharded_services())
+        absent = sorted(self._replica.state.records.keys() - services)
         self._absent_since = {service: self._absent_since.get(service, now) for service in absent}
         if not self._replica.has_applied_all():
             return
