--- a/review/6/play.py
+++ b/review/6/play.py
@@ -110,6 +110,11 @@
     return answer
 
 
+def judge(broken: int) -> int:
+    """Return the exit code: 1 if any upload was lost."""
+    return 1 if broken else 0
+
+
 async def play(record: Record, trouble: bool) -> int:
     """Stop one edge while conductors are at work on uploads that it has passed on."""
     async with SmallGateway(record, edges=2) as gateway:
@@ -153,7 +158,7 @@
         if not all(any(attempt in conductor.began for conductor in conductors) for attempt in attempts):
             record.write("not every upload reached a conductor")
             return 2
-        return 1 if broken else 0
+        return judge(broken)
 
 
 run(FOLDER, play)
