--- a/kestrelplank/control/inbound_connections.py
+++ b/kestrelplank/control/inbound_connections.py
@@ -57,9 +57,10 @@
         self._edges.on_closed(connection)
 
     def reset_idle(self, now: int) -> None:
-        """Reset connections that received no message for `IDLE_TIMEOUT_NS`."""
+        """Reset connections that received no message for `IDLE_TIMEOUT_NS`, and those whose peers stand still."""
         for connection, heard_at in list(self._heard_at.items()):
-            if now - heard_at > IDLE_TIMEOUT_NS:
+            silent_ns = now - heard_at
+            if silent_ns > IDLE_TIMEOUT_NS or connection.stands_still(now, silent_ns):
                 connection.reset()
 
     def send_to_edge(self, session: Session[MemberConnection], message: ToEdge) -> None:
--- a/kestrelplank/control/member_sessions.py
+++ b/kestrelplank/control/member_sessions.py
@@ -67,11 +67,15 @@
                 connection.reset()
 
     def reset_unanswered(self, now: int) -> None:
-        """Reset outbound connections to members that do not reply, so that they are dialled again."""
+        """Reset outbound connections to members that do not reply, so that they are dialled again.
+
+        A member that does not read either is reset sooner (`FrameConnection.stands_still`).
+        """
         for address, since in list(self._unanswered_since.items()):
-            if now - since > UNANSWERED_TIMEOUT_NS:
+            connection = self._outbound.get(address)
+            stands_still = connection is not None and connection.stands_still(now, now - since)
+            if now - since > UNANSWERED_TIMEOUT_NS or stands_still:
                 del self._unanswered_since[address]
-                connection = self._outbound.get(address)
                 if connection is not None:
                     connection.reset()
 
--- a/kestrelplank/control/server_calls.py
+++ b/kestrelplank/control/server_calls.py
@@ -125,7 +125,7 @@
         answer: Answer | None = None
         try:
             async with asyncio.timeout((GRANT_TIMEOUT_NS if is_grant else RELEASE_TIMEOUT_NS) / SECOND):
-                pooled = self._take_idle(call.request) or PooledConnection(await dial(self._address, CONNECT_TIMEOUT_S))
+                pooled = self._take_idle(call.request) or PooledConnection(await self._dial())
                 pooled.connection.stream.begin_call()
                 # Checked right before sending: the queue and the dial took time.
                 if is_grant and time.monotonic_ns() >= call.leader_lease_until:
@@ -138,6 +138,10 @@
             self._return_to_pool(pooled, answer)
         return pooled is not None and pooled.connection.stream.sent_bytes > 0, answer
 
+    async def _dial(self) -> Connection:
+        """Return a new connection, which does not wait for a late reader: a grant must not arrive late."""
+        return await dial(self._address, CONNECT_TIMEOUT_S, keeps_late_reader=False)
+
     async def _send(self, connection: Connection, request: ServerRequest) -> Answer:
         target, body = encode_request(request)
         headers = [
--- a/kestrelplank/edge/attempt.py
+++ b/kestrelplank/edge/attempt.py
@@ -61,6 +61,7 @@
             step.timeout_ns,
             forwarder.max_connections(request),
             should_send=first_byte.may_be_sent,
+            on_stall=lambda: forwarder.attempt_stalled(time.monotonic_ns(), request),
         )
     )
     wait_ns = step.early_timeout_ns
--- a/kestrelplank/edge/control_sessions.py
+++ b/kestrelplank/edge/control_sessions.py
@@ -107,11 +107,16 @@
 
     async def _send_heartbeats(self, connection: FrameConnection[ToEdge]) -> None:
         """Send heartbeats and changed counts, until the connection ends or times out."""
-        while connection.is_open and time.monotonic_ns() - self._last_received_at[connection] < SESSION_TIMEOUT_NS:
+        while connection.is_open and not self._is_timed_out(time.monotonic_ns(), connection):
             heartbeat = encode_frame(self._view.heartbeat(time.monotonic_ns()))
             connection.send(heartbeat + self._counts_frame(connection))  # in one packet
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _is_timed_out(self, now: int, connection: FrameConnection[ToEdge]) -> bool:
+        """Whether the member has been silent for too long, or leaves messages unread and is silent."""
+        silent_ns = now - self._last_received_at[connection]
+        return silent_ns >= SESSION_TIMEOUT_NS or connection.stands_still(now, silent_ns)
+
     def _received(self, connection: FrameConnection[ToEdge], message: ToEdge) -> None:
         now = self._last_received_at[connection] = time.monotonic_ns()
         if not isinstance(message, UsageCountsReply):
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -98,11 +98,13 @@
         timeout_ns: int,
         max_connections: int,
         should_send: Callable[[], bool] = lambda: True,
+        on_stall: Callable[[], None] | None = None,
     ) -> AttemptResult:
         """Make one attempt at that server. Raises nothing except on cancellation.
 
         :param max_connections: limit for this edge's connections to that server.
         :param should_send: called right before the first byte is sent; if it returns False, nothing is sent.
+        :param on_stall: called once if the server leaves the request unread (`PeerWatch.is_stalled`).
         """
         pool = self._pool(address, max_connections)
         connections = self._connections[address]
@@ -120,9 +122,11 @@
         try:
             if reusable:
                 return AttemptResult(CallOutcome.NOT_SENT)
+            connection.stream.call_on_stall(on_stall)
             result, reusable = await self._exchange(pool, connection, request, deadline_at_s)
             return result
         finally:
+            connection.stream.call_on_stall(None)
             if not pool.release(self._clock(), number, reusable):
                 connections.pop(number, None)
                 connection.reset()
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -249,6 +249,14 @@
         request.ended_early = True
         return self._start_attempt(now, request, other)
 
+    def attempt_stalled(self, now: int, request: ForwardedRequest) -> None:
+        """Record that the server leaves the attempt in flight unread: other requests avoid it, and the attempt goes on.
+
+        A server may read a request late and answer it in time, so that alone ends no attempt.
+        """
+        if request.endpoint is not None:
+            self._record_overdue(now, request, request.endpoint)
+
     def _record_overdue(self, now: int, request: ForwardedRequest, endpoint: Endpoint) -> None:
         """Count the attempt as a failure of its server, once, so that other requests avoid the server."""
         if not request.overdue:
--- a/kestrelplank/http/connection.py
+++ b/kestrelplank/http/connection.py
@@ -112,10 +112,11 @@
         self.stream.reset()
 
 
-async def dial(address: tuple[str, int], timeout_s: float) -> Connection:
+async def dial(address: tuple[str, int], timeout_s: float, keeps_late_reader: bool = True) -> Connection:
     """Return a new connection to that address.
 
+    :param keeps_late_reader: see `Stream`.
     :raises OSError: it can't be established.
     :raises TimeoutError: it is not established in time.
     """
-    return Connection(address, await connect(*address, timeout_s))
+    return Connection(address, await connect(*address, timeout_s, keeps_late_reader))
--- a/kestrelplank/http/socket_options.py
+++ b/kestrelplank/http/socket_options.py
@@ -6,15 +6,25 @@
 import socket
 import struct
 
+from kestrelplank.http.unread_bytes import USER_TIMEOUT_NS
+from kestrelplank.time_units import MILLISECOND
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s
-USER_TIMEOUT_MS = 1000  # a connection with bytes unacknowledged for this long is closed; RFC 5482
 
 
 def set_connection_options(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm, and set the user time-out that closes a connection to an unreachable peer."""
+    """Disable Nagle's algorithm, and set the user time-out that closes a connection to an unreachable peer.
+
+    `http.peer_watch` extends the time-out for a peer that is reachable, but reads late.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_user_timeout(sock, USER_TIMEOUT_NS)
+
+
+def set_user_timeout(sock: socket.socket, timeout_ns: int) -> None:
+    """Set how long written bytes may stay unacknowledged until the kernel closes the connection (RFC 5482)."""
     if hasattr(socket, "TCP_USER_TIMEOUT"):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ns // MILLISECOND)
 
 
 def reset_on_close(sock: socket.socket) -> None:
--- a/kestrelplank/http/stream.py
+++ b/kestrelplank/http/stream.py
@@ -4,21 +4,29 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from typing import cast
 
 import httpcore
 
+from kestrelplank.http.peer_watch import PeerWatch
 from kestrelplank.http.socket_options import has_unread_bytes, reset_on_close, set_connection_options
 
 
 class Stream(httpcore.AsyncNetworkStream, asyncio.Protocol):
-    """One TCP connection, closed only by `aclose` or `reset`.
+    """One TCP connection, closed only by `aclose` or `reset`, or by the kernel or `watch` if its peer is unreachable.
 
     `sent_bytes` and `received_bytes` count the bytes passed to the transport and received from it since `begin_call`.
     While `discards_writes` is set, writes are ignored, for `Connection.next_answer`.
+
+    :param keeps_late_reader: whether the peer may read as late as it likes; otherwise bytes that it has not taken in
+        the user time-out (`socket_options.set_connection_options`) are given up with the connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keeps_late_reader: bool = True) -> None:
         self.transport: asyncio.Transport | None = None
+        self.watch: PeerWatch | None = None  # None: not connected yet, or a late reader is not kept
+        self._keeps_late_reader = keeps_late_reader
         self.buffer = bytearray()
         self.ended, self.discards_writes = False, False
         self.sent_bytes, self.received_bytes = 0, 0
@@ -34,8 +42,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection, and set its socket options."""
-        self.transport = transport  # type: ignore[assignment] # create_connection always passes a writable transport
+        self.transport = cast(asyncio.Transport, transport)  # create_connection always passes a writable one
         set_connection_options(transport.get_extra_info("socket"))
+        if self._keeps_late_reader:
+            self.watch = PeerWatch(self.transport, self._end_unreachable)
 
     def data_received(self, data: bytes) -> None:
         """Buffer the bytes until they are read."""
@@ -51,7 +61,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection has ended, and its error if there is one."""
-        self.ended, self.error = True, exc
+        self.ended, self.error = True, exc or self.error
+        if self.watch is not None:
+            self.watch.stop()
         self._wake()
 
     def pause_writing(self) -> None:
@@ -63,6 +75,11 @@
         _resolve(self._writer)
         self._writer = None
 
+    def _end_unreachable(self) -> None:
+        """Reset the connection, whose peer acknowledges nothing any more."""
+        self.error = TimeoutError("the peer is unreachable")
+        self.reset()
+
     def _wake(self) -> None:
         """Wake a waiting `read` and `write`."""
         _resolve(self._reader)
@@ -100,6 +117,8 @@
             raise httpcore.WriteError("closed")
         self.sent_bytes += len(buffer)
         self.transport.write(buffer)
+        if self.watch is not None:
+            self.watch.written(len(buffer))
         if self._writer is not None:
             await self._writer
 
@@ -112,7 +131,12 @@
         """Return whether input can be read for "is_readable", the only value that httpcore requests, otherwise None."""
         return not self.has_no_input() if info == "is_readable" else None
 
-    # Called by `Connection`.
+    # Called by `Connection` and its users.
+
+    def call_on_stall(self, callback: Callable[[], None] | None) -> None:
+        """Set what is called once if the peer leaves bytes unread (`PeerWatch.call_on_stall`); None: nothing."""
+        if self.watch is not None:
+            self.watch.call_on_stall(callback)
 
     def reset(self) -> None:
         """Reset the connection; bytes in transit are lost."""
@@ -134,13 +158,14 @@
         future.set_result(None)
 
 
-async def connect(host: str, port: int, timeout_s: float) -> Stream:
+async def connect(host: str, port: int, timeout_s: float, keeps_late_reader: bool = True) -> Stream:
     """Return a connection to that address.
 
+    :param keeps_late_reader: see `Stream`.
     :raises OSError: it can't be established.
     :raises TimeoutError: it is not established in time.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        _, stream = await loop.create_connection(Stream, host, port)
+        _, stream = await loop.create_connection(lambda: Stream(keeps_late_reader), host, port)
     return stream
--- a/tests/control/test_inbound_connections.py
+++ b/tests/control/test_inbound_connections.py
@@ -3,9 +3,10 @@
 from configuration.test_parsing import encoded
 from control.simulation import Simulation
 
-from kestrelplank.control.inbound_connections import InboundConnections
+from kestrelplank.control.inbound_connections import IDLE_TIMEOUT_NS, InboundConnections
 from kestrelplank.time_units import MILLISECOND, SECOND
 from kestrelplank.transport.messages import ConfigurationUpdate, EdgeHeartbeat, decode_at_edge
+from kestrelplank.transport.wire import UNREAD_AND_SILENT_NS
 
 IN_FORCE = 7
 
@@ -13,8 +14,11 @@
 class Connection:
     """A connection that keeps what is sent on it."""
 
-    def __init__(self):
-        self.sent, self.resets = [], 0
+    def __init__(self, unread=False):
+        self.sent, self.resets, self.unread = [], 0, unread
+
+    def stands_still(self, now, silent_ns):
+        return self.unread and silent_ns > UNREAD_AND_SILENT_NS
 
     def send(self, message):
         self.sent.append(decode_at_edge(message[4:]) if isinstance(message, bytes) else message)
@@ -70,3 +74,16 @@
     assert [behind_s(at * SECOND, version) for at, version in ((1, 5), (2, 5), (4, 6))] == [0.0, 1.0, 3.0]
     assert inbound.edge_statuses(4 * SECOND + 400 * MILLISECOND)["edge-1"].behind_s == 3.4
     assert behind_s(5 * SECOND, IN_FORCE) is None and behind_s(6 * SECOND, None) == 0.0
+
+
+def test_a_connection_is_reset_if_its_peer_is_silent_and_sooner_if_it_reads_nothing_either():
+    """A peer that reads late, but sends heartbeats, keeps its connection."""
+    inbound, quiet, unread = InboundConnections(), Connection(), Connection(unread=True)
+    for connection in (quiet, unread):
+        inbound.record_activity(0, connection)
+    inbound.reset_idle(UNREAD_AND_SILENT_NS)
+    assert [quiet.resets, unread.resets] == [0, 0]
+    inbound.reset_idle(UNREAD_AND_SILENT_NS + 1)
+    assert [quiet.resets, unread.resets] == [0, 1]
+    inbound.reset_idle(IDLE_TIMEOUT_NS + 1)
+    assert quiet.resets == 1
--- a/tests/control/test_member_sessions.py
+++ b/tests/control/test_member_sessions.py
@@ -10,7 +10,7 @@
 from kestrelplank.rehearsal.loopback import free_port
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, decode_at_member
-from kestrelplank.transport.wire import FrameConnection
+from kestrelplank.transport.wire import UNREAD_AND_SILENT_NS, FrameConnection
 
 FIRST_IP, SECOND_IP = "127.0.0.1", "127.0.0.2"
 UPDATE = MembershipUpdate(Membership(0, ("a:1/first",)), "", ())
@@ -183,5 +183,22 @@
     run_scenario(scenario)
 
 
+def test_a_connection_to_a_member_that_neither_reads_nor_replies_is_reset_sooner():
+    """A member that stands still is noticed as soon as its receive window has been closed for the user time-out."""
+
+    async def scenario(first, second):
+        first.sessions.keep_sessions_with([f"{SECOND_IP}:80"])
+        await send_until_received(first, lambda: first.sessions.send(second.identity, UPDATE), second)
+        (connection,) = first.sessions._outbound.values()
+        sent_at = time.monotonic_ns()
+        first.sessions.reset_unanswered(sent_at + UNREAD_AND_SILENT_NS + SECOND // 10)
+        assert connection.is_open
+        connection._watch.is_stalled = lambda now: True
+        first.sessions.reset_unanswered(sent_at + UNREAD_AND_SILENT_NS + SECOND // 10)
+        assert not connection.is_open
+
+    run_scenario(scenario)
+
+
 def test_an_unanswered_connection_is_reset_before_the_idle_timeout_of_the_peer():
     assert UNANSWERED_TIMEOUT_NS + SECOND // 4 < IDLE_TIMEOUT_NS
--- a/tests/control/test_server_calls.py
+++ b/tests/control/test_server_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 
 import pytest
@@ -9,9 +10,10 @@
 
 from kestrelplank.control.effects import CallServer
 from kestrelplank.control.server_calls import MAX_CONCURRENT_GRANTS, MAX_CONCURRENT_RELEASES, ServerCalls
+from kestrelplank.http.unread_bytes import USER_TIMEOUT_NS
 from kestrelplank.sharding.effects import GrantKeyRange, ReleaseKeyRange, ServerCallResult
 from kestrelplank.sharding.key_range import KeyRange
-from kestrelplank.time_units import SECOND
+from kestrelplank.time_units import MILLISECOND, SECOND
 
 
 def answer(status=200, extra_headers=""):
@@ -160,6 +162,52 @@
     run_against(script, scenario)
 
 
+def test_a_server_that_reads_a_grant_late_gets_it_once_and_the_next_on_another_connection():
+    """Late readers of grants are not waited for: a call ends by its own time-out, and says nothing about the server."""
+    may_read = asyncio.Event()
+
+    async def script(server, connection):
+        if len(server.connections) == 1:
+            await may_read.wait()
+        while True:
+            await connection.request()
+            connection.write(answer())
+
+    async def scenario(calls):
+        calls.grant(1)
+        await calls.until_ended(1)
+        assert calls.ended[1] == (GrantKeyRange, ServerCallResult(True))
+        calls.grant(2)
+        await calls.until_ended(2)
+        assert calls.ended[2] == (GrantKeyRange, ServerCallResult(True, 200))
+        may_read.set()
+        while not calls.server.tasks[0].done():
+            await asyncio.sleep(0)
+        first, second = (requests_in(connection.received) for connection in calls.server.connections)
+        assert [len(first) <= 1, [body["source"] for _, body in second]] == [True, [2]]
+
+    run_against(script, scenario)
+
+
+def test_a_grant_never_has_longer_to_arrive_than_the_user_timeout():
+    """`sharding.timing` counts on it: a late reader of grants is not kept, unlike one of requests."""
+
+    async def script(server, connection):
+        while True:
+            await connection.request()
+            connection.write(answer(extra_headers="Keep-Alive: timeout=10\r\n"))
+
+    async def scenario(calls):
+        calls.grant(1)
+        await calls.until_ended(1)
+        (pooled,) = calls.calls._idle
+        sock = pooled.connection.stream.transport.get_extra_info("socket")
+        assert pooled.connection.stream.watch is None
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == USER_TIMEOUT_NS // MILLISECOND
+
+    run_against(script, scenario)
+
+
 def test_a_duplicate_response_to_a_release_is_not_taken_for_the_response_to_the_next():
     """The duplicate arrives late, when the next release was sent: that release uses another connection."""
     sent = asyncio.Event()
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -434,6 +434,22 @@
     assert (slow.failures, slow.in_flight) == (failures + 1, 1)
 
 
+def test_a_server_that_leaves_attempts_unread_is_ejected_and_the_attempts_go_on():
+    """Once for each attempt, and not for one that has ended."""
+    forwarder = forwarder_with(IDEMPOTENT)
+    requests = [begin(forwarder, "/c/x", None)[0] for _ in range(6)]
+    slow = requests[0].endpoint
+    late = [request for request in requests if request.endpoint is slow]
+    for now in (S, 1100 * MS):
+        forwarder.attempt_stalled(NOW + now, late[0])
+        assert forwarder.endpoints.ejected(NOW + now) == []
+    forwarder.attempt_stalled(NOW + 1200 * MS, late[1])
+    assert forwarder.endpoints.ejected(NOW + 1200 * MS) == [slow.server]
+    assert [request.state for request in late] == [RequestState.IN_FLIGHT] * 2
+    assert isinstance(forwarder.attempt_ended(NOW + 1300 * MS, late[0], CallOutcome.ANSWERED), ForwardAnswer)
+    forwarder.attempt_stalled(NOW + 1400 * MS, late[0])
+
+
 # Guards against an answer of the edge's own in place of the one that the first server was working on.
 @pytest.mark.parametrize("outcome", [CallOutcome.NO_CONNECTION_FREE, CallOutcome.CONNECT_FAIL])
 def test_a_request_that_was_ended_early_is_sent_until_its_deadline(outcome):
--- a/tests/transport/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -1,12 +1,15 @@
 """Messages between processes, over a transport within the test process and over TCP."""
 
 import asyncio
+import time
 import zlib
 from random import Random
 
 import msgspec
 import pytest
+from loopback_peers import PausedReader, listen
 
+from kestrelplank.time_units import SECOND
 from kestrelplank.transport import wire as wire_module
 from kestrelplank.transport.messages import (
     ConfigurationUpdate,
@@ -36,6 +39,9 @@
     def setsockopt(self, *_):
         pass
 
+    def getsockopt(self, *_):
+        raise OSError("not a TCP socket")
+
     def write(self, data):
         while data and not self.other.closed:
             size = self.random.randrange(1, 1 + min(len(data), 5000))
@@ -164,3 +170,84 @@
         server.close()
 
     asyncio.run(run())
+
+
+LATE_S = 2.5  # more than twice the user time-out
+CUT_OFF_NOTICED_S = 2.0  # 1.2 s for the user time-out and a probe, and more for a busy machine
+LARGE = ConfigurationUpdate(1, Random(1).randbytes(4 << 20))  # more than all buffers on the way take
+
+
+def with_paused_reader(scenario):
+    """Run `scenario(connection, peer)` for a connection to a peer that reads nothing yet."""
+
+    async def run():
+        peers = []
+        server, port = await listen(lambda: peers.append(PausedReader()) or peers[-1])
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: FrameConnection(decode_at_edge, lambda *_: None, lambda _: None), "127.0.0.1", port
+        )
+        try:
+            async with asyncio.timeout(20):
+                while not peers or peers[0].transport is None:
+                    await asyncio.sleep(0)
+                await scenario(connection, peers[0])
+        finally:
+            connection.reset()
+            peers[0].transport.abort()
+            server.close()
+
+    asyncio.run(run())
+
+
+# Guards against a session that is ended, and its configuration sent anew, as the peer was busy for a second.
+def test_a_peer_that_reads_late_gets_all_messages():
+    async def scenario(connection, peer):
+        connection.send(LARGE)
+        connection.send(LAST)
+        await asyncio.sleep(LATE_S)
+        peer.read_on()
+        expected = encode_frame(LARGE) + encode_frame(LAST)
+        while len(peer.received) < len(expected):
+            assert connection.is_open
+            await asyncio.sleep(0)
+        assert peer.received == expected
+
+    with_paused_reader(scenario)
+
+
+@pytest.mark.parametrize("unread_s", [0, 1.5])
+def test_a_peer_that_is_cut_off_is_disconnected(unread_s):
+    """With bytes on their way, and once its receive window has been closed for a while."""
+
+    async def scenario(connection, peer):
+        if unread_s:
+            connection.send(LARGE)
+            await asyncio.sleep(unread_s)
+            assert connection.is_open
+        peer.cut_off()
+        connection.send(LARGE)
+        async with asyncio.timeout(CUT_OFF_NOTICED_S):
+            while connection.is_open:
+                await asyncio.sleep(0.01)
+
+    with_paused_reader(scenario)
+
+
+def test_a_peer_stands_still_if_it_neither_reads_nor_sends():
+    async def scenario(connection, peer):
+        connection.send(LAST)
+        await asyncio.sleep(0.5)
+        assert not connection.stands_still(time.monotonic_ns() + 9 * SECOND, 9 * SECOND)  # it has room for that
+        connection.send(LARGE)
+        await asyncio.sleep(0.5)
+        now = time.monotonic_ns()
+        assert connection.stands_still(now + SECOND, SECOND + 1)
+        assert not connection.stands_still(now + SECOND, SECOND)  # it has just sent something
+        assert not connection.stands_still(now, 9 * SECOND)  # it was read from a moment ago
+        peer.read_on()
+        while len(peer.received) < len(encode_frame(LAST) + encode_frame(LARGE)):
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.5)
+        assert not connection.stands_still(now + 9 * SECOND, 9 * SECOND)
+
+    with_paused_reader(scenario)
