Edge: a server that answers early and reads on later gets the rest of the body

Callers saw: a client got the 200 of its upload, and the server, which had answered before it had read all, found its connection reset and had only a part of the body. Cause: an answered connection with unsent bytes counted as unusable and was reset, or closed by httpcore where the answer said `Connection: close`; the bytes that the transport or the kernel still held went with it. Change: such a connection leaves the pool and is closed in order once the server has acknowledged all, or reset after 10 s, or when a new connection needs its room. The body counts as held until then; a stopping edge waits for it within its grace period. A server that says X-Not-Executed needs no more, and is reset as before. Why it works: only the kernel's count of unsent bytes decides, and nothing else is ever sent on the connection.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -26,7 +26,7 @@
     server_headers,
 )
 from kestrelplank.edge.request_target import origin_form, path_of
-from kestrelplank.edge.server_connections import AttemptResult, ServerRequest
+from kestrelplank.edge.server_connections import EXECUTED_OUTCOMES, AttemptResult, ServerRequest
 from kestrelplank.forwarding.errors import (
     BadRequestError,
     BodyMemoryError,
@@ -48,7 +48,6 @@
 
 RETRY_AFTER_NS = SECOND // 2  # `Retry-After` for a body that was not accepted, a shutdown or an internal error
 BODILESS_STATUSES = (204, 304)
-ANSWER_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)  # attempts whose answer the client may get
 log = logging.getLogger("edge")
 
 
@@ -82,12 +81,18 @@
         self._configuration_version = 0  # that of its route; 0 until it is admitted
         self._server_answer: Answer | None = None  # the last that counts as run
         self._attempts: list[AttemptTrace] = []
+        self._reading: list[asyncio.Task[None]] = []  # of servers that answered before they had read the whole body
         self._answered = False
 
     async def run(self) -> None:
-        """Read, forward and answer the request; an exception is turned into an answer."""
+        """Read, forward and answer the request; an exception is turned into an answer.
+
+        The body is held until each server that has run the request has read it, also while this edge shuts down.
+        """
         try:
             await self._run()
+            if self._reading:
+                await asyncio.wait(self._reading)
         except asyncio.CancelledError:  # by the HTTP server: the grace period for requests in progress is over
             await self._abort(ShuttingDownError(RETRY_AFTER_NS))
         except Exception:  # noqa: BLE001 - uvicorn's own 500 would not say whether the request ran
@@ -227,8 +232,10 @@
             counted.outcome = ended.result.outcome
         now, result = time.monotonic_ns(), ended.result
         self._record_attempt(endpoint.server, result, now - sent_at)
-        if result.outcome in ANSWER_OUTCOMES:
+        if result.outcome in EXECUTED_OUTCOMES:
             self._server_answer = result.answer
+        if result.reading is not None:
+            self._reading.append(result.reading)
         next_step = ended.retry or self._after_attempt(now, request, result, disconnected)
         endpoint.idle_connections = context.connections.idle_count(endpoint.address)
         context.wake_pending()  # a waiting request can use the freed capacity
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -7,8 +7,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from kestrelplank.edge.unread_requests import UnreadRequests
 from kestrelplank.forwarding.endpoint import ServerLoad
 from kestrelplank.forwarding.retry_policy import CallOutcome
 from kestrelplank.http.answer import DEFAULT_IDLE_NS, Answer
@@ -29,6 +30,8 @@
 CONNECT_TIMEOUT_S = 0.35
 MISDIRECTED_REQUEST = 421  # RFC 9110, section 15.5.20: a different incarnation of the server is at this address
 SUCCESS, SERVER_ERROR = 2, 5  # classes of status codes: the first digit
+# The server has run the request: its client may get the answer, and the server may read the rest of the body.
+EXECUTED_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)
 OUTCOMES_WITHOUT_ANSWER: dict[type[NoAnswerError], CallOutcome] = {
     RequestUnsendableError: CallOutcome.UNSENDABLE,
     RequestNotSentError: CallOutcome.CONNECT_FAIL,
@@ -62,10 +65,12 @@
     """The result of an attempt.
 
     :param answer: the complete answer to this request, or None if there was none.
+    :param reading: done once the server has read the rest of the body; None: it read all before it answered.
     """
 
     outcome: CallOutcome
     answer: Answer | None = None
+    reading: asyncio.Task[None] | None = None
 
     def load(self) -> ServerLoad | None:
         """Return the load that the server reported, or None if there is no valid report."""
@@ -90,6 +95,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._connections: dict[str, dict[int, Connection]] = {}  # by address, then by the pool's connection number
         self._last_number = 0  # numbers are unique across addresses
+        self._unread = UnreadRequests()
 
     async def send(
         self,
@@ -107,29 +113,47 @@
         :param on_stall: called once if the server leaves the request unread (`PeerWatch.is_stalled`).
         """
         pool = self._pool(address, max_connections)
-        connections = self._connections[address]
-        number, connection = self._acquire(pool, connections)
+        deadline_at_s = asyncio.get_running_loop().time() + timeout_ns / SECOND
+        number, connection = await self._connect(address, pool, max_connections, timeout_ns)
         if number is None:
             return AttemptResult(CallOutcome.NO_CONNECTION_FREE)
-        deadline_at_s = asyncio.get_running_loop().time() + timeout_ns / SECOND
         if connection is None:
-            connection = await self._dial(pool, address, min(CONNECT_TIMEOUT_S, timeout_ns / SECOND))
-            if connection is None:
-                return AttemptResult(CallOutcome.CONNECT_FAIL)
-            connections[number] = connection
-            pool.dial_succeeded(number)
+            return AttemptResult(CallOutcome.CONNECT_FAIL)
         reusable = not should_send()
         try:
             if reusable:
                 return AttemptResult(CallOutcome.NOT_SENT)
             connection.stream.call_on_stall(on_stall)
             result, reusable = await self._exchange(pool, connection, request, deadline_at_s)
+            if result.outcome in EXECUTED_OUTCOMES and connection.stream.has_unsent_bytes():
+                pool.connection_lost(number)
+                del self._connections[address][number]  # no longer released below
+                return replace(result, reading=self._unread.keep(address, connection))
             return result
         finally:
             connection.stream.call_on_stall(None)
-            if not pool.release(self._clock(), number, reusable):
-                connections.pop(number, None)
-                connection.reset()
+            self._release(address, pool, number, reusable)
+
+    def _release(self, address: str, pool: ConnectionPool, number: int, reusable: bool) -> None:
+        """Return the connection to its pool, or reset it, unless it has been taken from the pool."""
+        connections = self._connections[address]
+        if number in connections and not pool.release(self._clock(), number, reusable):
+            connections.pop(number).reset()
+
+    async def _connect(
+        self, address: str, pool: ConnectionPool, max_connections: int, timeout_ns: int
+    ) -> tuple[int | None, Connection | None]:
+        """Return a connection and its number, the number alone if the dial failed, or neither if all are in use."""
+        connections = self._connections[address]
+        number, connection = self._acquire(pool, connections)
+        if number is None or connection is not None:
+            return number, connection
+        self._limit_unread(pool, address, max_connections)
+        connection = await self._dial(pool, address, min(CONNECT_TIMEOUT_S, timeout_ns / SECOND))
+        if connection is not None:
+            connections[number] = connection
+            pool.dial_succeeded(number)
+        return number, connection
 
     def _pool(self, address: str, max_connections: int) -> ConnectionPool:
         pool = self._pools.get(address)
@@ -158,6 +182,12 @@
             pool.connection_lost(number)
             connections.pop(number).reset()
 
+    def _limit_unread(self, pool: ConnectionPool, address: str, max_connections: int) -> None:
+        """Make room for a connection that is dialled, as those with an unread request count towards the limit."""
+        unread = self._unread.count(address)
+        if unread and sum(pool.counts()) + unread > max_connections:
+            self._unread.reset_oldest(address)
+
     @staticmethod
     async def _dial(pool: ConnectionPool, address: str, timeout_s: float) -> Connection | None:
         """Return a new connection, or None if it could not be established in time."""
--- a/kestrelplank/http/connection.py
+++ b/kestrelplank/http/connection.py
@@ -85,7 +85,7 @@
             chunks.append(chunk)
         await response.stream.aclose()  # type: ignore[union-attr]
         fields = {name.lower(): value for name, value in response.headers}
-        if self.is_stale() or not self._http.is_idle() or b"close" in fields.get(b"connection", b"").lower():
+        if self._has_surplus_input() or not self._http.is_idle() or b"close" in fields.get(b"connection", b"").lower():
             self.reusable = False
         return Answer(response.status, response.headers, fields, b"".join(chunks))
 
@@ -100,11 +100,16 @@
 
     def is_stale(self) -> bool:
         """Whether the connection can't be reused: it has ended, received unsolicited bytes, or has bytes to send."""
-        return (
-            not self.stream.has_no_input()
-            or self.stream.has_unsent_bytes()
-            or bool(self._http._h11_state.trailing_data[0])
-        )
+        return self._has_surplus_input() or self.stream.has_unsent_bytes()
+
+    def _has_surplus_input(self) -> bool:
+        """Whether the connection has ended, or received bytes after the answer."""
+        return not self.stream.has_no_input() or bool(self._http._h11_state.trailing_data[0])
+
+    def close(self) -> None:
+        """Close the connection in order, once all written bytes have been sent."""
+        self.reusable = False
+        self.stream.close()
 
     def reset(self) -> None:
         """Reset the connection, so that no late bytes are taken for the answer to another request."""
--- a/kestrelplank/http/stream.py
+++ b/kestrelplank/http/stream.py
@@ -123,9 +123,9 @@
             await self._writer
 
     async def aclose(self) -> None:
-        """Close the connection once all written bytes have been sent."""
-        if self.transport is not None:
-            self.transport.close()
+        """Close the connection; if bytes wait for the peer to read, its owner closes it instead, once that is done."""
+        if not self.has_unsent_bytes():
+            self.close()
 
     def get_extra_info(self, info: str) -> bool | None:
         """Return whether input can be read for "is_readable", the only value that httpcore requests, otherwise None."""
@@ -138,6 +138,11 @@
         if self.watch is not None:
             self.watch.call_on_stall(callback)
 
+    def close(self) -> None:
+        """Close the connection once all written bytes have been sent."""
+        if self.transport is not None:
+            self.transport.close()
+
     def reset(self) -> None:
         """Reset the connection; bytes in transit are lost."""
         if self.transport is not None:
@@ -149,9 +154,16 @@
         return not self.buffer and not self.ended and not has_unread_bytes(self.transport)
 
     def has_unsent_bytes(self) -> bool:
-        """Whether bytes of a request are still in the transport's write buffer."""
+        """Whether bytes of a request wait for the peer to read."""
+        if self.watch is not None:
+            return self.watch.has_unsent_bytes()
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    async def wait_until_read(self) -> None:
+        """Wait until the peer has acknowledged all bytes, or the connection has ended."""
+        if self.watch is not None:
+            await self.watch.wait_until_read()
+
 
 def _resolve(future: asyncio.Future[None] | None) -> None:
     if future is not None and not future.done():
--- a/tests/edge/test_late_readers.py
+++ b/tests/edge/test_late_readers.py
@@ -5,9 +5,11 @@
 
 import pytest
 from configuration.test_parsing import route
-from edge.stage import answer, answer_all_requests, run_scenario
+from edge.stage import IP, answer, answer_all_requests, run_scenario
 from loopback_peers import cut_off
 
+from kestrelplank.edge import unread_requests
+
 READ_AT_ONCE_BYTES = 16_000
 BODY = bytes(1 << 20)  # more than the server's buffers take
 LATE_S = 2.5  # more than twice the user time-out
@@ -91,3 +93,87 @@
         assert [(await task)[0] for task in late] == [200, 200]
 
     run_scenario(scenario, reads_late(LATE_S), answer_all_requests)
+
+
+def answers_early(reads_on, received, more=""):
+    """Return the script of a server that answers at once, and reads the rest of the body once `reads_on` is set."""
+
+    async def script(server, connection):
+        _, fields = await connection.head()
+        body = await connection._read(READ_AT_ONCE_BYTES)
+        connection.write(answer(fields, more=more))
+        await reads_on.wait()
+        received.append(len(body + await connection._read(int(fields["content-length"]) - len(body))))
+        await connection.reader.read()  # until the connection has ended in order
+        received.append("end")
+
+    return script
+
+
+# Guards against a body that is cut off as its server has answered and reads the rest later: the client's upload counts.
+@pytest.mark.parametrize("size", [400_000, 6 << 20])  # fits into the buffers of the kernel, or not
+@pytest.mark.parametrize("more", ["", "Connection: close\r\n"])
+def test_a_server_that_answers_early_is_sent_the_rest_of_the_body(size, more):
+    reads_on, received = asyncio.Event(), []
+
+    async def scenario(harness):
+        harness.configure(virtual_hosts=HOSTS)
+        context = harness.program.context
+        assert (await harness.send_request("/upload/x", bytes(size), "early", TIMEOUT_MS))[0] == 200
+        await asyncio.sleep(LATE_S)
+        assert context.buffered_body_bytes == size  # as long as it has not been sent
+        reads_on.set()
+        while len(received) < 2:
+            await asyncio.sleep(0.01)
+        assert received == [size, "end"]
+        while context.buffered_body_bytes:
+            await asyncio.sleep(0.01)
+
+    run_scenario(scenario, answers_early(reads_on, received, more))
+
+
+def test_an_edge_that_shuts_down_waits_for_a_server_that_answered_early():
+    reads_on, received = asyncio.Event(), []
+
+    async def scenario(harness):
+        harness.configure(virtual_hosts=HOSTS)
+        assert (await harness.send_request("/upload/x", BODY, "early", TIMEOUT_MS))[0] == 200
+        stopping = asyncio.ensure_future(harness.program.drain(0))
+        await asyncio.sleep(1.5)
+        assert not stopping.done()
+        reads_on.set()
+        await stopping
+        assert received == [len(BODY), "end"]
+
+    run_scenario(scenario, answers_early(reads_on, received))
+
+
+def test_a_server_that_answers_early_and_reads_nothing_more_is_given_up(monkeypatch):
+    monkeypatch.setattr(unread_requests, "MAX_UNREAD_S", 0.3)
+    reads_on = asyncio.Event()
+
+    async def scenario(harness):
+        harness.configure(virtual_hosts=HOSTS)
+        assert (await harness.send_request("/upload/x", BODY, "early", TIMEOUT_MS))[0] == 200
+        while harness.program.context.buffered_body_bytes:
+            await asyncio.sleep(0.01)
+
+    run_scenario(scenario, answers_early(reads_on, []))
+
+
+def test_connections_with_an_unread_body_count_towards_the_limit_of_connections_to_a_server():
+    """The oldest is reset to make room, as the client has its answer."""
+    reads_on, received = asyncio.Event(), []
+
+    async def scenario(harness):
+        harness.configure(virtual_hosts=HOSTS, service_table=[{"name": "views", "max_connections": 2}])
+        for number in range(4):
+            assert (await harness.send_request("/upload/x", BODY, f"e-{number}", TIMEOUT_MS))[0] == 200
+        assert harness.program.connections._unread.count(f"{IP}:{harness.servers[0].port}") == 2
+        assert len(harness.servers[0].connections) == 4
+        reads_on.set()
+        while len(received) < 4:
+            await asyncio.sleep(0.01)
+        assert received.count(len(BODY)) == 2
+
+    run_scenario(scenario, answers_early(reads_on, received))
