Edge: a client that still reads its answer is not idle

Callers saw: a client with a full window got a long answer whole, and then the end of the connection, as the operator's idle_timeout_s was over, though it had not rested on it; its next request was lost with the connection. Cause: the idle time counted from when the edge had written the answer, not from when the client had read it. Change: at the end of the idle time it counts anew while bytes of an answer wait for the client, here or in the kernel. Why it works: what has been read of an answer is known to the kernel alone, and it is asked. A client that is gone is noticed as before, when the kernel gives up sending: such a connection was never ended before its last byte was sent. Tests: test_a_client_that_reads_its_answer_late_gets_all_of_it failed before with an idle time-out (1 of 3) and passes now; that nothing else ends a late client's or operator's answer, also on SIGTERM, held before as well (5 tests).

--- a/kestrelplank/http/client_protocol.py
+++ b/kestrelplank/http/client_protocol.py
@@ -5,6 +5,7 @@
 - The idle time-out of a connection is the longer of the limit now and the limit when it became idle. Until a
   configuration has been received there is no limit, and no idle connection is closed.
 - A connection is not closed for a time-out or a shutdown while bytes of a request have been read or are in the kernel.
+- A connection is not idle while its client has not read the whole answer.
 - Malformed bytes after a request in progress get no answer: the client would take it for the answer to that request.
 - A request for an upgrade is served as one without it (`http.request_parser`).
 - Trailers of a chunked body are dropped (RFC 9110, section 6.5.1): they are no headers of the request.
@@ -24,6 +25,7 @@
 from kestrelplank.http.client_limits import ServerConfig
 from kestrelplank.http.request_parser import RequestParser
 from kestrelplank.http.socket_options import has_unread_bytes
+from kestrelplank.http.tcp_info import has_unsent_bytes
 
 NO_LIMIT_POLL_INTERVAL_S = 5.0  # between checks of an idle connection while there is no limit
 UNREAD_POLL_INTERVAL_S = 0.05  # by which a time-out is postponed for the loop to read bytes that are in the kernel
@@ -228,6 +230,8 @@
             self._set_timer(self._idle_since_s + max(limit_s, self._idle_timeout_s), self._on_idle_timeout)
         elif has_unread_bytes(self.transport):
             self._set_timer(now_s + UNREAD_POLL_INTERVAL_S, self._on_idle_timeout)
+        elif has_unsent_bytes(self.transport):
+            self._start_idle_timer()  # it rests once it has read the answer
         else:
             self.transport.close()
 
--- a/kestrelplank/http/peer_watch.py
+++ b/kestrelplank/http/peer_watch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from kestrelplank.http.socket_options import set_user_timeout
-from kestrelplank.http.tcp_info import TcpInfo, read_tcp_info
+from kestrelplank.http.tcp_info import TcpInfo, has_unsent_bytes, read_tcp_info
 from kestrelplank.http.unread_bytes import USER_TIMEOUT_NS, PeerState, UnreadBytes
 
 FIRST_CHECK_S = 0.25  # after a write: before the kernel can end the connection by `USER_TIMEOUT_NS`
@@ -48,10 +48,7 @@
 
     def has_unsent_bytes(self) -> bool:
         """Whether bytes wait, here or in the kernel, for the peer to read."""
-        if self._transport.get_write_buffer_size():
-            return True
-        info = read_tcp_info(self._socket) if self._timer is not None else None
-        return info is not None and info.unsent_bytes > 0
+        return self._timer is not None and has_unsent_bytes(self._transport)
 
     async def wait_until_read(self) -> None:
         """Wait until the peer has acknowledged all bytes, or the connection has ended."""
--- a/kestrelplank/http/tcp_info.py
+++ b/kestrelplank/http/tcp_info.py
@@ -1,5 +1,6 @@
 """What the kernel knows of a TCP connection: what it has sent, and what the peer has acknowledged (Linux, TCP_INFO)."""
 
+import asyncio
 import socket
 import struct
 from dataclasses import dataclass
@@ -65,3 +66,11 @@
         since_data_sent_ms=fields[LAST_DATA_SENT],
         since_acknowledgement_ms=fields[LAST_ACK_RECEIVED],
     )
+
+
+def has_unsent_bytes(transport: asyncio.WriteTransport) -> bool:
+    """Whether written bytes wait, in the transport or in the kernel, for the peer to read."""
+    if transport.get_write_buffer_size():
+        return True
+    info = read_tcp_info(transport.get_extra_info("socket"))
+    return info is not None and info.unsent_bytes > 0
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 from configuration.test_parsing import encoded
 from configuration.test_tenants import FIRST_KEY, SECOND_KEY, tenant
 
-from kestrelplank.control.effects import AnswerOrder
+from kestrelplank.control.effects import AnswerOrder, AnswerRead
 from kestrelplank.control.operator_api import application
 from kestrelplank.http.server import create_server
 from kestrelplank.http.socket_options import listening_socket, reset_on_close
 
 IP = "127.0.0.1"
+LONG_TEXT = bytes(4 << 20)  # more than all buffers on the way take
 
 
 class Member:
@@ -20,7 +22,11 @@
 
     def __init__(self):
         self.submitted, self.stored, self.majority = [], [], asyncio.Event()
-        self.arrived = asyncio.Event()
+        self.arrived, self.shown = asyncio.Event(), False
+
+    async def show_configuration(self):
+        self.shown = True
+        return AnswerRead(0, True, LONG_TEXT)
 
     async def replace_configuration(self, configuration):
         self.submitted.append(configuration.text)
@@ -105,6 +111,44 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("shutdown", [False, True])
+def test_an_operator_that_reads_a_configuration_late_gets_all_of_it(shutdown):
+    """Guards against an operator with a full window that counts as gone, also while the member stops."""
+    late_s = 0.8 if shutdown else 2.5  # within `run_scenario`'s second for calls in flight, or twice the user time-out
+
+    async def scenario(member, port, server):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        sock.connect((IP, port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1 << 10)
+        writer.write(b"GET /api/configuration/show HTTP/1.1\r\nHost: c\r\n\r\n")
+        while not member.shown:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        server.should_exit = shutdown
+        await asyncio.sleep(late_s)
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(len(LONG_TEXT)) == LONG_TEXT
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_an_operator_that_reads_its_acknowledgement_late_gets_it():
+    async def scenario(member, port, server):
+        member.majority.set()
+        reader, writer = await asyncio.open_connection(IP, port)
+        writer.transport.pause_reading()
+        writer.write(encode_request(encoded()))
+        await member.arrived.wait()
+        await asyncio.sleep(2.5)
+        writer.transport.resume_reading()
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    run_scenario(scenario)
+
+
 SHARED_KEY = [tenant("acme", FIRST_KEY), tenant("globex", SECOND_KEY, FIRST_KEY)]
 
 
--- a/tests/edge/test_late_readers.py
+++ b/tests/edge/test_late_readers.py
@@ -1,11 +1,12 @@
 """Peers of an edge that read late. Guards against connections that are ended as if such a peer were gone."""
 
 import asyncio
+import socket
 import time
 
 import pytest
 from configuration.test_parsing import route
-from edge.stage import IP, answer, answer_all_requests, run_scenario
+from edge.stage import IP, LIMITS, Client, answer, answer_all_requests, run_scenario
 from loopback_peers import cut_off
 
 from kestrelplank.edge import unread_requests
@@ -177,3 +178,46 @@
         assert received.count(len(BODY)) == 2
 
     run_scenario(scenario, answers_early(reads_on, received))
+
+
+LONG_ANSWER = bytes(4 << 20)  # more than all buffers on the way to the client take
+
+
+async def answer_long(server, connection):
+    """Script of a server whose answers are long."""
+    while True:
+        fields, _ = await connection.request()
+        connection.write(answer(fields, LONG_ANSWER))
+
+
+async def client_with_small_window(harness):
+    """Return a client whose kernel takes little of an answer that it has not read yet."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+    sock.connect((IP, harness.port))
+    client = Client(*await asyncio.open_connection(sock=sock, limit=1 << 10))
+    harness.clients.append(client)
+    return client
+
+
+# Guards against an answer that is cut off, or a connection that is closed, as its client has a full window for seconds.
+@pytest.mark.parametrize("meanwhile", ["nothing", "idle time-out", "shutdown"])
+def test_a_client_that_reads_its_answer_late_gets_all_of_it(meanwhile):
+    async def scenario(harness):
+        harness.configure(virtual_hosts=HOSTS, limits=LIMITS | {"idle_timeout_s": 1})
+        client = await client_with_small_window(harness)
+        client.send("/upload/x", b"", "late", TIMEOUT_MS)
+        if meanwhile == "shutdown":
+            await asyncio.sleep(0.3)
+            stopping = asyncio.ensure_future(harness.program.drain(0.3))
+        await asyncio.sleep(2.2)
+        assert (await client.answer())[2] == LONG_ANSWER
+        if meanwhile == "shutdown":
+            assert await client.ended()
+            await stopping
+        if meanwhile == "idle time-out":  # it counts from when the client has read the answer
+            await asyncio.sleep(0.5)
+            client.send("/upload/x", b"", "next", TIMEOUT_MS)
+            assert (await client.answer())[0] == 200
+
+    run_scenario(scenario, answer_long)
