Connections: the time-out is not extended where TCP_INFO has no times

Two zeros read as "acknowledged just now", so a peer cut off with bytes in flight would have been kept for ever. Change: times that are both 0 prove nothing: the time-out is not extended, and the kernel ends the connection as before.

--- a/kestrelplank/http/tcp_info.py
+++ b/kestrelplank/http/tcp_info.py
@@ -36,6 +36,11 @@
         """Whether the peer has yet to acknowledge any byte that was written."""
         return bool(self.unacknowledged_segments or self.unsent_bytes)
 
+    @property
+    def has_times(self) -> bool:
+        """Whether the times tell anything: data may have been acknowledged just now, or the system leaves them 0."""
+        return bool(self.since_data_sent_ms or self.since_acknowledgement_ms)
+
     @property
     def window_is_closed(self) -> bool:
         """Whether nothing is on its way though bytes wait: the peer is only sent probes."""
--- a/kestrelplank/http/unread_bytes.py
+++ b/kestrelplank/http/unread_bytes.py
@@ -29,7 +29,7 @@
 
     UP_TO_DATE = "has acknowledged every byte"
     REACHABLE = "acknowledges what it is sent, but has not taken every byte"
-    SILENT = "has not acknowledged what was sent last"
+    SILENT = "is not known to have acknowledged what was sent last"
     UNREACHABLE = "has acknowledged nothing for too long"
 
 
@@ -70,6 +70,8 @@
         if info.acknowledged_bytes != self._acknowledged_bytes and self._acknowledged_bytes is not None:
             self._progress_at = now
         self._acknowledged_bytes = info.acknowledged_bytes
+        if not info.has_times:
+            return PeerState.SILENT
         silent_ns = min(info.since_acknowledgement_ms * MILLISECOND, now - self._written_at)
         if info.peer_answers or info.window_is_closed and silent_ns < PROBED_TIMEOUT_NS:
             self._extend(now - self._written_at)
--- a/tests/http/test_unread_bytes.py
+++ b/tests/http/test_unread_bytes.py
@@ -88,6 +88,13 @@
     assert set(states) == {PeerState.SILENT} and unread.user_timeout_ns == USER_TIMEOUT_NS
 
 
+def test_the_time_out_is_never_extended_by_times_that_the_system_leaves_empty():
+    """Guards against a peer that is cut off and never noticed, where TCP_INFO has counts alone."""
+    for sample in (info(sent_ms=0, acknowledgement_ms=0), in_flight(0)):
+        unread, states = checks(*[sample] * 30)
+        assert set(states) == {PeerState.SILENT} and unread.user_timeout_ns == USER_TIMEOUT_NS
+
+
 def test_one_unanswered_check_does_not_make_a_peer_unreachable():
     """Bytes may have been sent right before the check."""
     assert checks(info(), in_flight(1100), written_ms=1500)[1] == [PeerState.REACHABLE, PeerState.SILENT]
