--- a/tests/edge/test_late_readers.py
+++ b/tests/edge/test_late_readers.py
@@ -14,7 +14,7 @@
 READ_AT_ONCE_BYTES = 16_000
 BODY = bytes(1 << 20)  # more than the server's buffers take
 LATE_S = 2.5  # more than twice the user time-out
-CUT_OFF_NOTICED_S = 2.0  # 1.2 s for the user time-out and a probe, and more for a busy machine
+CUT_OFF_NOTICED_S = 2.0  # at most 1.4 s and a check, and more for a busy machine
 TIMEOUT_MS = 15_000
 HOSTS = [
     {
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.parametrize("unread_s", [0, 1.5])
-def test_a_server_that_is_cut_off_is_noticed_as_soon_as_before(unread_s):
+def test_a_server_that_is_cut_off_is_noticed_within_two_seconds(unread_s):
     """It is cut off at once, with bytes on their way, or once its receive window has been closed for a while."""
     cut_off_at = []
 
--- a/tests/transport/test_wire.py
+++ b/tests/transport/test_wire.py
@@ -173,7 +173,7 @@
 
 
 LATE_S = 2.5  # more than twice the user time-out
-CUT_OFF_NOTICED_S = 2.0  # 1.2 s for the user time-out and a probe, and more for a busy machine
+CUT_OFF_NOTICED_S = 2.0  # at most 1.4 s and a check, and more for a busy machine
 LARGE = ConfigurationUpdate(1, Random(1).randbytes(4 << 20))  # more than all buffers on the way take
 
 
