Edge: a traced request has its status, and each attempt's connection and statement

Change: the trace has the client's status, and of each attempt the number of the connection and whether the server stated that it has not run the request. A request that is cut off at the end of the grace period is traced with the status that it got.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -55,8 +55,10 @@
     """The log entry of one attempt of a traced request."""
 
     server: str
+    connection: int | None  # number of the connection; None: there was none
     outcome: str
     status: int  # HTTP status code; 0: no complete answer
+    not_executed: bool  # the server stated that it has not run the request
     ms: int
 
 
@@ -83,6 +85,7 @@
         self._attempts: list[AttemptTrace] = []
         self._reading: list[asyncio.Task[None]] = []  # of servers that answered before they had read the whole body
         self._answered = False
+        self._answered_status = 0  # HTTP status code that the client got; 0: none
 
     async def run(self) -> None:
         """Read, forward and answer the request; an exception is turned into an answer.
@@ -116,9 +119,9 @@
         disconnected = asyncio.ensure_future(self._wait_for_disconnect())
         try:
             await self._execute_steps(request, step, self._server_request(request, body), disconnected)
+            self._trace(request)
         finally:
             disconnected.cancel()
-            self._trace(request)
 
     async def _abort(self, error: RequestError) -> None:
         """Answer at once: with `error` if the request has certainly not run, otherwise with 502.
@@ -132,6 +135,8 @@
             error = OutcomeUnknownError()
         if not self._answered:
             await self._refuse(error)
+            if request is not None:
+                self._trace(request)
 
     # 1. Reading the request.
 
@@ -255,8 +260,10 @@
         self._attempts.append(
             {
                 "server": server,
+                "connection": result.connection,
                 "outcome": result.outcome.value,
                 "status": result.answer.status if result.answer else 0,
+                "not_executed": result.answer is not None and result.answer.states_not_executed(),
                 "ms": duration_ns // MILLISECOND,
             }
         )
@@ -302,7 +309,7 @@
 
         :param length: `Content-Length` of the answer to a HEAD request, whose body is not sent.
         """
-        self._answered = True
+        self._answered, self._answered_status = True, status
         if status not in BODILESS_STATUSES:
             headers.append((b"content-length", length or str(len(body)).encode()))
         # `ClientProtocol` stores itself in the scope as "connection".
@@ -327,6 +334,7 @@
                 "tenant": request.tenant.name if request.tenant else None,
                 "key": request.key,
                 "attempts": self._attempts,
+                "status": self._answered_status,
                 "ms": (time.monotonic_ns() - self._received_at) // MILLISECOND,
             },
         )
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -66,11 +66,13 @@
 
     :param answer: the complete answer to this request, or None if there was none.
     :param reading: done once the server has read the rest of the body; None: it read all before it answered.
+    :param connection: number of the connection, unique at this edge; None: there was none.
     """
 
     outcome: CallOutcome
     answer: Answer | None = None
     reading: asyncio.Task[None] | None = None
+    connection: int | None = None
 
     def load(self) -> ServerLoad | None:
         """Return the load that the server reported, or None if there is no valid report."""
@@ -125,6 +127,7 @@
                 return AttemptResult(CallOutcome.NOT_SENT)
             connection.stream.call_on_stall(on_stall)
             result, reusable = await self._exchange(pool, connection, request, deadline_at_s)
+            result = replace(result, connection=number)
             if result.outcome in EXECUTED_OUTCOMES and connection.stream.has_unsent_bytes():
                 pool.connection_lost(number)
                 del self._connections[address][number]  # no longer released below
@@ -258,7 +261,7 @@
 
     Servers add `X-Server-Seal` to successful answers: a 2xx without it was sent by an intermediary.
     """
-    if b"x-not-executed" in answer.fields or answer.status == MISDIRECTED_REQUEST:
+    if answer.states_not_executed() or answer.status == MISDIRECTED_REQUEST:
         return CallOutcome.NOT_EXECUTED
     status_class = answer.status // 100
     if status_class < SUCCESS or status_class == SUCCESS and b"x-server-seal" not in answer.fields:
--- a/kestrelplank/http/answer.py
+++ b/kestrelplank/http/answer.py
@@ -9,6 +9,7 @@
 DEFAULT_IDLE_NS = 8_500 * MILLISECOND  # idle time-out of a connection whose server sends no `Keep-Alive: timeout`
 # Idle connections are closed this long before their server does, so that no request is in transit when it closes.
 IDLE_MARGIN_NS = 1_500 * MILLISECOND
+NOT_EXECUTED = b"x-not-executed"
 KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d{1,9})\b")  # seconds; RFC 2068, section 19.7.1.1
 
 
@@ -29,6 +30,10 @@
         values = [value for key, value in self.headers if key.lower() == name]
         return values[0] if len(values) == 1 else None
 
+    def states_not_executed(self) -> bool:
+        """Whether the server states that it has not run the request."""
+        return NOT_EXECUTED in self.fields
+
     def max_idle_ns(self) -> int:
         """Return how long the connection of this answer may stay idle: less than its server allows, in ns."""
         timeout = KEEP_ALIVE_TIMEOUT.search(self.fields.get(b"keep-alive", b""))
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -218,7 +218,8 @@
         asyncio.run(scenario())
     traced = next(record for record in caplog.records if record.message == "Edge: request")
     assert traced.attempt == "me" and [attempt["server"] for attempt in traced.attempts] == ["orders-0"]
-    assert (traced.route, traced.configuration) == ("shop.example/a/b/", "00000007")
+    assert (traced.route, traced.configuration, traced.status) == ("shop.example/a/b/", "00000007", 200)
+    assert [(attempt["connection"], attempt["not_executed"]) for attempt in traced.attempts] == [(1, False)]
     assert next(record for record in caplog.records if record.message == "Edge: counters").counters == {
         "upstream_rq_answered": 1
     }
