--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -85,7 +85,7 @@
         self._attempts: list[AttemptTrace] = []
         self._reading: list[asyncio.Task[None]] = []  # of servers that answered before they had read the whole body
         self._answered = False
-        self._answered_status = 0  # HTTP status code that the client got; 0: none
+        self._answered_status = 0  # HTTP status code that the client got; 0: none so far
 
     async def run(self) -> None:
         """Read, forward and answer the request; an exception is turned into an answer.
@@ -119,9 +119,9 @@
         disconnected = asyncio.ensure_future(self._wait_for_disconnect())
         try:
             await self._execute_steps(request, step, self._server_request(request, body), disconnected)
-            self._trace(request)
         finally:
             disconnected.cancel()
+            self._trace(request)
 
     async def _abort(self, error: RequestError) -> None:
         """Answer at once: with `error` if the request has certainly not run, otherwise with 502.
@@ -135,8 +135,6 @@
             error = OutcomeUnknownError()
         if not self._answered:
             await self._refuse(error)
-            if request is not None:
-                self._trace(request)
 
     # 1. Reading the request.
 
