Tests: requests and grants that are reported as refused, and run (known failures)

Three ways are shown, each on the present code: a copy of a refusal is read as the answer to a later sending on the same connection; 503 without X-Not-Executed is passed on as a promise; 421 without it is believed.

--- a/tests/control/test_server_calls.py
+++ b/tests/control/test_server_calls.py
@@ -234,6 +234,27 @@
     run_against(script, scenario)
 
 
+# Guards against two owners of a key: a lease that was granted was not counted, as its answer was a copy of a refusal.
+def test_a_copy_of_the_refusal_of_a_grant_is_not_taken_for_the_answer_to_the_next_grant():
+    async def script(server, connection):
+        await connection.request()
+        if len(server.connections) > 1:
+            connection.write(answer())
+        else:
+            connection.write(answer(409, "Keep-Alive: timeout=10\r\n"))
+            await connection.request()
+            connection.write(answer(409) + answer())
+        await connection.reader.read()
+
+    async def scenario(calls):
+        for first in (1, 2):
+            calls.grant(first)
+            await calls.until_ended(first)
+        assert [calls.ended[first][1].status for first in (1, 2)] == [409, 200]
+
+    run_against(script, scenario)
+
+
 def test_a_connection_with_extra_bytes_after_a_response_is_not_reused():
     async def script(server, connection):
         while True:
--- /dev/null
+++ b/tests/edge/test_refusals.py
@@ -0,0 +1,106 @@
+"""Refusals of servers, stale ones among them: a client is told 408, 421, 429 or 503 only if its request never runs."""
+
+import asyncio
+import time
+
+import pytest
+from configuration.test_parsing import route
+from edge.stage import SERVICES, answer, run_scenario
+
+from kestrelplank.transport.messages import KeyRangesUpdate, KeyRangesVersion, RangeHolder
+
+REFUSALS = [421, 503]
+NOT_EXECUTED = "X-Not-Executed: 1\r\n"
+TIMEOUT_MS = 5000
+KINDS = ["idempotent", "non_idempotent", "upload"]
+SHARDED = [{**SERVICES[0], "sharded": True}]
+
+
+def configure(harness, max_attempts, services=SERVICES):
+    routes = [
+        route(f"/{kind}/", kind, "views", timeout_s=9, target_latency_s=9, max_attempts=max_attempts) for kind in KINDS
+    ]
+    hosts = [{"host_name": "shop.example", "host_routes": routes}]
+    harness.configure(virtual_hosts=hosts, service_table=services)
+
+
+def set_holder(harness, record, server):
+    """Tell the edge that this server holds all keys."""
+    holder = RangeHolder(0, 65535, server.name, f"127.0.0.1:{server.port}")
+    update = KeyRangesUpdate("views", KeyRangesVersion(1, record), [holder])
+    harness.program.view.receive(time.monotonic_ns(), "m", update)
+    harness.program.context.wake_pending()
+
+
+async def send_keyed(harness, kind="non_idempotent"):
+    """Send a request with a shard key and return its answer."""
+    client = await harness.client()
+    client.send(f"/{kind}/x", b"pay", "me", TIMEOUT_MS, "POST", "X-Shard-Key: 5")
+    return await client.answer()
+
+
+class RefusingServer:
+    """A script: the first sending of each request is refused, the second runs after a copy of that refusal.
+
+    The copy arrives on the connection of the first sending, once the second has arrived. `refused` is set by the first.
+    """
+
+    def __init__(self, status=421):
+        self.status, self.refused, self.runs = status, asyncio.Event(), []
+        self.refused_on = None
+
+    async def __call__(self, server, connection):
+        while True:
+            fields, _ = await connection.request()
+            refusal = answer(fields, b"", self.status, NOT_EXECUTED)
+            if self.refused_on is None:
+                self.refused_on = connection
+                await self.on_refusal(server)
+                connection.write(refusal)
+                self.refused.set()
+                continue
+            self.runs.append(fields["x-attempt-id"])
+            self.refused_on.write(refusal)
+            await self.refused_on.writer.drain()
+            await asyncio.sleep(0.05)  # the copy arrives first
+            connection.write(answer(fields))
+
+    async def on_refusal(self, server):
+        """Hook: called before the refusal is sent."""
+
+
+# Guards against "refused" for a request that runs: the answer was a copy of the refusal of an earlier sending.
+@pytest.mark.parametrize("status", REFUSALS)
+def test_a_copy_of_a_refusal_is_not_taken_for_the_answer_when_the_key_has_moved_there_and_back(status):
+    first, second = RefusingServer(status), RefusingServer(status)
+
+    async def scenario(harness):
+        configure(harness, 3, SHARDED)
+        set_holder(harness, 1, harness.servers[0])
+        request = asyncio.create_task(send_keyed(harness))
+        await first.refused.wait()
+        set_holder(harness, 2, harness.servers[1])
+        await second.refused.wait()
+        set_holder(harness, 3, harness.servers[0])
+        assert (await request)[0] == 200 and first.runs == ["me"] and second.runs == []
+
+    run_scenario(scenario, first, second)
+
+
+# Guards against a second run, and against "refused" for a request that ran: a server says so though it has run it.
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("kind", ["upload"])
+def test_a_refusal_without_the_statement_that_it_has_not_run_is_answered_with_502(kind, status):
+    async def script(server, connection):
+        while True:
+            fields, _ = await connection.request()
+            connection.write(answer(fields, b"busy", status, "Retry-After: 1\r\n"))
+
+    async def scenario(harness):
+        configure(harness, 2)
+        received, fields, body = await harness.send_request(f"/{kind}/x", b"pay", "me", TIMEOUT_MS)
+        assert (received, body) == (502, b"unknown outcome")
+        assert "retry-after" not in fields and "x-server-seal" not in fields
+        assert sum(len(server.request_lines()) for server in harness.servers) == 1
+
+    run_scenario(scenario, script, script)
