Edge: a refusal without X-Not-Executed is no promise: 502, and no second run

Callers saw: 408, 429 or 503 for a request that a server had run, passed on as it came; and a second run elsewhere after a 421. Cause: the server's status was taken for its statement. Change: such an answer ends its attempt as unproven_refusal, with a counter: a request that can't be repeated gets 502, one that can is retried. A success that states X-Not-Executed contradicts itself and counts as malformed.

--- a/kestrelplank/edge/client_exchange.py
+++ b/kestrelplank/edge/client_exchange.py
@@ -26,7 +26,7 @@
     server_headers,
 )
 from kestrelplank.edge.request_target import origin_form, path_of
-from kestrelplank.edge.server_connections import EXECUTED_OUTCOMES, AttemptResult, ServerRequest
+from kestrelplank.edge.server_connections import FORWARDABLE_OUTCOMES, AttemptResult, ServerRequest
 from kestrelplank.forwarding.errors import (
     BadRequestError,
     BodyMemoryError,
@@ -235,7 +235,7 @@
             counted.outcome = ended.result.outcome
         now, result = time.monotonic_ns(), ended.result
         self._record_attempt(endpoint.server, result, now - sent_at)
-        if result.outcome in EXECUTED_OUTCOMES:
+        if result.outcome in FORWARDABLE_OUTCOMES:
             self._server_answer = result.answer
         if result.reading is not None:
             self._reading.append(result.reading)
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -11,7 +11,7 @@
 
 from kestrelplank.edge.unread_requests import UnreadRequests
 from kestrelplank.forwarding.endpoint import ServerLoad
-from kestrelplank.forwarding.retry_policy import CallOutcome
+from kestrelplank.forwarding.retry_policy import NOT_EXECUTED_STATUSES, CallOutcome
 from kestrelplank.http.answer import DEFAULT_IDLE_NS, Answer
 from kestrelplank.http.asgi import Headers
 from kestrelplank.http.connection import Connection, dial
@@ -28,10 +28,11 @@
 from kestrelplank.time_units import SECOND
 
 CONNECT_TIMEOUT_S = 0.35
-MISDIRECTED_REQUEST = 421  # RFC 9110, section 15.5.20: a different incarnation of the server is at this address
-SUCCESS, SERVER_ERROR = 2, 5  # classes of status codes: the first digit
-# The server has run the request: its client may get the answer, and the server may read the rest of the body.
-EXECUTED_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)
+FIRST_SUCCESS, FIRST_REDIRECT, FIRST_ERROR, FIRST_SERVER_ERROR = 200, 300, 400, 500  # status codes
+SEAL = b"x-server-seal"
+FORWARDABLE_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)  # the client may get the server's answer
+# The server may have run the request, and may read the rest of the body.
+ANSWERED_OUTCOMES = (*FORWARDABLE_OUTCOMES, CallOutcome.UNPROVEN_REFUSAL)
 OUTCOMES_WITHOUT_ANSWER: dict[type[NoAnswerError], CallOutcome] = {
     RequestUnsendableError: CallOutcome.UNSENDABLE,
     RequestNotSentError: CallOutcome.CONNECT_FAIL,
@@ -128,7 +129,7 @@
             connection.stream.call_on_stall(on_stall)
             result, reusable = await self._exchange(pool, connection, request, deadline_at_s)
             result = replace(result, connection=number)
-            if result.outcome in EXECUTED_OUTCOMES and connection.stream.has_unsent_bytes():
+            if result.outcome in ANSWERED_OUTCOMES and connection.stream.has_unsent_bytes():
                 pool.connection_lost(number)
                 del self._connections[address][number]  # no longer released below
                 return replace(result, reading=self._unread.keep(address, connection))
@@ -261,9 +262,18 @@
 
     Servers add `X-Server-Seal` to successful answers: a 2xx without it was sent by an intermediary.
     """
-    if answer.states_not_executed() or answer.status == MISDIRECTED_REQUEST:
-        return CallOutcome.NOT_EXECUTED
-    status_class = answer.status // 100
-    if status_class < SUCCESS or status_class == SUCCESS and b"x-server-seal" not in answer.fields:
+    if answer.status >= FIRST_ERROR:
+        return _outcome_of_failure(answer)
+    is_unsealed_success = FIRST_SUCCESS <= answer.status < FIRST_REDIRECT and SEAL not in answer.fields
+    if answer.status < FIRST_SUCCESS or is_unsealed_success or answer.states_not_executed():
         return CallOutcome.MALFORMED
-    return CallOutcome.SERVER_ERROR if status_class >= SERVER_ERROR else CallOutcome.ANSWERED
+    return CallOutcome.ANSWERED
+
+
+def _outcome_of_failure(answer: Answer) -> CallOutcome:
+    """Return the outcome of an attempt with that 4xx or 5xx: only the server's statement proves that it has not run."""
+    if answer.states_not_executed():
+        return CallOutcome.NOT_EXECUTED
+    if answer.status in NOT_EXECUTED_STATUSES:
+        return CallOutcome.UNPROVEN_REFUSAL
+    return CallOutcome.SERVER_ERROR if answer.status >= FIRST_SERVER_ERROR else CallOutcome.ANSWERED
--- a/kestrelplank/forwarding/retry_policy.py
+++ b/kestrelplank/forwarding/retry_policy.py
@@ -4,8 +4,9 @@
 retries (attempts, deadline, budget) only ever narrow a verdict. docs/requests.md shows the same table, and how each
 answer is matched to its call.
 
-A call is proved not to have run only if the server says so (`X-Not-Executed`, 421) or no byte of it was sent. A reset,
-a close, a time-out, a truncated or malformed answer and one that belongs to another call prove nothing.
+A call is proved not to have run only if the server says so (`X-Not-Executed`) or no byte of it was sent. A reset, a
+close, a time-out, a truncated or malformed answer, one that belongs to another call, and a refusal without that
+statement prove nothing.
 """
 
 from dataclasses import dataclass
@@ -32,6 +33,8 @@
     ANSWERED = "answered"  # a complete answer that matches the call
     SERVER_ERROR = "5xx"  # a complete 5xx answer that matches the call, without the statement that it has not run
     NOT_EXECUTED = "not_executed"  # a complete answer that matches the call states that it has not run
+    # A complete answer that matches the call has a status of `NOT_EXECUTED_STATUSES`, but not that statement.
+    UNPROVEN_REFUSAL = "unproven_refusal"
     NO_CONNECTION_FREE = "no_connection_free"  # nothing was sent: all connections allowed to the server are in use
     UNSENDABLE = "unsendable"  # can't be encoded: no byte was sent, nor would be to another server
     NOT_SENT = "not_sent"  # abandoned before its first byte, as the client had disconnected
@@ -44,6 +47,10 @@
     ABANDONED = "abandoned"  # abandoned after its first byte: the client disconnected, or the gateway stops
 
 
+# To a client each of these guarantees that its request has not run and never will. A server's status proves nothing.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class Execution(Enum):
     """Whether the call is proved to have run at the receiver."""
 
@@ -90,6 +97,7 @@
 UNKNOWN_BUT_IDEMPOTENT = Verdict(Execution.UNKNOWN, RetryTarget.ANY_SERVER)
 
 UNPROVEN_OUTCOMES = (
+    CallOutcome.UNPROVEN_REFUSAL,
     CallOutcome.RESET,
     CallOutcome.CLOSED,
     CallOutcome.TRUNCATED,
