Edge: no connection carries a request again that was refused on it

Callers saw: 503 for a request that can't be repeated, while a server ran it. Cause: an answer was tied to its request, by connection and id, but not to one sending of it. A copy of a refusal has the id of the refused request; when that request was sent again on the same connection (its key had moved there and back, a connect to another holder had failed in between, another incarnation had taken the address), the copy was read as the second answer. Change: the edge remembers for each connection what was refused on it, until it is closed, and sends that request on another one.

--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -1,7 +1,8 @@
 """Attempts at servers, over persistent connections pooled by address, with one request at a time on each connection.
 
 An answer belongs to a request if it arrived complete on the connection on which the request was sent and carries the
-request's `X-Attempt-Id`. This module reports how an attempt ended (`CallOutcome`); `forwarding.retry_policy` decides
+request's `X-Attempt-Id`. It belongs to this attempt, and not to an earlier one at the same request, as no connection
+carries a request again that was refused on it (`edge.refused_requests`). This module reports how an attempt ended (`CallOutcome`); `forwarding.retry_policy` decides
 whether the request may be retried.
 """
 
@@ -9,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from kestrelplank.edge.refused_requests import RefusedRequests
 from kestrelplank.edge.unread_requests import UnreadRequests
 from kestrelplank.forwarding.endpoint import ServerLoad
 from kestrelplank.forwarding.retry_policy import NOT_EXECUTED_STATUSES, CallOutcome
@@ -33,6 +35,7 @@
 FORWARDABLE_OUTCOMES = (CallOutcome.ANSWERED, CallOutcome.SERVER_ERROR)  # the client may get the server's answer
 # The server may have run the request, and may read the rest of the body.
 ANSWERED_OUTCOMES = (*FORWARDABLE_OUTCOMES, CallOutcome.UNPROVEN_REFUSAL)
+REFUSED_OUTCOMES = (CallOutcome.NOT_EXECUTED, CallOutcome.UNPROVEN_REFUSAL)  # a copy of such an answer may follow
 OUTCOMES_WITHOUT_ANSWER: dict[type[NoAnswerError], CallOutcome] = {
     RequestUnsendableError: CallOutcome.UNSENDABLE,
     RequestNotSentError: CallOutcome.CONNECT_FAIL,
@@ -99,6 +102,7 @@
         self._connections: dict[str, dict[int, Connection]] = {}  # by address, then by the pool's connection number
         self._last_number = 0  # numbers are unique across addresses
         self._unread = UnreadRequests()
+        self._refused = RefusedRequests()
 
     async def send(
         self,
@@ -117,7 +121,7 @@
         """
         pool = self._pool(address, max_connections)
         deadline_at_s = asyncio.get_running_loop().time() + timeout_ns / SECOND
-        number, connection = await self._connect(address, pool, max_connections, timeout_ns)
+        number, connection = await self._connect(address, pool, request.attempt_id, max_connections, timeout_ns)
         if number is None:
             return AttemptResult(CallOutcome.NO_CONNECTION_FREE)
         if connection is None:
@@ -131,8 +135,10 @@
             result = replace(result, connection=number)
             if result.outcome in ANSWERED_OUTCOMES and connection.stream.has_unsent_bytes():
                 pool.connection_lost(number)
-                del self._connections[address][number]  # no longer released below
+                self._remove(address, number)  # no longer released below
                 return replace(result, reading=self._unread.keep(address, connection))
+            if result.outcome in REFUSED_OUTCOMES:
+                reusable = self._refused.add(number, request.attempt_id) and reusable
             return result
         finally:
             connection.stream.call_on_stall(None)
@@ -140,22 +146,25 @@
 
     def _release(self, address: str, pool: ConnectionPool, number: int, reusable: bool) -> None:
         """Return the connection to its pool, or reset it, unless it has been taken from the pool."""
-        connections = self._connections[address]
-        if number in connections and not pool.release(self._clock(), number, reusable):
-            connections.pop(number).reset()
+        if number in self._connections[address] and not pool.release(self._clock(), number, reusable):
+            self._remove(address, number).reset()
+
+    def _remove(self, address: str, number: int) -> Connection:
+        """Return a connection that is no longer kept."""
+        self._refused.forget(number)
+        return self._connections[address].pop(number)
 
     async def _connect(
-        self, address: str, pool: ConnectionPool, max_connections: int, timeout_ns: int
+        self, address: str, pool: ConnectionPool, attempt_id: bytes, max_connections: int, timeout_ns: int
     ) -> tuple[int | None, Connection | None]:
         """Return a connection and its number, the number alone if the dial failed, or neither if all are in use."""
-        connections = self._connections[address]
-        number, connection = self._acquire(pool, connections)
+        number, connection = self._acquire(address, pool, attempt_id)
         if number is None or connection is not None:
             return number, connection
         self._limit_unread(pool, address, max_connections)
         connection = await self._dial(pool, address, min(CONNECT_TIMEOUT_S, timeout_ns / SECOND))
         if connection is not None:
-            connections[number] = connection
+            self._connections[address][number] = connection
             pool.dial_succeeded(number)
         return number, connection
 
@@ -169,22 +178,26 @@
         pool.limit_connections(max_connections)
         return pool
 
-    def _acquire(
-        self, pool: ConnectionPool, connections: dict[int, Connection]
-    ) -> tuple[int | None, Connection | None]:
-        """Return an idle connection and its number, a new number alone to dial, or neither if all are in use."""
+    def _acquire(self, address: str, pool: ConnectionPool, attempt_id: bytes) -> tuple[int | None, Connection | None]:
+        """Return an idle connection and its number, a new number alone to dial, or neither if all are in use.
+
+        A connection on which the request was refused is not used, but closed if its place is needed for another.
+        """
         while True:
-            number = pool.acquire(self._clock())
+            refused_on = self._refused.connections_of(attempt_id)
+            number = pool.acquire(self._clock(), refused_on)
             if number is NoConnection.DIAL:
                 self._last_number += 1
                 return self._last_number, None
             if isinstance(number, NoConnection):
-                return None, None
-            connection = connections[number]
-            if not connection.is_stale():
-                return number, connection
+                replaced = next((idle for idle in pool.idle() if idle in refused_on), None)
+                if replaced is None:
+                    return None, None
+                number = replaced
+            elif not self._connections[address][number].is_stale():
+                return number, self._connections[address][number]
             pool.connection_lost(number)
-            connections.pop(number).reset()
+            self._remove(address, number).reset()
 
     def _limit_unread(self, pool: ConnectionPool, address: str, max_connections: int) -> None:
         """Make room for a connection that is dialled, as those with an unread request count towards the limit."""
@@ -245,7 +258,7 @@
                 pool.expire_idle(self._clock()) if address in usable_addresses else pool.withdraw(self._clock())
             )
             for number in closed_numbers:
-                connections.pop(number).reset()
+                self._remove(address, number).reset()
             if address in usable_addresses:
                 pool.restore(self._clock())
             elif not connections and pool.counts() == (0, 0, 0):
--- a/kestrelplank/load_balancing/connection_pool.py
+++ b/kestrelplank/load_balancing/connection_pool.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Container
 from enum import Enum
 from typing import NamedTuple
 
@@ -52,24 +53,39 @@
         self._dialling = 0
         self.withdrawn_at: int | None = None
 
-    def acquire(self, now: int) -> int | NoConnection:
+    def acquire(self, now: int, excluded: Container[int] = ()) -> int | NoConnection:
         """Return a connection for one op and mark it busy, or what to do if there is none.
 
         After `NoConnection.DIAL` the caller must call either `dial_succeeded` or `dial_failed`.
+
+        :param excluded: connections that this op must not use.
         """
         if self.withdrawn_at is not None:
             return NoConnection.WITHDRAWN
-        if self._idle:
-            connection, released_at = self._idle[-1]
-            if now - released_at < self._settings.idle_timeout_ns:  # otherwise all have expired: see `expire_idle`
-                self._idle.pop()
-                self._busy[connection] = self._uses.get(connection, 0)
-                return connection
+        connection = self._take_idle(now, excluded)
+        if connection is not None:
+            self._busy[connection] = self._uses.get(connection, 0)
+            return connection
         if self._is_full():
             return NoConnection.WAIT
         self._dialling += 1
         return NoConnection.DIAL
 
+    def _take_idle(self, now: int, excluded: Container[int]) -> int | None:
+        """Remove the most recently used idle connection that may be used, and return it."""
+        for entry in reversed(self._idle):
+            connection, released_at = entry
+            if now - released_at >= self._settings.idle_timeout_ns:
+                return None  # the others have expired as well: see `expire_idle`
+            if connection not in excluded:
+                self._idle.remove(entry)
+                return connection
+        return None
+
+    def idle(self) -> list[int]:
+        """Return the idle connections, the most recently used one last."""
+        return [connection for connection, _ in self._idle]
+
     def _is_full(self) -> bool:
         return len(self._busy) + len(self._idle) + self._dialling >= self._settings.max_connections
 
@@ -129,7 +145,7 @@
         """
         if self.withdrawn_at is None:
             self.withdrawn_at = now
-        idle, self._idle = [connection for connection, _ in self._idle], deque()
+        idle, self._idle = self.idle(), deque()
         for connection in idle:
             self._uses.pop(connection, None)
         return idle
--- a/tests/edge/test_refusals.py
+++ b/tests/edge/test_refusals.py
@@ -70,7 +70,7 @@
 
 
 # Guards against "refused" for a request that runs: the answer was a copy of the refusal of an earlier sending.
-@pytest.mark.parametrize("status", [421, 503])
+@pytest.mark.parametrize("status", REFUSALS)
 def test_a_copy_of_a_refusal_is_not_taken_for_the_answer_when_the_key_has_moved_there_and_back(status):
     first, second = RefusingServer(status), RefusingServer(status)
 
@@ -87,6 +87,45 @@
     run_scenario(scenario, first, second)
 
 
+# As above: between the two sendings, connecting to another holder failed, which is no attempt.
+def test_a_copy_of_a_refusal_is_not_taken_for_the_answer_after_a_failed_connect():
+    first = RefusingServer()
+
+    async def scenario(harness):
+        configure(harness, 2, SHARDED)
+        unreachable = harness.servers[1]
+        unreachable.listening.close()
+        await unreachable.listening.wait_closed()
+        set_holder(harness, 1, harness.servers[0])
+        request = asyncio.create_task(send_keyed(harness))
+        await first.refused.wait()
+        set_holder(harness, 2, unreachable)
+        while not harness.program.context.counters.values.get("upstream_rq_connect_fail"):
+            await asyncio.sleep(0)
+        set_holder(harness, 3, harness.servers[0])
+        assert (await request)[0] == 200 and first.runs == ["me"]
+
+    run_scenario(scenario, first, first)
+
+
+# As above: the second sending goes to the next incarnation, which answers for the first at the same address.
+@pytest.mark.parametrize("kind", ["non_idempotent", "upload"])
+def test_a_copy_of_a_refusal_is_not_taken_for_the_answer_of_the_next_incarnation(kind):
+    script = RefusingServer()
+
+    async def scenario(harness):
+        async def list_next_incarnation(server):
+            server.name = "views-9"
+            harness.set_servers(server)
+
+        script.on_refusal = list_next_incarnation
+        configure(harness, 2)
+        status, _, _ = await harness.send_request(f"/{kind}/x", b"pay", "me", TIMEOUT_MS)
+        assert status == 200 and script.runs == ["me"]
+
+    run_scenario(scenario, script)
+
+
 # Guards against a second run, and against "refused" for a request that ran: a server says so though it has run it.
 @pytest.mark.parametrize("status", REFUSALS)
 @pytest.mark.parametrize("kind", ["non_idempotent", "upload"])
--- a/tests/edge/test_server_connections.py
+++ b/tests/edge/test_server_connections.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -22,8 +23,8 @@
     return b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s%s" % (status, head, len(body), body, more)
 
 
-def run_attempts(*scripts, timeout_s=1.0, wait=0.0):
-    """Make one attempt after the other at a server that answers each with the next script.
+def run_attempts(*scripts, timeout_s=1.0, wait=0.0, limit=24, requests=None):
+    """Make one attempt after the other, at `REQUEST` or `requests`, at a server that answers each with the next script.
 
     A script is the bytes to send, a pair of bytes to send in two steps, "close" or "silence". Returns the results of
     the attempts and the number of connections opened.
@@ -58,8 +59,8 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         connections, results = ServerConnections(time.monotonic_ns), []
-        for _ in range(len(scripts)):
-            results.append(await connections.send(address, REQUEST, int(timeout_s * 1e9), 24))
+        for request in requests or [REQUEST] * len(scripts):
+            results.append(await connections.send(address, request, int(timeout_s * 1e9), limit))
             await asyncio.sleep(wait)
         connections.close_unused(set())
         server.close()
@@ -126,6 +127,27 @@
     assert [result.answer.body for result in results] == [b"one", b"two"] and connections == 2
 
 
+REFUSAL = answer(503, OWN_ID + b"X-Not-Executed: 1\r\n")
+
+
+# Guards against a copy of a refusal that is taken for the answer to the request's next attempt.
+def test_no_connection_carries_a_request_again_that_was_refused_on_it():
+    results, connections = run_attempts(REFUSAL, REFUSAL, answer())
+    assert [result.outcome for result in results] == [CallOutcome.NOT_EXECUTED] * 2 + [CallOutcome.ANSWERED]
+    assert [result.connection for result in results] == [1, 2, 3] and connections == 3
+    results, connections = run_attempts(REFUSAL, answer(), limit=1)
+    assert [result.outcome for result in results] == [CallOutcome.NOT_EXECUTED, CallOutcome.ANSWERED]
+    assert connections == 2  # the place of the first was needed
+
+
+def test_a_connection_on_which_a_request_was_refused_carries_other_requests():
+    """New connections are expensive for servers: a refusal alone ends none."""
+    others = [REQUEST, replace(REQUEST, attempt_id=b"other"), REQUEST, replace(REQUEST, attempt_id=b"other")]
+    theirs = answer(head=b"X-Attempt-Id: other\r\nX-Server-Seal: s\r\n")
+    results, connections = run_attempts(REFUSAL, theirs, answer(), theirs, requests=others)
+    assert [result.connection for result in results] == [1, 1, 2, 2] and connections == 2
+
+
 def test_connection_is_not_reused_after_connection_close():
     results, connections = run_attempts(answer(head=OWN_ID + b"X-Server-Seal: s\r\nConnection: close\r\n"), answer())
     assert [result.outcome for result in results] == [CallOutcome.ANSWERED, CallOutcome.ANSWERED] and connections == 2
--- a/tests/load_balancing/test_connection_pool.py
+++ b/tests/load_balancing/test_connection_pool.py
@@ -26,6 +26,14 @@
     assert [pool.acquire(2) for _ in range(4)] == [2, 1, DIAL, WAIT]
 
 
+def test_excluded_connections_are_not_used_and_count_towards_the_limit():
+    pool = dialled(pool_of(), 1, 2, 3)
+    assert all(pool.release(number, number, True) for number in (1, 2, 3))
+    assert pool.idle() == [1, 2, 3]
+    assert [pool.acquire(4, excluded={3, 1}) for _ in range(2)] == [2, WAIT] and pool.idle() == [1, 3]
+    assert pool.acquire(4) == 3
+
+
 def test_connection_not_reusable_or_at_max_uses_is_not_kept():
     pool = dialled(pool_of(max_uses=2), 1, 2)
     assert not pool.release(0, 1, False) and pool.release(0, 2, True)
