--- a/kestrelplank/edge/refused_requests.py
+++ b/kestrelplank/edge/refused_requests.py
@@ -1,7 +1,8 @@
 """Which requests a server has refused on which connections.
 
-A server may send a copy of a refusal later, with the id of the refused request. If that request is in flight again on the
-same connection, nothing tells the copy from the answer, so no connection carries a request again that was refused on it.
+A server may send a copy of a refusal later, with the id of the refused request. If that request is in flight again on
+the same connection, nothing tells the copy from the answer, so no connection carries a request again that was refused
+on it.
 """
 
 from collections.abc import Set
--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -2,8 +2,8 @@
 
 An answer belongs to a request if it arrived complete on the connection on which the request was sent and carries the
 request's `X-Attempt-Id`. It belongs to this attempt, and not to an earlier one at the same request, as no connection
-carries a request again that was refused on it (`edge.refused_requests`). This module reports how an attempt ended (`CallOutcome`); `forwarding.retry_policy` decides
-whether the request may be retried.
+carries a request again that was refused on it (`edge.refused_requests`). This module reports how an attempt ended
+(`CallOutcome`); `forwarding.retry_policy` decides whether the request may be retried.
 """
 
 import asyncio
--- a/tests/control/test_usage_calls.py
+++ b/tests/control/test_usage_calls.py
@@ -95,6 +95,14 @@
     assert platform.connection_count == 2
 
 
+# Guards against a valid token that is given up: the answer was a copy of the refusal of an earlier one.
+@pytest.mark.parametrize("status, expected", [(409, CallResult.REJECTED), (429, CallResult.THROTTLED)])
+def test_a_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_report(status, expected):
+    refusal = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+    results, platform = results_of([refusal, OK], calls=2)
+    assert results == [expected, CallResult.ACCEPTED] and platform.connection_count == 2
+
+
 def test_a_platform_that_can_not_be_connected_to_gives_no_answer():
     async def scenario():
         ended = asyncio.Queue()
