Control: a connection on which a grant was refused carries no further call

What could be seen: two servers that hold a key. It was not seen; the test shows the step that leads there. A grant's answer is tied to its call by the connection alone. A copy of a 409 that came in the place of the next grant's answer was believed: the lease that the server had just given was not counted, so a release that followed ended at once, and the keys could go to another server while the first held them. Change: a connection is kept after a 200 only. A refused grant is rare, so its new connection costs next to nothing. A copy of an accepted grant does no harm: it can only lengthen a lease, and a release believes no answer without its handover.

--- a/kestrelplank/control/server_calls.py
+++ b/kestrelplank/control/server_calls.py
@@ -4,14 +4,15 @@
 
 This adapter makes no decisions: it sends each requested call once and reports its result. A response does not name its
 call, so it is matched by its connection: a connection that received unexpected bytes, or ended without a complete
-response, is not used again, and one that has carried a release never carries another release, so that a duplicate
-response to the first can't be taken for the response to the second.
+response, is not used again. Nor may a late copy of a response be taken for the response to a later call: a connection
+on which a call was refused is not used again, and one that has carried a release never carries another release.
 """
 
 import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import msgspec
 
@@ -165,10 +166,10 @@
         return None
 
     def _return_to_pool(self, pooled: PooledConnection | None, answer: Answer | None) -> None:
-        """Keep the connection for reuse if it got a complete response and no bytes after it; reset it otherwise."""
+        """Keep the connection for reuse if its call was accepted and no bytes followed; reset it otherwise."""
         if pooled is None:
             return
-        if answer is None or not pooled.connection.reusable:
+        if answer is None or answer.status != HTTPStatus.OK or not pooled.connection.reusable:
             pooled.connection.reset()
             return
         pooled.idle_until = time.monotonic_ns() + answer.max_idle_ns()
