Sharding: only 400 and 409 prove that a grant had no effect

Cause: any 4xx to a grant counted as a refusal, so 408, 421 or 429 took a lease that might have been given for not given. Change: any other status counts as a lease until it has certainly ended, as 500 did.

--- a/kestrelplank/sharding/key_ranges.py
+++ b/kestrelplank/sharding/key_ranges.py
@@ -34,8 +34,7 @@
 
 FENCING_TOKENS_PER_TERM = 1_000_000
 MAX_REJECTIONS = 24  # consecutive rejected grants, after each of which the fencing token is raised, before a release
-GRANTED, FENCED = 200, 409  # HTTP statuses of a server's answers
-CLIENT_ERROR = 4  # first digit of statuses with which a server reports that it did nothing
+GRANTED, INVALID, FENCED = 200, 400, 409  # HTTP statuses of a server's answers
 
 # Module constants, as `tick` compares them for every range 20 times a second.
 HELD, RELEASING, UNOWNED = KeyRangeState.HELD, KeyRangeState.RELEASING, KeyRangeState.UNOWNED
@@ -296,12 +295,15 @@
 
 
 def outcome_of_grant(result: ServerCallResult) -> CallOutcome:
-    """Return the outcome of a grant as defined by `forwarding.retry_policy`."""
+    """Return the outcome of a grant as defined by `forwarding.retry_policy`.
+
+    Servers refuse a grant with 400 or 409. Any other status proves nothing, so the grant counts as a lease.
+    """
     if result.status is None:
         return CallOutcome.TIMEOUT if result.sent else CallOutcome.CONNECT_FAIL
     if result.status == GRANTED:
         return CallOutcome.ANSWERED
-    return CallOutcome.NOT_EXECUTED if result.status // 100 == CLIENT_ERROR else CallOutcome.SERVER_ERROR
+    return CallOutcome.NOT_EXECUTED if result.status in (INVALID, FENCED) else CallOutcome.SERVER_ERROR
 
 
 def outcome_of_release(result: ServerCallResult) -> CallOutcome:
--- a/tests/sharding/test_key_ranges.py
+++ b/tests/sharding/test_key_ranges.py
@@ -184,7 +184,14 @@
 
 
 @pytest.mark.parametrize(
-    "sent, status, may_hold", [(True, None, True), (True, 500, True), (False, None, False), (True, 421, False)]
+    "sent, status, may_hold",
+    [
+        (True, None, True),
+        (False, None, False),
+        (True, 400, False),
+        (True, 409, False),
+        *((True, status, True) for status in (408, 421, 429, 500, 503)),  # no refusals of a grant
+    ],
 )
 def test_grant_that_may_have_arrived_counts_as_a_lease(sent, status, may_hold):
     key_ranges = key_ranges_over(count=1)
