Control: a connection on which the platform refused a report carries no further report

Cause: the same as for grants: a copy of a 409 or 429 that came in the place of the next report's answer would be believed. A token that is valid would be given up, or a report held back; no rule breaks by that, but a role may change hands for nothing. Change: the connection is kept after a 200 only.

--- a/kestrelplank/control/usage_calls.py
+++ b/kestrelplank/control/usage_calls.py
@@ -64,7 +64,10 @@
         if not self._may_send(call):  # checked right before sending, as the dial took time
             return CallResult.NOT_SENT
         answer: Answer = await connection.call(b"POST", b"/usage", self._headers(call), call.content)
-        return call_result(answer.status)
+        result = call_result(answer.status)
+        if result is not CallResult.ACCEPTED:
+            self._reset()  # a copy of the refusal could be taken for the answer to the next report
+        return result
 
     def _headers(self, call: PlatformCall) -> list[tuple[bytes, bytes]]:
         return [
