--- a/kestrelplank/reference_proxy/exchange.py
+++ b/kestrelplank/reference_proxy/exchange.py
@@ -226,10 +226,11 @@
             self._write(LAST_CHUNK)
         self.flush()
         if self._not_started:
-            outcome = AttemptOutcome.NOT_STARTED
-        else:
-            failed = self._status >= FIRST_SERVER_ERROR
-            outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.SUCCEEDED
+            # Responses bear no id: a copy of this one could be taken for the response to the connection's next request.
+            self._end_attempt(keep=False, outcome=AttemptOutcome.NOT_STARTED)
+            return
+        failed = self._status >= FIRST_SERVER_ERROR
+        outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.SUCCEEDED
         self._end_attempt(keep=keep and self.request.complete, outcome=outcome)
 
     def on_lost(self, why: str) -> None:  # noqa: ARG002 - the connection's callback signature
--- a/tests/reference_proxy/test_proxy.py
+++ b/tests/reference_proxy/test_proxy.py
@@ -257,6 +257,20 @@
     assert client.data.startswith(second[:12]) and site.requests() == 2 and b"full" not in client.data
 
 
+# Guards against a second run: an op that runs is retried, as a copy of an earlier "not started" came first.
+def test_copy_of_a_not_started_response_is_not_taken_for_the_response_to_the_next_request(make_site):
+    def respond(peer):
+        first_peer = peer is peer.node.peers[0]
+        peer.write(OK if not first_peer else NOT_STARTED if peer.requests() == 1 else NOT_STARTED + OK)
+
+    site = make_site(respond)
+    first = site.client(post())
+    site.wait(lambda: first.data)
+    second = site.client(post())
+    site.wait(lambda: second.data)
+    assert first.data.startswith(b"HTTP/1.1 503") and second.data == OK and site.requests() == 2
+
+
 def test_refused_connection_is_retried_at_another_node(make_site):
     site = make_site(answers_with(OK), answers_with(OK), weights={0: 1e9, 1: 1e-9})
     site.nodes[0].listener.close()
