Tests: the wire fuzz has refusals that come again late, and refusals of requests that ran

Change: three more actions of a server, and a third planted defect, a status that is believed, which the fuzz must find.

--- a/tests/edge/test_wire_fuzz.py
+++ b/tests/edge/test_wire_fuzz.py
@@ -1,6 +1,6 @@
 """Random faults on client and server connections at once: pipelined and fragmented requests, faulty servers.
 
-Guards against answers given to the wrong request and repeated non-idempotent requests. Two injected defects check that
+Guards against answers given to the wrong request and repeated non-idempotent requests. Three injected defects check that
 such faults are detected.
 """
 
@@ -15,7 +15,7 @@
 
 from kestrelplank.edge import server_connections
 from kestrelplank.forwarding import retry_policy
-from kestrelplank.forwarding.retry_policy import CallKind
+from kestrelplank.forwarding.retry_policy import CallKind, CallOutcome
 
 NON_IDEMPOTENT, IDEMPOTENT = "/once/x", "/safe/x"
 TIMEOUT_MS = 200  # client time-out, above the minimum time for an attempt
@@ -35,6 +35,9 @@
     "answer without seal",
     "not run",
     "not run twice",
+    "not run, and again late",
+    "runs, and says 421",
+    "runs, and says 503",
     "fail",
     "early, then close",
     "silent",
@@ -129,6 +132,9 @@
                     "answer without seal": complete.replace(b"X-Server-Seal: s\r\n", b""),
                     "not run": rejection,
                     "not run twice": rejection * 2,
+                    "not run, and again late": rejection,
+                    "runs, and says 421": answer(fields, b"refused", 421),
+                    "runs, and says 503": answer(fields, b"refused", 503),
                     "fail": answer(fields, b"failed", 500),
                     "silent": b"",
                     "reset": b"",
@@ -138,11 +144,11 @@
                 }.get(action, truncated if "truncated" in action else complete)
             )
             previous_id[0] = name
-            if action == "answer, and again late":
+            if action.endswith("and again late"):
                 await connection.writer.drain()
                 for _ in range(3):
                     await asyncio.sleep(0)
-                connection.write(complete)
+                connection.write(complete if action.startswith("answer") else rejection)
             elif action.endswith("reset"):
                 await connection.writer.drain()
                 connection.reset()
@@ -236,7 +242,19 @@
     monkeypatch.setattr(server_connections, "is_answer_to", lambda answer, attempt: True)
 
 
-@pytest.mark.parametrize("inject, violation", [(retry_unproven, "ran twice"), (accept_any_answer, ": got ")])
+def believe_statuses(monkeypatch):
+    """Defect: take the status of a refusal for the statement that the request has not run."""
+    outcomes = {CallOutcome.UNPROVEN_REFUSAL: CallOutcome.NOT_EXECUTED}
+    outcome_of = server_connections.outcome_of
+    monkeypatch.setattr(
+        server_connections, "outcome_of", lambda answer: outcomes.get(outcome_of(answer), outcome_of(answer))
+    )
+
+
+@pytest.mark.parametrize(
+    "inject, violation",
+    [(retry_unproven, "ran twice"), (accept_any_answer, ": got "), (believe_statuses, "says it did not")],
+)
 def test_injected_defect_is_detected(inject, violation, monkeypatch):
     """Generated examples must violate the rule that the defect breaks."""
     inject(monkeypatch)
