Edge: an attempt that is not sent and one that ends have a path each

Cause: one flag in `ServerConnections.send` meant both "not sent" and "may be used again", and a call was begun twice. Change: two paths, one place that takes a connection with an unread request from its pool; the rehearsal's list of statuses that guarantee that a request has not run stands once. Behaviour stays.

--- a/kestrelplank/edge/server_connections.py
+++ b/kestrelplank/edge/server_connections.py
@@ -126,25 +126,29 @@
             return AttemptResult(CallOutcome.NO_CONNECTION_FREE)
         if connection is None:
             return AttemptResult(CallOutcome.CONNECT_FAIL)
-        reusable = not should_send()
+        if not should_send():
+            self._release(address, pool, number, reusable=True)
+            return AttemptResult(CallOutcome.NOT_SENT, connection=number)
+        reusable = False
+        connection.stream.call_on_stall(on_stall)
         try:
-            if reusable:
-                return AttemptResult(CallOutcome.NOT_SENT)
-            connection.stream.call_on_stall(on_stall)
             result, reusable = await self._exchange(pool, connection, request, deadline_at_s)
             result = replace(result, connection=number)
             if result.outcome in ANSWERED_OUTCOMES and connection.stream.has_unsent_bytes():
-                pool.connection_lost(number)
-                self._remove(address, number)  # no longer released below
-                return replace(result, reading=self._unread.keep(address, connection))
+                return replace(result, reading=self._keep_unread(address, pool, number))
             if result.outcome in REFUSED_OUTCOMES:
                 reusable = self._refused.add(number, request.attempt_id) and reusable
             return result
         finally:
             connection.stream.call_on_stall(None)
-            self._release(address, pool, number, reusable)
+            self._release(address, pool, number, reusable=reusable)
 
-    def _release(self, address: str, pool: ConnectionPool, number: int, reusable: bool) -> None:
+    def _keep_unread(self, address: str, pool: ConnectionPool, number: int) -> asyncio.Task[None]:
+        """Take a connection from its pool until its server has read the rest of a request that it has answered."""
+        pool.connection_lost(number)
+        return self._unread.keep(address, self._remove(address, number))
+
+    def _release(self, address: str, pool: ConnectionPool, number: int, *, reusable: bool) -> None:
         """Return the connection to its pool, or reset it, unless it has been taken from the pool."""
         if number in self._connections[address] and not pool.release(self._clock(), number, reusable):
             self._remove(address, number).reset()
@@ -226,7 +230,6 @@
 
         :param deadline_at_s: on the event loop's clock.
         """
-        connection.stream.begin_call()
         try:
             async with asyncio.timeout_at(deadline_at_s):
                 answer = await connection.call(request.method, request.target, request.headers, request.body)
--- a/kestrelplank/rehearsal/simulated_clients.py
+++ b/kestrelplank/rehearsal/simulated_clients.py
@@ -9,12 +9,12 @@
 from kestrelplank.rehearsal.loopback import call
 from kestrelplank.rehearsal.observations import Observations
 from kestrelplank.rehearsal.services import REQUEST_MIX, RehearsedService
+from kestrelplank.rehearsal.soak_terms import REJECTIONS
 from kestrelplank.rehearsal.tenants import API_KEYS, TENANTS, UNKNOWN_API_KEY, authorization
 
 MAX_ATTEMPTS, RETRY_INTERVAL_S = 3, 0.1
 KEYS = 1 << 16
 UNKNOWN_KEY_INTERVAL = 10  # one request in this many is first sent with a key that no tenant has
-REJECTIONS = (408, 421, 429, 503)  # each guarantees that the request has not run
 
 
 class SimulatedClients:
