--- a/kestrelplank/gateway/soak.py
+++ b/kestrelplank/gateway/soak.py
@@ -48,7 +48,13 @@
     for name in ("seed", "requests", "served", "configurations", "acknowledged", "usage_reports"):
         print(f"{name.replace('_', ' ')}: {getattr(report, name)}")
     print(f"usage: {report.usage.summary}")
-    for title, counts in (("played", report.played), ("answers", report.answers), ("checked", report.checked)):
+    counted = {
+        "played": report.played,
+        "answers": report.answers,
+        "refusals": report.refusals,
+        "checked": report.checked,
+    }
+    for title, counts in counted.items():
         print(f"{title}: {', '.join(f'{name} {count}' for name, count in counts.items())}")
     print(f"delays of the soak itself: {report.delays_s} s; memory of the processes: {report.max_memory_mb} MB")
     for violation in report.violations:
--- a/kestrelplank/rehearsal/soak_records.py
+++ b/kestrelplank/rehearsal/soak_records.py
@@ -160,6 +160,7 @@
     conflicts: list[KeyConflict] = field(default_factory=list)
     stray_bytes: list[StrayBytes] = field(default_factory=list)
     process_ends: list[ProcessEnd] = field(default_factory=list)
+    refusal_copies: int = 0  # that servers have sent, of refusals of requests and of grants
     ended_at: float = 0.0  # when the last request was sent
 
     def now(self) -> float:
--- a/kestrelplank/rehearsal/soak_report.py
+++ b/kestrelplank/rehearsal/soak_report.py
@@ -24,7 +24,7 @@
 from kestrelplank.rehearsal.soak_script import Fault, SoakForm, SoakScript
 from kestrelplank.rehearsal.soak_secrecy_check import check_logs
 from kestrelplank.rehearsal.soak_service_checks import check_lost, check_owner, check_process_ends, check_recover
-from kestrelplank.rehearsal.soak_terms import SUCCESSES
+from kestrelplank.rehearsal.soak_terms import REJECTIONS, SUCCESSES
 from kestrelplank.rehearsal.soak_trouble import ALL_MACHINES, Trouble
 from kestrelplank.rehearsal.soak_usage_checks import (
     UsageFigures,
@@ -39,6 +39,8 @@
     """What a soak did and found.
 
     :param answers: number of attempts by HTTP status, or by how they ended without an answer.
+    :param refusals: number of requests that servers refused, of those that they ran and refused all the same, and of
+        copies of refusals that they sent.
     :param checked: number of cases that each check applied to.
     :param delays_s: for how long the soak's own loop was late in all; bounds are not checked in that time.
     :param kept_logs: the folder with the processes' logs, if a rule was broken.
@@ -52,6 +54,7 @@
     requests: int
     served: int
     answers: dict[str, int]
+    refusals: dict[str, int]
     configurations: int
     acknowledged: int
     usage_reports: int
@@ -111,6 +114,7 @@
         requests=len(attempts),
         served=sum(attempt.status in SUCCESSES for attempt in attempts),
         answers=dict(sorted(answers.items())),
+        refusals=_count_refusals(records),
         configurations=len(records.configurations),
         acknowledged=sum(call.acknowledged for call in records.configurations),
         usage_reports=len(records.usage_calls),
@@ -120,3 +124,9 @@
         delays_s=round(sum(delays), 3),
         left_behind=[],
     )
+
+
+def _count_refusals(records: SoakRecords) -> dict[str, int]:
+    refused = [call for calls in records.calls.values() for call in calls if call.status in REJECTIONS]
+    executed = sum(call.executed for call in refused)
+    return {"not_run": len(refused) - executed, "run": executed, "copies": records.refusal_copies}
--- a/kestrelplank/rehearsal/soak_server.py
+++ b/kestrelplank/rehearsal/soak_server.py
@@ -147,6 +147,7 @@
         copy = self._refusal_copies.pop(connection, None)
         if copy is not None and not connection.transport.is_closing():
             connection.transport.write(copy)
+            self._records.refusal_copies += 1
 
     def _record(self, scope: Scope, headers: Headers, body: bytes) -> ServerCall:
         fields, query = dict(headers), scope["query_string"].decode("latin-1")
--- a/tests/rehearsal/test_soak.py
+++ b/tests/rehearsal/test_soak.py
@@ -5,8 +5,9 @@
 from kestrelplank.rehearsal.soak import play
 from kestrelplank.rehearsal.soak_script import SoakForm
 
-SEED = 39
+SEED, REFUSALS_SEED = 39, 84
 FORM = SoakForm(minutes=0.7, load_per_s=40)
+REFUSAL_RULES = {"MIXED", "UNASKED", "TWICE", "REFUSED", "ROUTE", "OWNER"}
 
 
 @pytest.mark.starts_early
@@ -28,3 +29,11 @@
     )
     assert [rule for rule in always_checked if report.checked[rule] == 0] == []
     assert report.served > 0.25 * report.requests  # a low bound, as the count depends on the load of the machine
+
+
+# Guards against requests that are answered as refused and run: servers send copies of refusals, and refuse what they ran.
+@pytest.mark.starts_early
+def test_a_soak_runs_nothing_that_was_refused():
+    report = play(REFUSALS_SEED, FORM)
+    assert [violation for violation in report.violations if violation.rule in REFUSAL_RULES] == []
+    assert report.refusals["run"] > 0 and report.refusals["copies"] > 0
