Load balancing: whether a node is ejected is asked directly

Cause: `Endpoints.is_ejected` asked for a choice among two candidates, of which it did not use the second. Change: `OutlierEjection.is_ejected`. Behaviour stays. Measured: the tests of load balancing, forwarding and the edge's hard cases pass.

--- a/kestrelplank/forwarding/endpoints.py
+++ b/kestrelplank/forwarding/endpoints.py
@@ -18,8 +18,6 @@
 WARMING_UP_WEIGHT = 0.5  # divisor of the cost of a server that is warming up (slow start)
 TIE_BREAK_JITTER = 0.3  # largest random addition to the factor, so that edges spread over servers of equal cost
 
-UNUSED_NUMBER = 0  # of no endpoint
-
 
 class Endpoints:
     """All servers of all services.
@@ -32,7 +30,7 @@
         self.by_name: dict[str, Endpoint] = {}
         self.services: dict[str, list[Endpoint]] = {}
         self._ejection = OutlierEjection(random, CONSECUTIVE_FAILURES, EJECTION_TIME_NS)
-        self._last_number = UNUSED_NUMBER
+        self._last_number = 0
 
     def update(self, fetched_at: int, entries: Iterable[ListedServer]) -> None:
         """Replace the server list; servers that are no longer listed or are draining get no new requests.
@@ -90,9 +88,7 @@
 
     def is_ejected(self, now: int, endpoint: Endpoint) -> bool:
         """Whether the server is ejected now, after consecutive failures."""
-        # A second candidate is needed, as `without_ejected` returns all candidates if all of them are ejected.
-        healthy = self._ejection.without_ejected(now, [(endpoint.number, 1.0), (UNUSED_NUMBER, 1.0)])
-        return healthy[0][0] != endpoint.number
+        return self._ejection.is_ejected(now, endpoint.number)
 
     def ejected(self, now: int) -> list[str]:
         """Return the names of the servers that are ejected now."""
--- a/kestrelplank/load_balancing/outlier_ejection.py
+++ b/kestrelplank/load_balancing/outlier_ejection.py
@@ -32,6 +32,10 @@
             del self._consecutive_failures[node]
             self._ejected_until[node] = now + self._random.randint(*self._duration_range_ns)
 
+    def is_ejected(self, now: int, node: int) -> bool:
+        """Whether the node is ejected now."""
+        return self._ejected_until.get(node, now) > now
+
     def without_ejected(self, now: int, candidates: WeightedNodes) -> WeightedNodes:
         """Return the candidates that are not ejected now, or all of them if all are ejected."""
         if not self._ejected_until:
