Rehearsals and tests: ports are reserved; a listener without its port is reported

Cause: free_port() bound a port, closed the socket and returned the number, so the kernel could give it again at once, to the same test or to another one. Asked for two ports in a row, it gave the same one 16 times in 200,000; tests/edge alone starts 395 edge programs and more. listening_socket() only bound, with SO_REUSEADDR: two sockets can be bound to a port, and only the second listen() fails. That happened in the task that serves, whose exception nobody saw, so the harness waited forever. With one port for frontend and readiness the harness hangs each time, with the same traceback. An edge process had the fault too: of two started at once on an address, one could go on without its listener.

Change: PortReservations holds each port with a bound socket until it is released; listening_socket() listens, so that a taken address is one line and exit 1.

Measured: test_an_address_in_use_is_reported... fails with the former kestrelplank/, passes now. Three edge processes started at once on one address: one runs, two exit with 1 and one line each. tests/edge, http, rehearsal and the control tests that reserve ports pass.

--- a/kestrelplank/http/server.py
+++ b/kestrelplank/http/server.py
@@ -9,8 +9,8 @@
 from kestrelplank.http.asgi import Application
 from kestrelplank.http.client_limits import ClientLimits, ServerConfig
 from kestrelplank.http.client_protocol import ClientProtocol
+from kestrelplank.http.socket_options import LISTEN_BACKLOG
 
-LISTEN_BACKLOG = 512
 DRAIN_POLL_INTERVAL_S = 0.02
 
 
--- a/kestrelplank/http/socket_options.py
+++ b/kestrelplank/http/socket_options.py
@@ -9,6 +9,7 @@
 from kestrelplank.http.unread_bytes import USER_TIMEOUT_NS
 from kestrelplank.time_units import MILLISECOND
 
+LISTEN_BACKLOG = 512  # connections not accepted yet
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s
 
 
@@ -44,17 +45,18 @@
 
 
 def listening_socket(host: str, port: int) -> socket.socket:
-    """Return a socket bound to that address, for a server to listen on.
+    """Return a socket that listens on that address.
 
     Accepted sockets inherit IPPROTO_TCP, and asyncio sets TCP_NODELAY only on sockets with that protocol. Without it,
     an answer's body would wait for the delayed acknowledgement of its head, 40 ms.
 
-    :raises OSError: it can't be bound; the message contains the address.
+    :raises OSError: the address can't be listened on; the message contains it.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
+        sock.listen(LISTEN_BACKLOG)  # another socket may be bound to the port as well; only one can listen
     except OSError as err:
         sock.close()
         raise OSError(err.errno, f"can't listen on {host}:{port}: {err.strerror}") from err
--- a/kestrelplank/rehearsal/gateway_processes.py
+++ b/kestrelplank/rehearsal/gateway_processes.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.rehearsal.simulated_platform import ZONE
 
 STOP_TIMEOUT_S = 8.0  # for a process to end after SIGTERM
@@ -34,21 +34,28 @@
 
 
 class LoopbackNetwork:
-    """The addresses and ports of one rehearsal; all are free when it begins."""
+    """The addresses of one rehearsal, and their ports, which are reserved until they are released."""
 
     def __init__(self, machines: int) -> None:
         self._prefix = f"127.0.{random.SystemRandom().randrange(1, 250)}"
         self.machine_ips = [f"{self._prefix}.{number}" for number in range(1, 1 + machines)]
-        self.port, self.internal_port, self.readiness_port = (free_port(self.machine_ips) for _ in range(3))
+        self._reservations = PortReservations()
+        self.port, self.internal_port, self.readiness_port = (
+            self._reservations.reserve(self.machine_ips) for _ in range(3)
+        )
         self.platform_address = self._address(PLATFORM_HOST)
 
     def server_address(self, number: int) -> tuple[str, int]:
-        """Return a free address for the server with that number."""
+        """Return an address for the server with that number, with a reserved port."""
         return self._address(FIRST_SERVER_HOST + number)
 
+    def release_ports(self) -> None:
+        """Release all ports, once all processes have ended."""
+        self._reservations.release()
+
     def _address(self, host: int) -> tuple[str, int]:
         ip = f"{self._prefix}.{host}"
-        return ip, free_port([ip])
+        return ip, self._reservations.reserve([ip])
 
 
 class GatewayProcesses:
--- a/kestrelplank/rehearsal/gateway_rehearsal.py
+++ b/kestrelplank/rehearsal/gateway_rehearsal.py
@@ -60,6 +60,7 @@
                 return await self._run(requests, per_s)
             finally:
                 await self._processes.stop_all()
+                self._processes.network.release_ports()
 
     async def _run(self, requests: int, per_s: float) -> GatewayReport:
         for simulated in self._servers:
--- a/kestrelplank/rehearsal/soak.py
+++ b/kestrelplank/rehearsal/soak.py
@@ -81,6 +81,7 @@
                 await self._processes.stop_all()
         finally:
             self._processes.kill_all()
+            self._processes.network.release_ports()
         wall_offset_s = time.time() - self._records.now()
         report = write_report(self._records, self._script, self._form, self._processes.logs, wall_offset_s)
         report.played = dict(sorted(self._player.played.items()))
--- a/tests/control/test_key_secrecy.py
+++ b/tests/control/test_key_secrecy.py
@@ -11,7 +11,7 @@
 from configuration.test_parsing import configuration
 
 from kestrelplank.control import program
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.settings.json_logging import configure_json_logging
 from kestrelplank.settings.platform import Bounds, CloudApi, FaultTolerance, LocalSystem, Network, PlatformSettings
 
@@ -31,14 +31,15 @@
 
 @pytest.fixture
 def settings(tmp_path):
-    control, internal = free_port([IP]), free_port([IP])
-    return PlatformSettings(
-        LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
-        Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
-        CloudApi(f"{IP}:9"),
-        Bounds(grace_s=2),
-        FaultTolerance(machine_losses=0),
-    )
+    with PortReservations() as ports:
+        control, internal = ports.reserve([IP]), ports.reserve([IP])
+        yield PlatformSettings(
+            LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
+            Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
+            CloudApi(f"{IP}:9"),
+            Bounds(grace_s=2),
+            FaultTolerance(machine_losses=0),
+        )
 
 
 async def call(settings, method, path, body=b""):
--- a/tests/control/test_member_sessions.py
+++ b/tests/control/test_member_sessions.py
@@ -7,7 +7,7 @@
 from kestrelplank.consensus.membership import Membership
 from kestrelplank.control.inbound_connections import IDLE_TIMEOUT_NS
 from kestrelplank.control.member_sessions import UNANSWERED_TIMEOUT_NS, MemberSessions
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.messages import EdgeHeartbeat, Envelope, decode_at_member
 from kestrelplank.transport.wire import UNREAD_AND_SILENT_NS, FrameConnection
@@ -41,7 +41,8 @@
 
 def run_scenario(scenario):
     async def run():
-        port = free_port([FIRST_IP, SECOND_IP])
+        ports = PortReservations()
+        port = ports.reserve([FIRST_IP, SECOND_IP])
         first, second = Member(FIRST_IP, port, "x"), Member(SECOND_IP, port, "y")
         try:
             async with asyncio.timeout(10):
@@ -52,6 +53,7 @@
             for member in (first, second):
                 member.sessions.close()
                 member.server.close()
+            ports.release()
 
     asyncio.run(run())
 
--- a/tests/control/test_program_start.py
+++ b/tests/control/test_program_start.py
@@ -8,7 +8,7 @@
 import pytest
 
 from kestrelplank.control import program
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.roles.role_names import USAGE_REPORT
 from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
 from kestrelplank.storage.log_file import LogFile
@@ -19,13 +19,14 @@
 
 @pytest.fixture
 def settings(tmp_path):
-    control, internal = free_port([IP]), free_port([IP])
-    return PlatformSettings(
-        LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
-        Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
-        CloudApi(f"{IP}:9"),
-        Bounds(grace_s=1.5),
-    )
+    with PortReservations() as ports:
+        control, internal = ports.reserve([IP]), ports.reserve([IP])
+        yield PlatformSettings(
+            LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
+            Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
+            CloudApi(f"{IP}:9"),
+            Bounds(grace_s=1.5),
+        )
 
 
 def exit_code_after_sigterm(settings, ready):
--- a/tests/edge/stage.py
+++ b/tests/edge/stage.py
@@ -13,7 +13,7 @@
 from kestrelplank.configuration.parsing import parse_configuration
 from kestrelplank.edge.program import EdgeProgram
 from kestrelplank.http.socket_options import reset_on_close
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
 from kestrelplank.transport.server_list import ListedServer
 
@@ -195,9 +195,9 @@
     return "\r\n".join([f"{method} {path} HTTP/1.1", *fields, "", ""]).encode()
 
 
-async def start_program():
-    """Return an edge program that listens on free ports, without configuration and servers."""
-    frontend, readiness, sessions, seed = (free_port([IP]) for _ in range(4))
+async def start_program(ports):
+    """Return an edge program that listens on reserved ports, without configuration and servers."""
+    frontend, readiness, sessions, seed = (ports.reserve([IP]) for _ in range(4))
     program = EdgeProgram(
         PlatformSettings(
             LocalSystem("edge-1", IP, "hall"),
@@ -215,10 +215,17 @@
 @asynccontextmanager
 async def running_harness(*scripts, configured=True):
     """Run a harness with one server of `views` for each script."""
+    with PortReservations() as ports:
+        async with harness_on(ports, scripts, configured) as harness:
+            yield harness
+
+
+@asynccontextmanager
+async def harness_on(ports, scripts, configured):
     servers = [ScriptedServer(f"views-{number}", script) for number, script in enumerate(scripts)]
     for server in servers:
         await server.start()
-    program = await start_program()
+    program = await start_program(ports)
     harness = EdgeHarness(program, program.settings.listen_address("frontend")[1], servers)
     if configured:
         harness.configure()
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -11,7 +11,7 @@
 from configuration.test_parsing import encoded
 from edge.stage import IP, TEST_TIMEOUT_S, start_program
 
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.rehearsal.observations import Observations
 from kestrelplank.rehearsal.simulated_server import SimulatedServer
 from kestrelplank.transport.messages import ConfigurationUpdate, ServerListUpdate
@@ -36,9 +36,16 @@
 @asynccontextmanager
 async def edge():
     """Run an edge program and one slow server of `orders`; yield both and the port for clients."""
-    server = SlowServer("orders-0", "orders", (IP, free_port([IP])), Observations(), [])
+    with PortReservations() as ports:
+        async with edge_on(ports) as parties:
+            yield parties
+
+
+@asynccontextmanager
+async def edge_on(ports):
+    server = SlowServer("orders-0", "orders", (IP, ports.reserve([IP])), Observations(), [])
     await server.start()
-    program = await start_program()
+    program = await start_program(ports)
     program.receive("member", ConfigurationUpdate(7, encoded(limits=LIMITS)))
     entry = ("orders-0", "orders", f"{IP}:{server.address[1]}", "hall", 4, "ready", 0)
     program.receive("member", ServerListUpdate(0, [entry]))
--- a/tests/edge/test_usage.py
+++ b/tests/edge/test_usage.py
@@ -9,7 +9,7 @@
 from kestrelplank.edge.attempt_counting import counted_attempt
 from kestrelplank.edge.control_sessions import ControlSessions
 from kestrelplank.forwarding.retry_policy import CallKind, CallOutcome
-from kestrelplank.rehearsal.loopback import free_port
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.time_units import SECOND
 from kestrelplank.transport.edge_view import EdgeView
 from kestrelplank.transport.messages import decode_at_member
@@ -127,7 +127,8 @@
     """Guards against: what was counted since the last heartbeat is lost with each edge that is stopped."""
 
     async def scenario():
-        member, port = Member(), free_port([IP])
+        member, ports = Member(), PortReservations()
+        port = ports.reserve([IP])
         listening = await asyncio.get_running_loop().create_server(
             lambda: FrameConnection(decode_at_member, member.handle, lambda connection: None), IP, port
         )
@@ -145,6 +146,7 @@
         listening.close()
         for connection in member.connections:
             connection.reset()
+        ports.release()
         counted = [changed.counts for message in member.received for changed in message.windows]
         assert counted == [{"museum": 1}]
 
--- a/tests/http/test_socket_options.py
+++ b/tests/http/test_socket_options.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from kestrelplank.http.socket_options import listening_socket
 
 
@@ -25,3 +27,13 @@
         return result
 
     assert asyncio.run(program()) == 1
+
+
+def test_an_address_in_use_is_reported_though_its_socket_was_bound_before_the_other_listened():
+    """Guards against a program that goes on without its listener: its port was taken between bind and listen."""
+    with socket.socket() as other:
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        other.bind(("127.0.0.1", 0))
+        address = other.getsockname()
+        with listening_socket(*address), pytest.raises(OSError, match=f"can't listen on 127.0.0.1:{address[1]}"):
+            listening_socket(*address)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from kestrelplank.gateway.command_line import main
 from kestrelplank.http.server import create_server
 from kestrelplank.http.socket_options import listening_socket
+from kestrelplank.rehearsal.loopback import PortReservations
 
 
 class StubMember:
@@ -160,8 +161,8 @@
 
 
 def test_unreachable_address_prints_one_line_and_exits_with_1(configuration_file, capsys):
-    sock = listening_socket("127.0.0.1", 0)  # bound, but not listening
-    assert main(["status", "127.0.0.1:%d" % sock.getsockname()[1]]) == 1
+    with PortReservations() as ports:
+        assert main(["status", f"127.0.0.1:{ports.reserve(['127.0.0.1'])}"]) == 1
     assert capsys.readouterr().err.count("\n") == 1
 
 
