Tests: the programs of a failed test are ended

What was seen: a failed test of tests/test_program.py left its assigner running, which went on calling the ports of its stub servers; the kernel gives them to later tests, whose stubs then got connections that were not theirs.

Cause: only a test that came to its end stopped its program.

Change: the kit knows the programs of its test and ends them, also after a failure; one `kit` fixture for all tests in place of two and two imports of one.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 from hypothesis import settings
+from parties import kit  # noqa: F401 - pytest finds fixtures by name
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 KNOWN_RED_TESTS = [
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -1,6 +1,7 @@
 """Fixtures and helpers for tests of the assigner's network components, based on the stub servers of rehearsals."""
 
 import json
+from contextlib import contextmanager
 
 import pytest
 
@@ -26,6 +27,7 @@
     "node_list",
     "order_queue",
     "read_available",
+    "running_kit",
     "wait_until",
 ]
 
@@ -39,20 +41,34 @@
 
 
 class Kit(stub_server.SocketKit):
-    """The event loop, buffer pool, counters and collected events that a component under test needs."""
+    """The event loop, buffer pool, counters and collected events that a component under test needs.
+
+    `programs`: the processes that the test has started.
+    """
 
     def __init__(self):
         super().__init__()
         self.counters = Counters(logger("test"), self.loop.now)
-        self.events = []
+        self.events, self.programs = [], []
+
+
+@contextmanager
+def running_kit():
+    """Yield a kit; afterwards, also after a failure, end its programs and close its loop."""
+    kit = Kit()
+    try:
+        yield kit
+    finally:
+        for program in kit.programs:
+            program.close()
+        kit.loop.close()
 
 
 @pytest.fixture
 def kit():
-    """A kit, whose loop is closed after the test."""
-    kit = Kit()
-    yield kit
-    kit.loop.close()
+    """A kit for one test."""
+    with running_kit() as kit:
+        yield kit
 
 
 class StubServer(stub_server.StubServer):
--- a/tests/sockets/test_resp.py
+++ b/tests/sockets/test_resp.py
@@ -1,5 +1,5 @@
 import pytest
-from assigner_parties import NODE_REPORT
+from assigner.assigner_parties import NODE_REPORT
 
 from kestrelplank.decode import MalformedError
 from kestrelplank.sockets import resp
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,7 +9,18 @@
 from random import Random
 
 import pytest
-from parties import MS, Kit, StubServer, attach, instance, message, node_list, order_queue, sample_ids, wait_until
+from parties import (
+    MS,
+    StubServer,
+    attach,
+    instance,
+    message,
+    node_list,
+    order_queue,
+    running_kit,
+    sample_ids,
+    wait_until,
+)
 
 from kestrelplank.assigner import proxy_updates
 from kestrelplank.assigner.counters import NonBlockingOutput
@@ -43,13 +54,6 @@
 ]
 
 
-@pytest.fixture
-def kit():
-    kit = Kit()
-    yield kit
-    kit.loop.close()
-
-
 class Program(ProgramProcess):
     """An assigner process that is listening, and a collector connected to it."""
 
@@ -57,6 +61,7 @@
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": SETTINGS, **config}
         path.write_text(json.dumps(config))
         super().__init__(kit.loop, ASSIGNER, NODE_CONFIG=str(path))
+        kit.programs.append(self)
         self.loop, self.answers = kit.loop, b""
         wait_until(self.loop, lambda: self.address() or self.process.poll() is not None)
         assert self.address(), f"the program ended before it was listening: {self.log}"
@@ -150,6 +155,14 @@
     assert code == 0 and "event=counters" in log and "hb_answered=1" in log
 
 
+def test_programs_of_a_failed_test_are_ended(tmp_path):
+    """Guards against assigners that run on and call the ports of their stubs, which later tests are given."""
+    with pytest.raises(ZeroDivisionError), running_kit() as kit:
+        program = Program(kit, tmp_path / "c.json", discovery=closed_port(), hub={"address": closed_port()})
+        raise ZeroDivisionError
+    assert program.process.poll() == 0
+
+
 def test_drain_reaches_the_relay_despite_failed_calls_and_after_a_kill(kit, tmp_path):
     failed_calls = []
 
