Reload test of the assigner: the descriptors counted are those that should stay

Cause: in the test. Its collector doesn't join, so the assigner ends that connection a second after the last message; and its stubs answer no poll, so polls and streams are closed and opened again all the time. The test counted once, at the start, with the collector connected. No descriptor was lost.

Change: the count begins once the collector's connection has ended, and is the most that is open at once in 2 s, before and after. That is stricter: one descriptor that leaks fails the test, where two were needed before. "Connected only to the first" right after a refused file is now "never a connection to the others", as polls come and go.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -65,6 +65,10 @@
         self.loop, self.answers = kit.loop, b""
         wait_until(self.loop, lambda: self.address() or self.process.poll() is not None)
         assert self.address(), f"the program ended before it was listening: {self.log}"
+        self.connect_collector()
+
+    def connect_collector(self):
+        """Connect a collector, which doesn't join: the program ends its connection soon."""
         self.collector = socket.create_connection(self.address(), timeout=20)
         self.collector.setblocking(False)
         self.loop.watch(self.collector, READ, self._read_answer)
@@ -83,6 +87,15 @@
             self.loop.forget(self.collector)
             self.collector.close()
 
+    def count_descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def most_descriptors(self):
+        """Return the most descriptors open at once in 2 s, in which each connection that is made again is open."""
+        counts, end = [], self.loop.now() + 2000 * MS
+        wait_until(self.loop, lambda: counts.append(self.count_descriptors()) or self.loop.now() > end)
+        return max(counts)
+
     def send_heartbeat(self):
         self.answers = b""
         self.collector.send(resp.encode(b"hb"))
@@ -232,22 +245,25 @@
             for server, number in ((servers[index], number), (servers[1 - index], 0))
         )
 
-    wait_until(kit.loop, is_connected_only_to(0))
-    baseline = len(os.listdir(f"/proc/{program.process.pid}/fd"))
+    wait_until(kit.loop, lambda: program.collector.fileno() < 0)  # its descriptor must not be counted
+    baseline = program.most_descriptors()
     for number, bad in enumerate(
         ("{", json.dumps(good | {"hub": {}}), json.dumps(good | {"settings": {"Tick": "soon"}})), 1
     ):
         reload(bad)
         wait_until(kit.loop, lambda number=number: len(program.log_lines("event=reloads_refused")) == number)
-    assert is_connected_only_to(0)()
+    assert not relays[1].connections and not agents[1].connections
+    wait_until(kit.loop, is_connected_only_to(0))  # a poll that is not answered closes its connection for a moment
     for attempt in range(6):
         reload(json.dumps(good | addresses[1 - attempt % 2]))  # also while the previous move is in progress
     wait_until(kit.loop, is_connected_only_to(0))
     reload(json.dumps(good | addresses[1]))
     wait_until(kit.loop, lambda: any(b'"eject","endpoint":"s-1"' in body for _, _, body in relays[1].requests))
     wait_until(kit.loop, is_connected_only_to(1))
-    # A health check or a closing connection may hold a descriptor for a moment; a leak keeps it.
-    wait_until(kit.loop, lambda: len(os.listdir(f"/proc/{program.process.pid}/fd")) == baseline)
+    # A closing connection may hold a descriptor for a moment; a leak keeps it.
+    wait_until(kit.loop, lambda: program.count_descriptors() <= baseline)
+    assert program.most_descriptors() == baseline
+    program.connect_collector()
     assert program.send_heartbeat()
     code, log = program.stop(signal.SIGTERM)
     assert code == 0 and "reloads_refused=3" in log and "defects" not in log
