Forwarding: no attempt is ended early just after the start of an edge

Cause: an attempt is ended early and its retry brings no answer. An edge that shuts down ends none early, but the process that is started next did; the rule's time belongs to the machine, from the SIGTERM until 1 s after grace_s.

Change: the forwarder ends no attempt early before `early_retries_from`, which an edge sets to its start + grace_s + 1 s.

--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -29,6 +29,7 @@
 
 REPORT_INTERVAL_S = 0.5  # between load reports, and between sweeps of idle connections
 DRAIN_DELAY_S = 2.3  # from SIGTERM until connections are refused, for the platform's readiness check to fail
+AFTER_GRACE_S = 1.0  # a planned stop lasts from SIGTERM until so long after the platform's grace period
 FINAL_ANSWERS_S = 0.5  # end of the platform's grace period, reserved for answering unfinished requests
 BODY_MEMORY_FRACTION = 0.25  # of this machine's memory, for buffered request bodies
 BYTES_PER_MB = 1 << 20
@@ -56,6 +57,8 @@
             seconds_to_ns(bounds.drain_s),
             seconds_to_ns(bounds.revoke_s) if bounds.revocation_closed else None,
         )
+        # This process may have been started within the time of a stop, in which clients are owed these answers too.
+        self.forwarder.early_retries_from = time.monotonic_ns() + seconds_to_ns(bounds.grace_s + AFTER_GRACE_S)
         self.connections = ServerConnections(time.monotonic_ns)
         self.usage = edge_usage(settings, random)
         self.readiness = Readiness(self.view)
--- a/kestrelplank/forwarding/forwarder.py
+++ b/kestrelplank/forwarding/forwarder.py
@@ -77,8 +77,9 @@
       (`test_route_and_key_are_judged_by_the_same_version`).
     - States follow `TRANSITIONS` (`test_request_states_follow_the_transition_table`).
     - An attempt is ended early only if its retry starts in the same call
-      (`test_an_attempt_goes_on_after_its_early_time_out_unless_its_retry_can_start`), and never while this edge shuts
-      down (`test_no_attempt_is_ended_early_while_the_edge_shuts_down`).
+      (`test_an_attempt_goes_on_after_its_early_time_out_unless_its_retry_can_start`), and never around a planned stop:
+      while this edge shuts down (`test_no_attempt_is_ended_early_while_the_edge_shuts_down`), and just after its start
+      (`test_no_attempt_is_ended_early_just_after_the_start`).
     - Every attempt that is started is ended or discarded
       (`test_a_request_without_a_free_connection_waits_and_is_not_counted_as_an_attempt`), also after
       the client has disconnected (`test_no_attempt_is_started_after_the_client_has_disconnected`).
@@ -105,6 +106,7 @@
         self.endpoints = Endpoints(random, zone)
         self.retry_budget = RetryBudget(retry_ratio, retry_allowance)
         self.shutting_down = False  # set by the owner: clients are owed the answers that servers are working on
+        self.early_retries_from = 0  # set by the owner: monotonic time; no attempt is ended early before it
         self._admissions = Admissions(random, view, max_unconfirmed_ns)
         self.requested_keys: dict[str, list[int]] = {}  # by service, since the last report
 
@@ -242,13 +244,17 @@
             return None  # many attempts are slow: this one says little about its server
         self._record_overdue(now, request, endpoint)
         other = self._choose(now, request, (*request.attempted_servers, endpoint.server))
-        if self.shutting_down or other is None or not self._can_start(now, request, other):
+        if self._is_in_planned_stop(now) or other is None or not self._can_start(now, request, other):
             return None
         self.retry_budget.try_withdraw(request.service)
         self._end_attempt(now, request, endpoint, CallOutcome.TIMEOUT, None)
         request.ended_early = True
         return self._start_attempt(now, request, other)
 
+    def _is_in_planned_stop(self, now: int) -> bool:
+        """Whether this machine is being stopped, or may be in the time of a stop before this process was started."""
+        return self.shutting_down or now < self.early_retries_from
+
     def attempt_stalled(self, now: int, request: ForwardedRequest) -> None:
         """Record that the server leaves the attempt in flight unread: other requests avoid it, and the attempt goes on.
 
--- a/tests/edge/stage.py
+++ b/tests/edge/stage.py
@@ -226,6 +226,7 @@
     for server in servers:
         await server.start()
     program = await start_program(ports)
+    program.forwarder.early_retries_from = 0  # as a while after the start
     harness = EdgeHarness(program, program.settings.listen_address("frontend")[1], servers)
     if configured:
         harness.configure()
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -12,6 +12,8 @@
 from configuration.test_parsing import route
 from edge.stage import answer, answer_all_requests, request_head, run_scenario
 
+from kestrelplank.edge.program import EdgeProgram
+
 NON_IDEMPOTENT, IDEMPOTENT = "/once/x", "/safe/x"
 
 
@@ -560,8 +562,9 @@
 
 
 # Guards against 504 in place of the answer that the server is working on: no retry is left at the early time-out, or the
-# edge shuts down. The server may work until the client's deadline, not only until the early time-out.
-@pytest.mark.parametrize("cause", ["no retry is left", "SIGTERM"])
+# edge shuts down or has just been started, as after a SIGTERM. The server may work until the client's deadline, not only
+# until the early time-out.
+@pytest.mark.parametrize("cause", ["no retry is left", "SIGTERM", "start"])
 def test_an_attempt_that_can_not_be_retried_early_gets_the_answer_of_its_server(cause):
     arrived, early_timeout_over = asyncio.Event(), asyncio.Event()
     remaining_ms = []
@@ -576,6 +579,7 @@
 
     async def scenario(harness):
         forwarder = harness.program.forwarder
+        early_retries_from = EdgeProgram(harness.program.settings).forwarder.early_retries_from
         retry_early, retries = forwarder.retry_early, []
 
         def observed_retry_early(*arguments):
@@ -589,6 +593,8 @@
         await arrived.wait()
         if cause == "SIGTERM":
             draining = asyncio.create_task(harness.program.drain(0))
+        if cause == "start":
+            forwarder.early_retries_from = early_retries_from
         while cause == "no retry is left" and forwarder.retry_budget.try_withdraw("views"):
             pass
         status, _, body = await client.answer()
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -417,6 +417,17 @@
     assert request.endpoint is step.endpoint
 
 
+# Guards against 502 while a server is at work, by the process that is started within the time of a SIGTERM.
+def test_no_attempt_is_ended_early_just_after_the_start():
+    forwarder = forwarder_with(IDEMPOTENT)
+    forwarder.early_retries_from = NOW + 601 * MS
+    request, step = begin(forwarder, "/c/x", None)
+    assert step.early_timeout_ns == 600 * MS
+    assert forwarder.retry_early(NOW + 600 * MS, request) is None
+    assert request.endpoint is step.endpoint
+    assert isinstance(forwarder.retry_early(NOW + 601 * MS, request), Send)
+
+
 # Guards against requests refused behind a slow server: other servers are used though its attempts are not ended.
 def test_a_server_with_overdue_attempts_is_ejected_while_the_edge_shuts_down():
     forwarder = forwarder_with(IDEMPOTENT)
