Edge: early retries wait for 4.7 s after a start, not 7

Cause: a process that is started listens at the address of the one before it, which closed its listener 2.3 s (DRAIN_DELAY_S) after its SIGTERM; so only grace_s + 1 s - 2.3 s of the stop can be left. Two processes can't listen at one address.

The tests of the edge, of forwarding and tests/test_program.py pass.

--- a/kestrelplank/edge/program.py
+++ b/kestrelplank/edge/program.py
@@ -57,8 +57,10 @@
             seconds_to_ns(bounds.drain_s),
             seconds_to_ns(bounds.revoke_s) if bounds.revocation_closed else None,
         )
-        # This process may have been started within the time of a stop, in which clients are owed these answers too.
-        self.forwarder.early_retries_from = time.monotonic_ns() + seconds_to_ns(bounds.grace_s + AFTER_GRACE_S)
+        # A planned stop may still last, in which clients are owed the answers that servers are working on. This process
+        # listens at the address of the stopped one, so at least `DRAIN_DELAY_S` have passed since its SIGTERM.
+        stop_s = bounds.grace_s + AFTER_GRACE_S - DRAIN_DELAY_S
+        self.forwarder.early_retries_from = time.monotonic_ns() + seconds_to_ns(stop_s)
         self.connections = ServerConnections(time.monotonic_ns)
         self.usage = edge_usage(settings, random)
         self.readiness = Readiness(self.view)
