--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -18,9 +18,10 @@
 import sys
 import time
 from statistics import quantiles
+from typing import NamedTuple
 
 from kestrelplank.consensus.member_messages import ServerListUpdate
-from kestrelplank.http.socket_options import listening_socket
+from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.settings import skip_unused_libraries  # noqa: F401
 from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
 from kestrelplank.transport.messages import ConfigurationUpdate
@@ -51,6 +52,16 @@
 )
 
 
+class Ports(NamedTuple):
+    """The ports of one run: of the server, of the edge, and of a control member that does not run."""
+
+    server: int
+    frontend: int
+    readiness: int
+    sessions: int
+    control: int
+
+
 class ServerProtocol(asyncio.Protocol):
     """A server that responds to each request immediately."""
 
@@ -84,20 +95,24 @@
     await server.serve_forever()
 
 
-async def run_edge(port, server_port, servers, seconds, profile, results):
+async def run_edge(ports, servers, seconds, profile, results):
     from kestrelplank.edge.program import EdgeProgram
 
     program = EdgeProgram(
         PlatformSettings(
             LocalSystem("edge-1", IP, "hall"),
-            Network([port + 2], [f"{IP}:{port + 3}"], {"frontend": f"{IP}:{port}", "readiness": f"{IP}:{port + 1}"}),
+            Network(
+                [ports.sessions],
+                [f"{IP}:{ports.control}"],
+                {"frontend": f"{IP}:{ports.frontend}", "readiness": f"{IP}:{ports.readiness}"},
+            ),
             CloudApi("127.0.0.1:9"),
             Bounds(),
         )
     )
     program.listen()
     program.receive("member", ConfigurationUpdate(7, CONFIGURATION))
-    program.receive("member", ServerListUpdate(0, server_list(servers, server_port)))
+    program.receive("member", ServerListUpdate(0, server_list(servers, ports.server)))
     await asyncio.sleep(1)
     profiler, processor_s = cProfile.Profile(), time.process_time()
     if profile:
@@ -161,29 +176,22 @@
     )
 
 
-def find_free_ports():
-    """The first of ten ports below the ephemeral range; those that this benchmark uses are free."""
-    while True:
-        first = random.randrange(20_000, 30_000)
-        try:
-            for port in (first, first + 1, first + 9):
-                listening_socket(IP, port).close()
-        except OSError:
-            continue
-        return first
+def main():
+    with PortReservations() as reservations:
+        server_ips = [f"127.0.0.{index + 1}" for index in range(TARGET_SERVERS)]
+        run(Ports(reservations.reserve(server_ips), *(reservations.reserve([IP]) for _ in range(4))))
 
 
-def main():
+def run(ports):
     seconds = float(next((argument for argument in sys.argv[1:] if not argument.startswith("-")), "5"))
     rate, servers = integer_option("rate", 0), integer_option("servers", 1)
-    port = find_free_ports()
     pipes = [multiprocessing.Pipe(False) for _ in range(2)]
     tasks = [
-        (run_server, (port + 9, servers)),
-        (run_edge, (port, port + 9, servers, seconds, "--profile" in sys.argv, pipes[0][1])),
-        (run_paced_clients, ((port, port + 9), seconds, rate, pipes[1][1]))
+        (run_server, (ports.server, servers)),
+        (run_edge, (ports, servers, seconds, "--profile" in sys.argv, pipes[0][1])),
+        (run_paced_clients, ((ports.frontend, ports.server), seconds, rate, pipes[1][1]))
         if rate
-        else (run_clients, (port, seconds, pipes[1][1])),
+        else (run_clients, (ports.frontend, seconds, pipes[1][1])),
     ]
     processes = [multiprocessing.Process(target=run_coroutine, args=task, daemon=True) for task in tasks]
     for process in processes:
--- a/tests/control/test_key_secrecy.py
+++ b/tests/control/test_key_secrecy.py
@@ -9,13 +9,12 @@
 
 import pytest
 from configuration.test_parsing import configuration
+from control.member_settings import member_settings
 
 from kestrelplank.control import program
-from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.settings.json_logging import configure_json_logging
-from kestrelplank.settings.platform import Bounds, CloudApi, FaultTolerance, LocalSystem, Network, PlatformSettings
+from kestrelplank.settings.platform import Bounds, FaultTolerance
 
-IP = "127.0.0.1"
 TEST_TIMEOUT_S = 20
 KEYS = ["first-secret", "second-secret"]
 TENANTS = [{"name": "museum", "api_keys": [KEYS[0]]}, {"name": "library", "api_keys": [KEYS[1]]}]
@@ -31,15 +30,8 @@
 
 @pytest.fixture
 def settings(tmp_path):
-    with PortReservations() as ports:
-        control, internal = ports.reserve([IP]), ports.reserve([IP])
-        yield PlatformSettings(
-            LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
-            Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
-            CloudApi(f"{IP}:9"),
-            Bounds(grace_s=2),
-            FaultTolerance(machine_losses=0),
-        )
+    with member_settings(tmp_path, Bounds(grace_s=2), FaultTolerance(machine_losses=0)) as settings:
+        yield settings
 
 
 async def call(settings, method, path, body=b""):
--- a/tests/control/test_program_start.py
+++ b/tests/control/test_program_start.py
@@ -6,27 +6,19 @@
 import threading
 
 import pytest
+from control.member_settings import member_settings
 
 from kestrelplank.control import program
-from kestrelplank.rehearsal.loopback import PortReservations
 from kestrelplank.roles.role_names import USAGE_REPORT
-from kestrelplank.settings.platform import Bounds, CloudApi, LocalSystem, Network, PlatformSettings
+from kestrelplank.settings.platform import Bounds
 from kestrelplank.storage.log_file import LogFile
 from kestrelplank.usage.policy import usage_policy
 
-IP = "127.0.0.1"
-
 
 @pytest.fixture
 def settings(tmp_path):
-    with PortReservations() as ports:
-        control, internal = ports.reserve([IP]), ports.reserve([IP])
-        yield PlatformSettings(
-            LocalSystem("core-1", IP, "hall", initial_boot=True, data_directory=str(tmp_path / "disk")),
-            Network([internal], [f"{IP}:{control}"], {"control_plane": f"{IP}:{control}"}),
-            CloudApi(f"{IP}:9"),
-            Bounds(grace_s=1.5),
-        )
+    with member_settings(tmp_path, Bounds(grace_s=1.5)) as settings:
+        yield settings
 
 
 def exit_code_after_sigterm(settings, ready):
