--- a/kestrelplank/load_balancing/connection_pool.py
+++ b/kestrelplank/load_balancing/connection_pool.py
@@ -73,12 +73,12 @@
 
     def _take_idle(self, now: int, excluded: Container[int]) -> int | None:
         """Remove the most recently used idle connection that may be used, and return it."""
-        for entry in reversed(self._idle):
-            connection, released_at = entry
+        for index in reversed(range(len(self._idle))):
+            connection, released_at = self._idle[index]
             if now - released_at >= self._settings.idle_timeout_ns:
                 return None  # the others have expired as well: see `expire_idle`
             if connection not in excluded:
-                self._idle.remove(entry)
+                del self._idle[index]
                 return connection
         return None
 
