--- a/kestrelplank/rehearsal/loopback.py
+++ b/kestrelplank/rehearsal/loopback.py
@@ -4,7 +4,6 @@
 import contextlib
 import socket
 from collections.abc import Iterable, Sequence
-from types import TracebackType
 
 from kestrelplank.http.answer import Answer
 from kestrelplank.http.connection import dial
@@ -27,9 +26,7 @@
     def __enter__(self) -> "PortReservations":
         return self
 
-    def __exit__(
-        self, exc_type: type[BaseException] | None, exc: BaseException | None, traceback: TracebackType | None
-    ) -> None:
+    def __exit__(self, *exc_info: object) -> None:
         self.release()
 
     def reserve(self, ips: Sequence[str]) -> int:
--- a/tests/edge/stage.py
+++ b/tests/edge/stage.py
@@ -213,33 +213,31 @@
 
 
 @asynccontextmanager
-async def running_harness(*scripts, configured=True):
-    """Run a harness with one server of `views` for each script."""
-    with PortReservations() as ports:
-        async with harness_on(ports, scripts, configured) as harness:
-            yield harness
+async def running_harness(*scripts, configured=True, just_started=False):
+    """Run a harness with one server of `views` for each script.
 
-
-@asynccontextmanager
-async def harness_on(ports, scripts, configured):
-    servers = [ScriptedServer(f"views-{number}", script) for number, script in enumerate(scripts)]
-    for server in servers:
-        await server.start()
-    program = await start_program(ports)
-    program.forwarder.early_retries_from = 0  # as a while after the start
-    harness = EdgeHarness(program, program.settings.listen_address("frontend")[1], servers)
-    if configured:
-        harness.configure()
-        harness.set_servers(*servers)
-    try:
-        yield harness
-    finally:
-        for client in harness.clients:
-            client.close()
-        program.connections.close_unused(set())
-        await program.close()
+    `just_started`: the edge may still be in the time of a planned stop, as a process that was started after one.
+    """
+    with PortReservations() as ports:
+        servers = [ScriptedServer(f"views-{number}", script) for number, script in enumerate(scripts)]
         for server in servers:
-            await server.stop()
+            await server.start()
+        program = await start_program(ports)
+        if not just_started:
+            program.forwarder.early_retries_from = 0
+        harness = EdgeHarness(program, program.settings.listen_address("frontend")[1], servers)
+        if configured:
+            harness.configure()
+            harness.set_servers(*servers)
+        try:
+            yield harness
+        finally:
+            for client in harness.clients:
+                client.close()
+            program.connections.close_unused(set())
+            await program.close()
+            for server in servers:
+                await server.stop()
 
 
 def run_scenario(scenario, *scripts, **options):
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -37,25 +37,19 @@
 async def edge():
     """Run an edge program and one slow server of `orders`; yield both and the port for clients."""
     with PortReservations() as ports:
-        async with edge_on(ports) as parties:
-            yield parties
-
-
-@asynccontextmanager
-async def edge_on(ports):
-    server = SlowServer("orders-0", "orders", (IP, ports.reserve([IP])), Observations(), [])
-    await server.start()
-    program = await start_program(ports)
-    program.receive("member", ConfigurationUpdate(7, encoded(limits=LIMITS)))
-    entry = ("orders-0", "orders", f"{IP}:{server.address[1]}", "hall", 4, "ready", 0)
-    program.receive("member", ServerListUpdate(0, [entry]))
-    try:
-        yield program, server, program.settings.listen_address("frontend")[1]
-    finally:
-        server.may_answer.set()
-        program.connections.close_unused(set())
-        await program.drain(0)
-        await server.stop()
+        server = SlowServer("orders-0", "orders", (IP, ports.reserve([IP])), Observations(), [])
+        await server.start()
+        program = await start_program(ports)
+        program.receive("member", ConfigurationUpdate(7, encoded(limits=LIMITS)))
+        entry = ("orders-0", "orders", f"{IP}:{server.address[1]}", "hall", 4, "ready", 0)
+        program.receive("member", ServerListUpdate(0, [entry]))
+        try:
+            yield program, server, program.settings.listen_address("frontend")[1]
+        finally:
+            server.may_answer.set()
+            program.connections.close_unused(set())
+            await program.drain(0)
+            await server.stop()
 
 
 def head(path="/a/b/x", *more, host="shop.example"):
--- a/tests/edge/test_hard_cases.py
+++ b/tests/edge/test_hard_cases.py
@@ -12,8 +12,6 @@
 from configuration.test_parsing import route
 from edge.stage import answer, answer_all_requests, request_head, run_scenario
 
-from kestrelplank.edge.program import EdgeProgram
-
 NON_IDEMPOTENT, IDEMPOTENT = "/once/x", "/safe/x"
 
 
@@ -579,7 +577,6 @@
 
     async def scenario(harness):
         forwarder = harness.program.forwarder
-        early_retries_from = EdgeProgram(harness.program.settings).forwarder.early_retries_from
         retry_early, retries = forwarder.retry_early, []
 
         def observed_retry_early(*arguments):
@@ -593,8 +590,6 @@
         await arrived.wait()
         if cause == "SIGTERM":
             draining = asyncio.create_task(harness.program.drain(0))
-        if cause == "start":
-            forwarder.early_retries_from = early_retries_from
         while cause == "no retry is left" and forwarder.retry_budget.try_withdraw("views"):
             pass
         status, _, body = await client.answer()
@@ -602,7 +597,7 @@
         if cause == "SIGTERM":
             await draining
 
-    run_scenario(scenario, *[answer_late] * 3)
+    run_scenario(scenario, *[answer_late] * 3, just_started=cause == "start")
     assert len(remaining_ms) == 1 and remaining_ms[0] > 1300
 
 
